--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -2,6 +2,7 @@
 #include "control.hpp"
 #include "jobs_api.hpp"
 #include "operator_api.hpp"
+#include "run_entry.hpp"
 
 #include <jasminetrack/runtime/http_server.hpp>
 #include <jasminetrack/runtime/logging.hpp>
@@ -26,6 +27,7 @@
 constexpr int exit_start = 3;
 constexpr int exit_cut_off = 4;
 constexpr int library_threads = 6;
+constexpr int entry_library_threads = 3;
 
 /// Everything that serves requests.
 struct service_parts
@@ -125,6 +127,55 @@
     return handed_over && answered ? 0 : exit_cut_off;
 }
 
+template <typename Settings>
+bool report(jasminetrack::protocol::parsed<Settings> const& parsed)
+{
+    for (auto const& m : parsed.mistakes)
+        std::cerr << to_line(m) << '\n';
+    return static_cast<bool>(parsed);
+}
+
+template <typename Settings>
+void prepare_process(Settings const& settings, sigset_t& signals, int threads)
+{
+    block_signals(signals);
+    runtime::limit_library_threads(threads);
+    runtime::open_log(settings.node, settings.log_level);
+}
+
+/// Runs with the product's own interface.
+int start_own(std::string const& text, std::string const& path,
+              bool check_only)
+{
+    auto const parsed = jasminetrack::protocol::parse_settings(text, path);
+    if (!report(parsed))
+        return exit_settings;
+    if (check_only)
+        return 0;
+    sigset_t signals;
+    prepare_process(parsed.value, signals, library_threads);
+    auto const code = run(parsed.value, signals);
+    runtime::close_log();
+    return code;
+}
+
+/// Runs on a platform with general jobs.
+int start_entry(std::string const& text, std::string const& path,
+                bool check_only)
+{
+    auto const parsed = jasminetrack::entry::parse_entry_settings(text, path);
+    if (!report(parsed))
+        return exit_settings;
+    if (check_only)
+        return 0;
+    sigset_t signals;
+    sigemptyset(&signals);
+    prepare_process(parsed.value, signals, entry_library_threads);
+    sigaddset(&signals, SIGHUP);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    return run_entry(parsed.value, path, signals);
+}
+
 } // namespace
 
 int main(int argc, char** argv)
@@ -136,7 +187,9 @@
                  "or handed over"};
     std::string path;
     bool check_only = false;
-    app.add_option("--settings", path, "settings file (YAML)")->required();
+    app.add_option("--settings", path, "settings file (YAML)")
+        ->envname("JASMINETRACK_NODE_FILE")
+        ->required();
     app.add_flag("--check", check_only, "check the settings and exit");
     CLI11_PARSE(app, argc, argv);
 
@@ -148,18 +201,7 @@
         std::cerr << path << ": cannot be read\n";
         return exit_settings;
     }
-    auto const parsed =
-        jasminetrack::protocol::parse_settings(text.str(), path);
-    for (auto const& m : parsed.mistakes)
-        std::cerr << to_line(m) << '\n';
-    if (!parsed)
-        return exit_settings;
-    if (check_only)
-        return 0;
-
-    sigset_t signals;
-    block_signals(signals);
-    runtime::limit_library_threads(library_threads);
-    runtime::open_log(parsed.value.node, parsed.value.log_level);
-    return run(parsed.value, signals);
+    if (jasminetrack::entry::is_entry_settings(text.str()))
+        return start_entry(text.str(), path, check_only);
+    return start_own(text.str(), path, check_only);
 }
--- /dev/null
+++ b/packages/entry/include/jasminetrack/entry/entry_node.hpp
@@ -0,0 +1,59 @@
+#pragma once
+/// \file
+/// One entry process on a platform: follows the log, serves callers, and
+/// dispatches while it holds that role.
+
+#include <jasminetrack/entry/dispatch_loop.hpp>
+#include <jasminetrack/entry/job_requests.hpp>
+
+namespace jasminetrack::entry
+{
+
+class entry_node
+{
+public:
+    entry_node(entry_settings const& settings, platform_ports ports);
+    ~entry_node();
+
+    /// \returns null until a configuration is known.
+    [[nodiscard]] std::shared_ptr<tasks::configuration const>
+    configuration() const;
+    [[nodiscard]] job_requests& requests() noexcept
+    {
+        return requests_;
+    }
+    /// Whether callers should be sent here.
+    [[nodiscard]] bool is_ready() const;
+    [[nodiscard]] bool draining() const noexcept
+    {
+        return draining_;
+    }
+    [[nodiscard]] std::string metrics() const;
+
+    void start();
+    /// Gives up the dispatcher's role and stops being ready.
+    void drain();
+    void stop();
+
+private:
+    void take_configuration(std::vector<log_entry> const& entries);
+
+    entry_settings settings_;
+    platform_ports ports_;
+    std::string incarnation_;
+    mutable std::mutex mutex_;
+    std::shared_ptr<tasks::configuration const> config_;
+    view_age jobs_age_;
+    view_age config_age_;
+    std::atomic<bool> draining_{false};
+    job_table table_;
+    runtime::timer_service timers_;
+    record_writer writer_;
+    job_requests requests_;
+    dispatch_loop dispatch_;
+    topic_follower config_follower_;
+    topic_follower jobs_follower_;
+    topic_follower work_follower_;
+};
+
+} // namespace jasminetrack::entry
--- /dev/null
+++ b/packages/entry/include/jasminetrack/entry/job_requests.hpp
@@ -0,0 +1,76 @@
+#pragma once
+/// \file
+/// What callers ask of jobs: submit, look, cancel, count. Answers are final
+/// and given as soon as they are known.
+
+#include <jasminetrack/entry/job_table.hpp>
+#include <jasminetrack/entry/record_writer.hpp>
+
+#include <atomic>
+
+namespace jasminetrack::entry
+{
+
+/// Who asks, and for how long the caller waits.
+struct caller
+{
+    std::string team;
+    milliseconds deadline_ms = 3'000;
+};
+
+enum class submit_result : std::uint8_t
+{
+    accepted,
+    refused, ///< did not run and never will
+    unknown, ///< ask again with the same id
+};
+
+enum class cancel_result : std::uint8_t
+{
+    cancelled,
+    no_such_job,
+    refused,
+    unknown,
+};
+
+/// How fresh this process's view of the log is.
+class view_age
+{
+public:
+    void note_contact(milliseconds now) noexcept
+    {
+        contact_ = now;
+    }
+    /// \returns time since the log was last read; a large value if never.
+    [[nodiscard]] milliseconds age(milliseconds now) const noexcept;
+
+private:
+    std::atomic<milliseconds> contact_{-1};
+};
+
+class job_requests
+{
+public:
+    job_requests(job_table& table, record_writer& writer,
+                 view_age const& age) noexcept;
+
+    [[nodiscard]] submit_result submit(caller const& who,
+                                       std::string const& queue,
+                                       std::string const& id,
+                                       tasks::job_spec spec);
+    /// \returns nothing if there is no such job.
+    [[nodiscard]] std::optional<tasks::job_phase>
+    look(std::string const& id) const;
+    [[nodiscard]] cancel_result cancel(caller const& who,
+                                       std::string const& id);
+    [[nodiscard]] std::int64_t pending(std::string const& queue) const;
+    /// Whether "no such job" would be a true answer here.
+    [[nodiscard]] bool is_current() const;
+
+private:
+    job_table& table_;
+    record_writer& writer_;
+    view_age const& age_;
+};
+
+} // namespace jasminetrack::entry
--- /dev/null
+++ b/packages/entry/include/jasminetrack/entry/record_writer.hpp
@@ -0,0 +1,65 @@
+#pragma once
+/// \file
+/// Puts records of request handlers into the log. What is queued while an
+/// append is under way goes into the next one.
+
+#include <jasminetrack/entry/ports.hpp>
+#include <jasminetrack/runtime/timer_service.hpp>
+
+#include <condition_variable>
+#include <deque>
+#include <memory>
+#include <mutex>
+
+namespace jasminetrack::entry
+{
+
+enum class write_result : std::uint8_t
+{
+    stored,
+    refused, ///< surely not stored, now or later
+    unknown,
+};
+
+/// Safe to use from several threads.
+class record_writer
+{
+public:
+    /// Must outlive the timers.
+    record_writer(log_port& log, topic t, std::string name,
+                  runtime::timer_service& timers);
+
+    /// Waits for the log's answer.
+    /// \param refuse_after_ms a log that takes nothing is given this long
+    /// \param wait_ms         an append without answer is given this long
+    [[nodiscard]] write_result write(tasks::log_record record,
+                                     milliseconds refuse_after_ms,
+                                     milliseconds wait_ms);
+
+private:
+    struct entry
+    {
+        tasks::log_record record;
+        bool sent = false;
+        bool withdrawn = false;
+        std::optional<write_result> result;
+    };
+
+    void send_next();
+    void send_batch();
+    void answered(append_answer const& a);
+    void on_timer();
+
+    log_port& log_;
+    topic topic_;
+    log_writer writer_;
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    std::deque<std::shared_ptr<entry>> queue_;
+    std::vector<std::shared_ptr<entry>> batch_; ///< under way
+    bool unsure_ = false; ///< the batch may be in the log
+    bool retry_ = false;  ///< the batch is to be sent again
+    milliseconds failing_since_ = -1;
+};
+
+} // namespace jasminetrack::entry
--- /dev/null
+++ b/packages/entry/src/dispatch_loop.cpp
@@ -0,0 +1,505 @@
+#include <jasminetrack/entry/dispatch_loop.hpp>
+
+#include <jasminetrack/runtime/logging.hpp>
+
+#include <chrono>
+
+namespace jasminetrack::entry
+{
+namespace
+{
+
+using runtime::log_level;
+using runtime::monotonic_ms;
+using runtime::write_log;
+
+constexpr milliseconds tick_ms = 50;
+/// The holder's sign of life; a third of the silence that ends its role.
+constexpr milliseconds sign_ms = 500;
+constexpr milliseconds claim_delay_step_ms = 15;
+constexpr std::size_t claim_delay_steps = 16;
+constexpr milliseconds append_timeout_ms = 1'000;
+constexpr milliseconds workers_wait_ms = 1'000;
+constexpr milliseconds workers_rest_ms = 250;
+/// The key of the role among the records of work; not a job's id.
+constexpr char const* role_key = "role";
+constexpr char const* writer_name = "dispatcher";
+
+milliseconds claim_delay(std::string const& node)
+{
+    return static_cast<milliseconds>(std::hash<std::string>()(node) %
+                                     claim_delay_steps) *
+           claim_delay_step_ms;
+}
+
+void log_decision(tasks::decision const& d)
+{
+    write_log(log_level::info, d.step, {{"job", d.job}, {"", d.text}});
+}
+
+} // namespace
+
+dispatch_loop::dispatch_loop(entry_settings const& settings,
+                             std::string incarnation, platform_ports ports,
+                             job_table& table, runtime::timer_service& timers)
+    : settings_(settings), incarnation_(std::move(incarnation)),
+      ports_(ports), table_(table), timers_(timers),
+      workers_follower_(
+          ports.log, topic::workers, {workers_wait_ms, workers_rest_ms},
+          {[this](std::vector<log_entry> const& entries, std::int64_t,
+                  bool reloaded)
+           {
+               post([this, entries, reloaded]
+                    { on_workers(entries, reloaded); });
+           },
+           [](std::string const& reason)
+           {
+               write_log(log_level::warning, "workers.read.failed",
+                         {{"reason", reason}});
+           }}),
+      leadership_(incarnation_, claim_delay(settings.node))
+{
+}
+
+dispatch_loop::~dispatch_loop()
+{
+    stop();
+}
+
+dispatch_figures dispatch_loop::figures() const
+{
+    std::lock_guard<std::mutex> const lock(mutex_);
+    return figures_;
+}
+
+void dispatch_loop::count(std::int64_t dispatch_figures::* which)
+{
+    std::lock_guard<std::mutex> const lock(mutex_);
+    ++(figures_.*which);
+}
+
+void dispatch_loop::start()
+{
+    workers_follower_.pause(true);
+    workers_follower_.start();
+    thread_ = std::thread([this] { run(); });
+    timers_.subscribe(tick_ms,
+                      [this]
+                      {
+                          {
+                              std::lock_guard<std::mutex> const lock(mutex_);
+                              if (tick_queued_)
+                                  return;
+                              tick_queued_ = true;
+                          }
+                          post([this] { tick(); });
+                      });
+}
+
+void dispatch_loop::stop()
+{
+    {
+        std::lock_guard<std::mutex> const lock(mutex_);
+        stopping_ = true;
+    }
+    wake_.notify_all();
+    workers_follower_.stop();
+    if (thread_.joinable())
+        thread_.join();
+}
+
+void dispatch_loop::post(task work)
+{
+    {
+        std::lock_guard<std::mutex> const lock(mutex_);
+        if (stopping_)
+            return;
+        queue_.push_back(std::move(work));
+    }
+    wake_.notify_one();
+}
+
+void dispatch_loop::run()
+{
+    for (;;)
+    {
+        std::deque<task> work;
+        {
+            std::unique_lock<std::mutex> lock(mutex_);
+            wake_.wait(lock, [&] { return stopping_ || !queue_.empty(); });
+            if (stopping_)
+                return;
+            work.swap(queue_);
+        }
+        for (auto const& w : work)
+            w();
+        if (dispatcher_)
+            drain_actions();
+    }
+}
+
+void dispatch_loop::tick()
+{
+    {
+        std::lock_guard<std::mutex> const lock(mutex_);
+        tick_queued_ = false;
+        figures_.leading = dispatcher_ != nullptr;
+        figures_.epoch = leadership_.newest().epoch;
+        figures_.open_jobs =
+            dispatcher_ ? static_cast<std::int64_t>(dispatcher_->open_jobs())
+                        : 0;
+    }
+    auto const now = monotonic_ms();
+    if (!dispatcher_ && leadership_.should_claim(now) && work_next_ >= 0)
+        claim();
+    if (append_ && append_waits_)
+        append_again();
+    if (dispatcher_)
+        give_sign(now);
+}
+
+void dispatch_loop::claim()
+{
+    auto const now = monotonic_ms();
+    tasks::role_record const role{leadership_.newest().epoch + 1, incarnation_,
+                                  false};
+    write_log(log_level::info, "role.claim",
+              {{"epoch", std::to_string(role.epoch)},
+               {"at", std::to_string(work_next_)},
+               {"previous", leadership_.newest().holder}});
+    leadership_.on_claim_sent(now);
+    append_call call;
+    call.topic = topic::work;
+    call.records.push_back({role_key, encode(role)});
+    call.writer = {writer_name, role.epoch, 1};
+    call.at = work_next_;
+    call.timeout_ms = append_timeout_ms;
+    ports_.log.append(std::move(call),
+                      [this, role](append_answer const& a)
+                      { post([this, role, a] { claimed(role, a); }); });
+}
+
+void dispatch_loop::claimed(tasks::role_record const& role,
+                            append_answer const& a)
+{
+    auto const now = monotonic_ms();
+    write_log(log_level::info, "role.claim.answered",
+              {{"epoch", std::to_string(role.epoch)},
+               {"result", std::to_string(static_cast<int>(a.result))},
+               {"reason", a.reason}});
+    if (a.result != append_result::stored)
+    {
+        leadership_.on_claim_lost(now);
+        return;
+    }
+    leadership_.on_claim_stored(now, role);
+    if (leadership_.leading())
+        take_over();
+}
+
+void dispatch_loop::take_over()
+{
+    auto const now = monotonic_ms();
+    term_ = leadership_.newest().epoch;
+    sequence_ = 1;
+    append_.reset();
+    append_waits_ = false;
+    to_store_.clear();
+    appended_at_ = now;
+    listed_.clear();
+    dispatcher_ = std::make_unique<tasks::dispatcher>(
+        term_, settings_.bounds, now, log_decision);
+    if (config_)
+        dispatcher_->set_configuration(*config_);
+    auto const ids = table_.unfinished();
+    for (auto const& id : ids)
+        offer_job(id);
+    workers_follower_.pause(false);
+    count(&dispatch_figures::takeovers);
+    write_log(log_level::info, "role.taken",
+              {{"epoch", std::to_string(term_)},
+               {"jobs", std::to_string(ids.size())}});
+}
+
+void dispatch_loop::step_down(std::string const& why)
+{
+    if (!dispatcher_)
+        return;
+    dispatcher_.reset();
+    leadership_.step_down();
+    workers_follower_.pause(true);
+    append_.reset();
+    append_waits_ = false;
+    to_store_.clear();
+    write_log(log_level::warning, "role.lost",
+              {{"epoch", std::to_string(term_)}, {"why", why}});
+}
+
+void dispatch_loop::resign()
+{
+    post(
+        [this]
+        {
+            leadership_.stop_claiming();
+            resigning_ = true;
+            if (dispatcher_ && !append_)
+                give_sign(monotonic_ms());
+        });
+}
+
+void dispatch_loop::offer_job(std::string const& id)
+{
+    auto const view = table_.find(id);
+    if (!dispatcher_ || !view || !view->job ||
+        tasks::is_final(view->summary.phase))
+        return;
+    auto const now = monotonic_ms();
+    auto progress = tasks::decode_progress(view->progress, view->job->spec);
+    if (!progress)
+        progress = tasks::fresh_progress(view->job->spec);
+    dispatcher_->put_job(now, *view->job, std::move(*progress));
+    if (view->cancelled)
+        dispatcher_->cancel_job(now, id);
+}
+
+void dispatch_loop::on_configuration(
+    std::shared_ptr<tasks::configuration const> c)
+{
+    post(
+        [this, c]
+        {
+            config_ = c;
+            if (dispatcher_)
+                dispatcher_->set_configuration(*c);
+        });
+}
+
+void dispatch_loop::on_jobs(std::vector<std::string> ids)
+{
+    post(
+        [this, ids = std::move(ids)]
+        {
+            for (auto const& id : ids)
+                offer_job(id);
+        });
+}
+
+void dispatch_loop::on_work(std::vector<log_entry> entries, std::int64_t next,
+                            bool reloaded)
+{
+    post(
+        [this, entries = std::move(entries), next, reloaded]
+        {
+            auto const now = monotonic_ms();
+            bool const wrote = !entries.empty() && !reloaded;
+            work_next_ = std::max(work_next_, next);
+            for (auto const& e : entries)
+            {
+                if (e.key != role_key)
+                    continue;
+                auto const role = tasks::decode_role(e.value);
+                if (!role)
+                    continue;
+                leadership_.on_record(now, *role);
+                if (dispatcher_ && role->epoch > term_)
+                    step_down("a higher epoch is in the log");
+            }
+            leadership_.on_read(now, wrote);
+        });
+}
+
+void dispatch_loop::on_work_failed()
+{
+    post([this] { leadership_.on_read_failed(monotonic_ms()); });
+}
+
+void dispatch_loop::on_workers(std::vector<log_entry> const& entries,
+                               bool reloaded)
+{
+    if (!dispatcher_)
+        return;
+    auto const now = monotonic_ms();
+    std::set<std::string> seen;
+    for (auto const& e : entries)
+    {
+        seen.insert(e.key);
+        if (e.value.empty())
+        {
+            dispatcher_->unlist_worker(now, e.key);
+            listed_.erase(e.key);
+            continue;
+        }
+        std::string reason;
+        auto const info = ports_.decoder.worker_of(e, reason);
+        if (!info)
+        {
+            write_log(log_level::warning, "worker.entry.skipped",
+                      {{"worker", e.key}, {"reason", reason}});
+            continue;
+        }
+        dispatcher_->put_worker(now, *info);
+        listed_.insert(e.key);
+    }
+    if (!reloaded)
+        return;
+    std::vector<std::string> gone;
+    for (auto const& id : listed_)
+        if (seen.count(id) == 0)
+            gone.push_back(id);
+    for (auto const& id : gone)
+    {
+        dispatcher_->unlist_worker(now, id);
+        listed_.erase(id);
+    }
+}
+
+void dispatch_loop::drain_actions()
+{
+    dispatcher_->tick(monotonic_ms(), runtime::wall_ms());
+    for (auto const& a : dispatcher_->take_actions())
+        std::visit([this](auto const& order) { perform(order); }, a);
+    if (dispatcher_->deposed())
+        step_down("a worker knows a higher token");
+}
+
+void dispatch_loop::perform(tasks::hold_order const& o)
+{
+    count(&dispatch_figures::holds);
+    auto const term = term_;
+    ports_.workers.hold(
+        o,
+        [this, term](tasks::hold_reply const& r)
+        {
+            post(
+                [this, term, r]
+                {
+                    if (dispatcher_ && term == term_)
+                        dispatcher_->on_hold(monotonic_ms(), r);
+                });
+        });
+}
+
+void dispatch_loop::perform(tasks::start_order const& o)
+{
+    count(&dispatch_figures::starts);
+    auto const term = term_;
+    ports_.workers.start(
+        o,
+        [this, term](tasks::start_reply const& r)
+        {
+            post(
+                [this, term, r]
+                {
+                    if (dispatcher_ && term == term_)
+                        dispatcher_->on_start(monotonic_ms(), r);
+                });
+        });
+}
+
+void dispatch_loop::perform(tasks::stop_order const& o)
+{
+    count(&dispatch_figures::stops);
+    ports_.workers.stop(o,
+                        [o](tasks::call_result r)
+                        {
+                            if (r != tasks::call_result::done)
+                                write_log(log_level::info, "run.stop.failed",
+                                          {{"job", o.run.task.job},
+                                           {"worker", o.worker},
+                                           {"result", to_text(r)}});
+                        });
+}
+
+void dispatch_loop::perform(tasks::store_order const& o)
+{
+    to_store_.push_back(o);
+    if (!append_)
+        append({});
+}
+
+void dispatch_loop::append(std::vector<tasks::log_record> records)
+{
+    append_call call;
+    call.topic = topic::work;
+    call.writer = {writer_name, term_, ++sequence_};
+    call.timeout_ms = append_timeout_ms;
+    append_batch_ = 0;
+    if (!to_store_.empty())
+    {
+        append_batch_ = to_store_.front().batch;
+        records.insert(records.end(), to_store_.front().records.begin(),
+                       to_store_.front().records.end());
+        to_store_.pop_front();
+    }
+    call.records = std::move(records);
+    append_ = std::move(call);
+    append_again();
+}
+
+void dispatch_loop::append_again()
+{
+    append_waits_ = false;
+    count(&dispatch_figures::batches);
+    auto const term = term_;
+    ports_.log.append(*append_,
+                      [this, term](append_answer const& a)
+                      { post([this, term, a] { appended(term, a); }); });
+}
+
+void dispatch_loop::appended(std::int64_t term, append_answer const& a)
+{
+    if (!dispatcher_ || term != term_ || !append_)
+        return;
+    auto const now = monotonic_ms();
+    if (a.result == append_result::fenced)
+    {
+        step_down("the log refused its epoch");
+        return;
+    }
+    if (a.result != append_result::stored)
+    {
+        if (log_failing_since_ < 0)
+        {
+            log_failing_since_ = now;
+            write_log(log_level::warning, "log.append.failing",
+                      {{"reason", a.reason}});
+        }
+        append_waits_ = true; // the next tick repeats it
+        return;
+    }
+    if (log_failing_since_ >= 0)
+        write_log(
+            log_level::info, "log.append.back",
+            {{"failing_ms", std::to_string(now - log_failing_since_)}});
+    log_failing_since_ = -1;
+    appended_at_ = now;
+    auto const batch = append_batch_;
+    append_.reset();
+    if (batch > 0)
+        dispatcher_->on_stored(now, batch);
+    if (resigning_)
+        give_sign(now);
+}
+
+void dispatch_loop::give_sign(milliseconds now)
+{
+    if (append_)
+        return;
+    if (!to_store_.empty())
+    {
+        append({});
+        return;
+    }
+    if (resigning_)
+    {
+        tasks::role_record const role{term_, incarnation_, true};
+        append({{role_key, encode(role)}});
+        step_down("resigned");
+        return;
+    }
+    if (now - appended_at_ >= sign_ms)
+        append({{role_key, encode(tasks::role_record{term_, incarnation_,
+                                                     false})}});
+}
+
+} // namespace jasminetrack::entry
--- /dev/null
+++ b/packages/entry/src/entry_node.cpp
@@ -0,0 +1,201 @@
+#include <jasminetrack/entry/entry_node.hpp>
+
+#include <jasminetrack/runtime/logging.hpp>
+
+#include <prometheus/gauge.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace jasminetrack::entry
+{
+namespace
+{
+
+using runtime::log_level;
+using runtime::monotonic_ms;
+using runtime::write_log;
+
+constexpr milliseconds follow_wait_ms = 2'000;
+constexpr milliseconds config_rest_ms = 50;
+constexpr milliseconds jobs_rest_ms = 20;
+constexpr milliseconds work_rest_ms = 100;
+/// Without contact to the log for this long callers are better off elsewhere.
+constexpr milliseconds ready_age_ms = 4'000;
+
+/// Says once when a dependency is lost and once when it is back.
+class contact_log
+{
+public:
+    explicit contact_log(std::string what) : what_(std::move(what)) {}
+
+    void good()
+    {
+        if (lost_at_ >= 0)
+            write_log(log_level::info, "log.read.back",
+                      {{"topic", what_},
+                       {"lost_ms", std::to_string(monotonic_ms() - lost_at_)}});
+        lost_at_ = -1;
+    }
+    void bad(std::string const& reason)
+    {
+        if (lost_at_ >= 0)
+            return;
+        lost_at_ = monotonic_ms();
+        write_log(log_level::warning, "log.read.lost",
+                  {{"topic", what_}, {"reason", reason}});
+    }
+
+private:
+    std::string what_;
+    milliseconds lost_at_ = -1;
+};
+
+std::string new_incarnation(std::string const& node)
+{
+    return node + "-" + std::to_string(runtime::wall_ms());
+}
+
+} // namespace
+
+entry_node::entry_node(entry_settings const& settings, platform_ports ports)
+    : settings_(settings), ports_(ports),
+      incarnation_(new_incarnation(settings.node)),
+      writer_(ports.log, topic::jobs, incarnation_, timers_),
+      requests_(table_, writer_, jobs_age_),
+      dispatch_(settings, incarnation_, ports, table_, timers_),
+      config_follower_(
+          ports.log, topic::configuration, {follow_wait_ms, config_rest_ms},
+          {[this, contact = std::make_shared<contact_log>("configuration")](
+               std::vector<log_entry> const& entries, std::int64_t, bool)
+           {
+               contact->good();
+               config_age_.note_contact(monotonic_ms());
+               take_configuration(entries);
+           },
+           [contact = std::make_shared<contact_log>("configuration")](
+               std::string const& reason) { contact->bad(reason); }}),
+      jobs_follower_(
+          ports.log, topic::jobs, {follow_wait_ms, jobs_rest_ms},
+          {[this](std::vector<log_entry> const& entries, std::int64_t, bool)
+           {
+               jobs_age_.note_contact(monotonic_ms());
+               std::vector<std::string> ids;
+               for (auto const& e : entries)
+                   if (auto id = table_.apply_job(e))
+                       ids.push_back(std::move(*id));
+               if (!ids.empty())
+                   dispatch_.on_jobs(std::move(ids));
+           },
+           [](std::string const&) {}}),
+      work_follower_(
+          ports.log, topic::work, {follow_wait_ms, work_rest_ms},
+          {[this](std::vector<log_entry> const& entries, std::int64_t next,
+                  bool reloaded)
+           {
+               for (auto const& e : entries)
+                   (void)table_.apply_progress(e);
+               dispatch_.on_work(entries, next, reloaded);
+           },
+           [this](std::string const&) { dispatch_.on_work_failed(); }})
+{
+}
+
+entry_node::~entry_node()
+{
+    stop();
+}
+
+std::shared_ptr<tasks::configuration const> entry_node::configuration() const
+{
+    std::lock_guard<std::mutex> const lock(mutex_);
+    return config_;
+}
+
+bool entry_node::is_ready() const
+{
+    return !draining_ && configuration() &&
+           jobs_age_.age(monotonic_ms()) <= ready_age_ms;
+}
+
+void entry_node::take_configuration(std::vector<log_entry> const& entries)
+{
+    for (auto const& e : entries)
+    {
+        std::string reason;
+        auto config = ports_.decoder.configuration_of(e, reason);
+        if (!config)
+        {
+            if (!reason.empty())
+                write_log(log_level::warning, "configuration.skipped",
+                          {{"key", e.key}, {"reason", reason}});
+            continue;
+        }
+        std::lock_guard<std::mutex> const lock(mutex_);
+        if (config_ && config->version <= config_->version)
+            continue;
+        write_log(log_level::info, "configuration.in_force",
+                  {{"version", std::to_string(config->version)},
+                   {"queues", std::to_string(config->queues.size())},
+                   {"teams", std::to_string(config->teams.size())}});
+        config_ = std::make_shared<tasks::configuration const>(
+            std::move(*config));
+        dispatch_.on_configuration(config_);
+    }
+}
+
+void entry_node::start()
+{
+    dispatch_.start();
+    config_follower_.start();
+    jobs_follower_.start();
+    work_follower_.start();
+}
+
+void entry_node::drain()
+{
+    draining_ = true;
+    dispatch_.resign();
+}
+
+void entry_node::stop()
+{
+    config_follower_.stop();
+    jobs_follower_.stop();
+    work_follower_.stop();
+    dispatch_.stop();
+    timers_.stop();
+}
+
+std::string entry_node::metrics() const
+{
+    prometheus::Registry registry;
+    auto const gauge = [&](char const* name, char const* help, double value)
+    {
+        prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add(
+            {}).Set(value);
+    };
+    auto const f = dispatch_.figures();
+    gauge("jasminetrack_dispatcher", "1 if this process dispatches",
+          f.leading ? 1 : 0);
+    gauge("jasminetrack_epoch", "Epoch of the dispatcher's role",
+          static_cast<double>(f.epoch));
+    gauge("jasminetrack_open_jobs", "Jobs without an end, at the dispatcher",
+          static_cast<double>(f.open_jobs));
+    gauge("jasminetrack_holds_total", "Lease renewals sent",
+          static_cast<double>(f.holds));
+    gauge("jasminetrack_starts_total", "Starts sent",
+          static_cast<double>(f.starts));
+    gauge("jasminetrack_stops_total", "Stops sent",
+          static_cast<double>(f.stops));
+    gauge("jasminetrack_batches_total", "Appends of the dispatcher",
+          static_cast<double>(f.batches));
+    gauge("jasminetrack_takeovers_total", "Times the role was taken here",
+          static_cast<double>(f.takeovers));
+    gauge("jasminetrack_log_age_ms", "Time since jobs were read",
+          static_cast<double>(
+              std::min<milliseconds>(jobs_age_.age(monotonic_ms()),
+                                     1'000'000'000)));
+    return prometheus::TextSerializer().Serialize(registry.Collect());
+}
+
+} // namespace jasminetrack::entry
--- /dev/null
+++ b/packages/entry/src/job_requests.cpp
@@ -0,0 +1,118 @@
+#include <jasminetrack/entry/job_requests.hpp>
+
+#include <jasminetrack/runtime/logging.hpp>
+
+#include <limits>
+
+namespace jasminetrack::entry
+{
+namespace
+{
+
+using runtime::log_level;
+using runtime::monotonic_ms;
+using runtime::write_log;
+
+/// A view not older than this knows every job that callers can know of.
+constexpr milliseconds current_ms = 1'500;
+/// A job that was accepted elsewhere is known here within this time.
+constexpr milliseconds lag_ms = 400;
+/// Part of the caller's time that is left for the answer's way back.
+constexpr milliseconds deadline_part = 5;
+/// A log that takes nothing is waited for so long before a refusal.
+constexpr milliseconds refuse_after_ms = 500;
+
+milliseconds most_wait(caller const& who)
+{
+    return std::max<milliseconds>(
+        1, who.deadline_ms - who.deadline_ms / deadline_part);
+}
+
+char const* to_text(write_result r)
+{
+    if (r == write_result::stored)
+        return "stored";
+    return r == write_result::refused ? "refused" : "unknown";
+}
+
+} // namespace
+
+milliseconds view_age::age(milliseconds now) const noexcept
+{
+    auto const contact = contact_.load();
+    return contact < 0 ? std::numeric_limits<milliseconds>::max()
+                       : now - contact;
+}
+
+job_requests::job_requests(job_table& table, record_writer& writer,
+                           view_age const& age) noexcept
+    : table_(table), writer_(writer), age_(age)
+{
+}
+
+bool job_requests::is_current() const
+{
+    return age_.age(monotonic_ms()) <= current_ms;
+}
+
+submit_result job_requests::submit(caller const& who, std::string const& queue,
+                                   std::string const& id, tasks::job_spec spec)
+{
+    auto const begun = monotonic_ms();
+    if (table_.find(id))
+        return submit_result::accepted;
+    tasks::accepted_job job;
+    job.id = id;
+    job.queue = queue;
+    job.team = who.team;
+    job.accepted_ms = runtime::wall_ms();
+    job.spec = std::move(spec);
+    auto const tasks = job.spec.steps.size();
+    auto const result =
+        writer_.write({id, encode(job)}, refuse_after_ms, most_wait(who));
+    write_log(log_level::info, "job.submit",
+              {{"job", id},
+               {"queue", queue},
+               {"team", who.team},
+               {"steps", std::to_string(tasks)},
+               {"result", to_text(result)},
+               {"took_ms", std::to_string(monotonic_ms() - begun)},
+               {"view_age_ms", std::to_string(age_.age(begun))}});
+    if (result == write_result::stored)
+        return submit_result::accepted;
+    return result == write_result::refused ? submit_result::refused
+                                           : submit_result::unknown;
+}
+
+std::optional<tasks::job_phase> job_requests::look(std::string const& id) const
+{
+    auto const view = table_.await(id, lag_ms);
+    if (!view)
+        return std::nullopt;
+    return view->phase();
+}
+
+cancel_result job_requests::cancel(caller const& who, std::string const& id)
+{
+    auto const view = table_.await(id, lag_ms);
+    if (!view)
+        return is_current() ? cancel_result::no_such_job
+                            : cancel_result::refused;
+    if (view->cancelled || tasks::is_final(view->summary.phase))
+        return cancel_result::cancelled;
+    auto const result =
+        writer_.write({cancel_key(id), "1"}, refuse_after_ms, most_wait(who));
+    write_log(log_level::info, "job.cancel_request",
+              {{"job", id}, {"team", who.team}, {"result", to_text(result)}});
+    if (result == write_result::stored)
+        return cancel_result::cancelled;
+    return result == write_result::refused ? cancel_result::refused
+                                           : cancel_result::unknown;
+}
+
+std::int64_t job_requests::pending(std::string const& queue) const
+{
+    return table_.pending(queue);
+}
+
+} // namespace jasminetrack::entry
--- /dev/null
+++ b/packages/entry/src/record_writer.cpp
@@ -0,0 +1,139 @@
+#include <jasminetrack/entry/record_writer.hpp>
+
+#include <jasminetrack/runtime/logging.hpp>
+#include <jasminetrack/runtime/timer_service.hpp>
+
+#include <chrono>
+
+namespace jasminetrack::entry
+{
+namespace
+{
+
+using runtime::log_level;
+using runtime::monotonic_ms;
+using runtime::write_log;
+
+/// A log that gave no good answer for this long takes nothing: new records
+/// are refused at once.
+constexpr milliseconds failing_ms = 600;
+constexpr milliseconds retry_ms = 100;
+constexpr std::size_t most_a_batch = 64;
+
+} // namespace
+
+record_writer::record_writer(log_port& log, topic t, std::string name,
+                             runtime::timer_service& timers)
+    : log_(log), topic_(t), writer_{std::move(name), 1, 0}
+{
+    timers.subscribe(retry_ms, [this] { on_timer(); });
+}
+
+write_result record_writer::write(tasks::log_record record,
+                                  milliseconds refuse_after_ms,
+                                  milliseconds wait_ms)
+{
+    using std::chrono::milliseconds;
+    using clock = std::chrono::steady_clock;
+    auto const mine = std::make_shared<entry>();
+    mine->record = std::move(record);
+    std::unique_lock<std::mutex> lock(mutex_);
+    bool const failing = failing_since_ >= 0 &&
+                         monotonic_ms() - failing_since_ > failing_ms;
+    if (failing)
+        return write_result::refused;
+    queue_.push_back(mine);
+    if (batch_.empty())
+        send_next();
+    auto const begun = clock::now();
+    auto const ended = [&] { return mine->result.has_value(); };
+    if (changed_.wait_until(lock, begun + milliseconds(refuse_after_ms),
+                            ended))
+        return *mine->result;
+    if (!mine->sent)
+    {
+        mine->withdrawn = true;
+        return write_result::refused;
+    }
+    if (changed_.wait_until(lock, begun + milliseconds(wait_ms), ended))
+        return *mine->result;
+    return write_result::unknown;
+}
+
+void record_writer::send_next()
+{
+    while (!queue_.empty() && batch_.size() < most_a_batch)
+    {
+        auto const next = queue_.front();
+        queue_.pop_front();
+        if (next->withdrawn)
+            continue;
+        next->sent = true;
+        batch_.push_back(next);
+    }
+    if (batch_.empty())
+        return;
+    ++writer_.sequence;
+    unsure_ = false;
+    send_batch();
+}
+
+void record_writer::send_batch()
+{
+    append_call call;
+    call.topic = topic_;
+    call.writer = writer_;
+    for (auto const& e : batch_)
+        call.records.push_back(e->record);
+    log_.append(std::move(call),
+                [this](append_answer const& a) { answered(a); });
+}
+
+void record_writer::answered(append_answer const& a)
+{
+    std::unique_lock<std::mutex> lock(mutex_);
+    if (a.result == append_result::stored)
+    {
+        if (failing_since_ >= 0)
+            write_log(log_level::info, "log.append.back",
+                      {{"failing_ms",
+                        std::to_string(monotonic_ms() - failing_since_)}});
+        failing_since_ = -1;
+        for (auto const& e : batch_)
+            e->result = write_result::stored;
+        batch_.clear();
+        changed_.notify_all();
+        send_next();
+        return;
+    }
+    if (failing_since_ < 0)
+    {
+        failing_since_ = monotonic_ms();
+        write_log(log_level::warning, "log.append.failing",
+                  {{"reason", a.reason}});
+    }
+    unsure_ = unsure_ || a.result == append_result::unknown;
+    if (!unsure_)
+    {
+        // Nothing was done: each record's own time decides how long to try.
+        for (auto const& e : batch_)
+            e->result = write_result::refused;
+        batch_.clear();
+        changed_.notify_all();
+        --writer_.sequence;
+        send_next();
+        return;
+    }
+    retry_ = true; // with the next timer: the same bytes, same sequence
+}
+
+void record_writer::on_timer()
+{
+    std::lock_guard<std::mutex> const lock(mutex_);
+    if (!retry_)
+        return;
+    retry_ = false;
+    send_batch();
+}
+
+} // namespace jasminetrack::entry
--- /dev/null
+++ b/packages/entry/src/settings.cpp
@@ -0,0 +1,50 @@
+#include <jasminetrack/entry/settings.hpp>
+
+namespace jasminetrack::entry
+{
+namespace
+{
+
+void read_bounds(protocol::yaml_reader in, tasks::dispatch_bounds& b)
+{
+    b.lease_most_ms = in.duration("lease_most", b.lease_most_ms);
+    b.stop_ms = in.duration("stop", b.stop_ms);
+    b.gang_wait_ms = in.duration("gang_wait", b.gang_wait_ms);
+    b.reclaim_ms = in.duration("reclaim", b.reclaim_ms);
+    b.far_factor = in.integer("far_factor", b.far_factor, 1, 1'000);
+    in.finish();
+}
+
+} // namespace
+
+bool is_entry_settings(std::string const& text)
+{
+    return text.starts_with("jobs:") ||
+           text.find("\njobs:") != std::string::npos;
+}
+
+protocol::parsed<entry_settings>
+parse_entry_settings(std::string const& text, std::string const& file)
+{
+    protocol::parsed<entry_settings> result;
+    protocol::yaml_reader in(text, file, result.mistakes);
+    if (!result.mistakes.empty())
+        return result;
+    auto& s = result.value;
+    s.node = in.required_name("node");
+    s.region = in.required_name("region");
+    s.data_center = in.required_name("data_center");
+    s.listen = in.required_address("listen");
+    s.ready = in.required_address("ready");
+    s.log = in.required_address("log");
+    s.advice = in.text("advice", "");
+    s.threads = in.integer("threads", s.threads, 2, 256);
+    s.stop_within_ms = in.duration("stop_within", s.stop_within_ms);
+    std::vector<std::string> const levels{"debug", "info", "warning"};
+    s.log_level = levels[in.choice("log_level", levels, 1)];
+    read_bounds(in.child("jobs"), s.bounds);
+    in.finish();
+    return result;
+}
+
+} // namespace jasminetrack::entry
--- a/packages/runtime/include/jasminetrack/runtime/logging.hpp
+++ b/packages/runtime/include/jasminetrack/runtime/logging.hpp
@@ -2,6 +2,7 @@
 /// \file
 /// Structured logs: one line an event, "key=value" fields after the step.
 
+#include <cstdint>
 #include <string>
 #include <utility>
 #include <vector>
@@ -24,9 +25,14 @@
     std::string value;
 };
 
-/// Sets up the log; lines go to standard error.
+/// Sets up the log; lines go to standard output from a thread of the log.
+/// Lines that the reader is too slow for are dropped and counted.
 /// \param node name that every line carries
 void open_log(std::string const& node, std::string const& level);
+/// Writes what is left of the log, as far as its reader takes it.
+void close_log();
+/// \returns how many lines were dropped since the start.
+[[nodiscard]] std::uint64_t dropped_log_lines() noexcept;
 
 /// \code
 /// write_log(log_level::info, "job.place", {{"job", id}, {"team", team}});
--- a/packages/runtime/src/logging.cpp
+++ b/packages/runtime/src/logging.cpp
@@ -6,8 +6,13 @@
 #include <boost/log/expressions.hpp>
 #include <boost/log/support/date_time.hpp>
 #include <boost/log/trivial.hpp>
-#include <boost/log/utility/setup/console.hpp>
+#include <boost/log/sinks/async_frontend.hpp>
+#include <boost/log/sinks/bounded_fifo_queue.hpp>
+#include <boost/log/sinks/text_ostream_backend.hpp>
+#include <boost/log/utility/setup/formatter_parser.hpp>
+#include <boost/core/null_deleter.hpp>
 
+#include <atomic>
 #include <iostream>
 
 namespace jasminetrack::runtime
@@ -25,6 +30,28 @@
                               : logging::trivial::info;
 }
 
+constexpr std::size_t most_lines_waiting = 4'096;
+std::atomic<std::uint64_t> dropped{0};
+
+/// Drops and counts the line when the queue is full.
+struct count_on_overflow
+{
+    template <typename Lock>
+    static bool on_overflow(logging::record_view const&, Lock&)
+    {
+        ++dropped;
+        return false;
+    }
+    static void on_queue_space_available() noexcept {}
+    static void interrupt() noexcept {}
+};
+
+using log_sink = logging::sinks::asynchronous_sink<
+    logging::sinks::text_ostream_backend,
+    logging::sinks::bounded_fifo_queue<most_lines_waiting, count_on_overflow>>;
+
+boost::shared_ptr<log_sink> sink;
+
 std::string quoted(std::string const& value)
 {
     if (value.find_first_of(" \"=\n") == std::string::npos && !value.empty())
@@ -49,15 +76,34 @@
     core->add_global_attribute(
         "Node", logging::attributes::constant<std::string>(node));
     core->set_filter(logging::trivial::severity >= severity_of(level));
-    logging::add_console_log(
-        std::cerr,
-        logging::keywords::format =
-            expr::stream << expr::format_date_time<boost::posix_time::ptime>(
-                                "TimeStamp", "%Y-%m-%dT%H:%M:%S.%fZ")
-                         << " level=" << logging::trivial::severity
-                         << " node=" << expr::attr<std::string>("Node") << " "
-                         << expr::smessage,
-        logging::keywords::auto_flush = true);
+    auto const backend =
+        boost::make_shared<logging::sinks::text_ostream_backend>();
+    backend->add_stream(
+        boost::shared_ptr<std::ostream>(&std::cout, boost::null_deleter()));
+    backend->auto_flush(true);
+    sink = boost::make_shared<log_sink>(backend);
+    sink->set_formatter(
+        expr::stream << expr::format_date_time<boost::posix_time::ptime>(
+                            "TimeStamp", "%Y-%m-%dT%H:%M:%S.%fZ")
+                     << " level=" << logging::trivial::severity
+                     << " node=" << expr::attr<std::string>("Node") << " "
+                     << expr::smessage);
+    core->add_sink(sink);
+}
+
+void close_log()
+{
+    if (!sink)
+        return;
+    logging::core::get()->remove_sink(sink);
+    sink->stop();
+    sink->flush();
+    sink.reset();
+}
+
+std::uint64_t dropped_log_lines() noexcept
+{
+    return dropped;
 }
 
 void write_log(log_level level, std::string const& step,
@@ -65,7 +111,8 @@
 {
     std::string line = "step=" + step;
     for (auto const& f : fields)
-        line += " " + f.key + "=" + quoted(f.value);
+        line += f.key.empty() ? " " + f.value
+                              : " " + f.key + "=" + quoted(f.value);
     switch (level)
     {
     case log_level::debug:
--- /dev/null
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -0,0 +1,244 @@
+#pragma once
+/// \file
+/// Runs the tasks of all jobs on all workers. One process at a time holds the
+/// dispatcher's role; its token fences off those that held it before.
+
+#include <jasminetrack/tasks/placement.hpp>
+#include <jasminetrack/tasks/worker_view.hpp>
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <set>
+
+namespace jasminetrack::tasks
+{
+
+/// Bounds that the platform sets.
+struct dispatch_bounds
+{
+    milliseconds lease_most_ms = 10'000; ///< workers shorten longer leases
+    milliseconds stop_ms = 900;          ///< a stop takes at most this
+    milliseconds gang_wait_ms = 3'000; ///< a member waits this for the others
+    milliseconds reclaim_ms = 3'400;
+    std::int64_t far_factor = 3; ///< slower over racks or far from the data
+
+    friend bool operator==(dispatch_bounds const&,
+                           dispatch_bounds const&) = default;
+};
+
+/// A decision, for the log: what was decided on which job or worker, and why.
+struct decision
+{
+    std::string step; ///< such as "unit.place"
+    std::string job;  ///< id, may be empty
+    std::string text; ///< "key=value" fields
+};
+
+/// \code
+/// dispatcher d(token, bounds, now);
+/// d.put_worker(now, info);
+/// d.put_job(now, job, fresh_progress(job.spec));
+/// d.tick(now, wall_now);
+/// for (auto const& a : d.take_actions())
+///     perform(a);
+/// \endcode
+class dispatcher
+{
+public:
+    using listener = std::function<void(decision const&)>;
+
+    /// \param token   higher than that of every dispatcher before
+    /// \param listen  gets each decision
+    dispatcher(std::int64_t token, dispatch_bounds bounds, milliseconds now,
+               listener listen);
+
+    /// \returns whether a worker knows a higher token: the role is lost.
+    [[nodiscard]] bool deposed() const noexcept
+    {
+        return deposed_;
+    }
+    [[nodiscard]] job_progress const* progress_of(std::string const& id) const;
+    [[nodiscard]] worker_view const* find_worker(std::string const& id) const;
+    [[nodiscard]] std::size_t open_jobs() const noexcept
+    {
+        return jobs_.size();
+    }
+    [[nodiscard]] std::size_t reservations() const noexcept
+    {
+        return reservations_.size();
+    }
+
+    void set_configuration(configuration const& c);
+    /// Takes a job over; `progress` is as it stands in the log.
+    void put_job(milliseconds now, accepted_job const& job,
+                 job_progress progress);
+    void cancel_job(milliseconds now, std::string const& id);
+    void put_worker(milliseconds now, worker_info const& info);
+    /// The list no longer has the worker.
+    void unlist_worker(milliseconds now, std::string const& id);
+    void on_hold(milliseconds now, hold_reply const& reply);
+    void on_start(milliseconds now, start_reply const& reply);
+    /// The batch, and all before it, are in the log.
+    void on_stored(milliseconds now, std::int64_t batch);
+    /// \param wall time of day
+    void tick(milliseconds now, milliseconds wall);
+    [[nodiscard]] actions take_actions();
+
+private:
+    enum class member_phase : std::uint8_t
+    {
+        recorded, ///< its start waits for the log
+        starting, ///< the start was sent and not answered
+        unclear,  ///< no answer; the next hold tells
+        adopted,  ///< an earlier dispatcher placed it; the next hold tells
+        running,
+        off,
+    };
+
+    struct member
+    {
+        std::string worker;
+        member_phase phase = member_phase::recorded;
+        milliseconds until_ms = 0;   ///< last time it can be started
+        milliseconds started_ms = 0; ///< worker's clock when it said so
+        milliseconds sent_at = 0;
+        std::int64_t percent = 0;
+        milliseconds moved_at = 0; ///< when its percent last rose
+    };
+
+    /// The newest run of a unit while any member may be on a worker.
+    struct active_run
+    {
+        std::int64_t run = 0;
+        std::vector<member> members;
+        bool over = false;
+        bool counted = false; ///< its failure was counted
+        std::int64_t batch = 0; ///< that records its places
+        milliseconds placed_at = 0;
+        milliseconds first_sent = 0;
+        milliseconds saved_at = 0; ///< when its checkpoint last changed
+        std::size_t number = 0;
+    };
+
+    struct job_entry
+    {
+        accepted_job job;
+        job_progress progress;
+        std::int64_t priority = 0;
+        milliseconds known_at = 0;
+        std::int64_t waiting = 0; ///< units in phase waiting
+        std::int64_t undone = 0;  ///< units not done
+        std::map<unit_ref, std::set<std::string>> failed_on;
+    };
+
+    /// Places that wait for stops to come through.
+    struct reservation
+    {
+        std::vector<std::string> places;
+        milliseconds since = 0;
+    };
+
+    struct waiting_unit
+    {
+        job_entry* entry = nullptr;
+        unit_ref ref;
+        std::int64_t priority = 0;
+        milliseconds order = 0;
+    };
+
+    [[nodiscard]] step_spec const& step_of(job_entry const& e,
+                                           unit_ref const& ref) const;
+    [[nodiscard]] resources held_by(step_spec const& s) const;
+    [[nodiscard]] task_run run_of(unit_ref const& ref, std::int64_t run,
+                                  std::size_t index, bool gang) const;
+    [[nodiscard]] std::optional<unit_ref> ref_of(task_run const& run);
+    [[nodiscard]] job_entry* find_job(std::string const& id);
+    [[nodiscard]] unit* find_unit(unit_ref const& ref);
+    [[nodiscard]] queue const* queue_of(job_entry const& e) const;
+    [[nodiscard]] bool is_ready(job_entry const& e, unit_id const& id,
+                                milliseconds wall) const;
+    void say(std::string step, std::string job, std::string text) const;
+    void mark_dirty(std::string const& job);
+
+    // dispatcher_workers.cpp
+    void send_due_holds(milliseconds now);
+    void send_hold(milliseconds now, worker_view& w, bool wait);
+    void check_lost_workers(milliseconds now);
+    void lose_life(milliseconds now, worker_view& w, std::string const& why);
+    void take_ends(milliseconds now, worker_view& w, hold_reply const& r);
+    void take_running(milliseconds now, worker_view& w, hold_reply const& r);
+    void take_unlisted(milliseconds now, worker_view& w, hold_reply const& r);
+    void adopt_or_stop(milliseconds now, worker_view& w,
+                       running_task const& t);
+    void note_outcome(milliseconds now, worker_view& w, std::string const& job,
+                      run_end how);
+    void send_stop(milliseconds now, worker_view& w, task_run const& run);
+
+    // dispatcher_runs.cpp
+    void place(milliseconds now, job_entry& e, unit_ref const& ref,
+               std::vector<std::string> const& places);
+    void send_starts(milliseconds now, unit_ref const& ref);
+    void send_start(milliseconds now, job_entry& e, unit_ref const& ref,
+                    std::size_t index);
+    [[nodiscard]] bool can_start(milliseconds now, active_run const& a) const;
+    void member_off(milliseconds now, unit_ref const& ref, std::size_t index);
+    /// Stops what is left of a run; `ended` is already off its worker.
+    void end_run(milliseconds now, unit_ref const& ref, std::string const& why,
+                 std::optional<std::size_t> ended = std::nullopt);
+    void run_ended(milliseconds now, unit_ref const& ref, std::size_t index,
+                   run_end how);
+    void count_failure(job_entry& e, unit_ref const& ref, unit& u,
+                       active_run& a, std::string const& worker);
+    void finish_run(milliseconds now, unit_ref const& ref);
+    void set_unit_phase(job_entry& e, unit& u, unit_phase phase);
+    void evaluate(milliseconds now, job_entry& e);
+    void finish_job(milliseconds now, job_entry& e, job_phase phase);
+    void adopt(milliseconds now, job_entry& e);
+    void check_hanging(milliseconds now);
+    [[nodiscard]] std::optional<std::size_t>
+    member_index(unit_ref const& ref, active_run const& a,
+                 task_run const& run) const;
+
+    // dispatcher_schedule.cpp
+    void schedule(milliseconds now, milliseconds wall);
+    void serve_reservations(milliseconds now);
+    void drop_reservation(unit_ref const& ref);
+    [[nodiscard]] std::vector<waiting_unit> waiting_units(milliseconds now,
+                                                          milliseconds wall);
+    [[nodiscard]] std::vector<worker_room>
+    rooms_for(milliseconds now, job_entry const& e, step_spec const& step,
+              unit_ref const& ref, std::int64_t priority) const;
+    [[nodiscard]] unit_need need_of(milliseconds now, job_entry const& e,
+                                    unit_ref const& ref) const;
+    [[nodiscard]] bool may_reclaim(job_entry const& e) const;
+    [[nodiscard]] double lost_work(milliseconds now, active_run const& a,
+                                   step_spec const& s) const;
+    [[nodiscard]] bool fits_now(milliseconds now, job_entry const& e,
+                                unit_ref const& ref,
+                                std::vector<std::string> const& places) const;
+    void emit_batch();
+
+    std::int64_t token_;
+    dispatch_bounds bounds_;
+    milliseconds began_;
+    listener listen_;
+    bool deposed_ = false;
+    bool changed_ = true; ///< something that placement depends on
+    milliseconds scheduled_at_ = 0;
+    std::int64_t next_batch_ = 1;
+    std::int64_t stored_batch_ = 0;
+    bool batch_sent_ = false;
+    configuration config_;
+    std::map<std::string, job_entry> jobs_; ///< not final, or not stored
+    std::map<std::string, worker_view> workers_;
+    std::map<unit_ref, active_run> active_;
+    std::map<unit_ref, reservation> reservations_;
+    std::deque<unit_ref> unsent_; ///< runs whose starts wait for the log
+    std::set<std::string> dirty_;
+    std::map<std::string, std::int64_t> final_batch_;
+    std::size_t next_number_ = 1;
+    actions out_;
+};
+
+} // namespace jasminetrack::tasks
--- /dev/null
+++ b/packages/tasks/include/jasminetrack/tasks/placement.hpp
@@ -0,0 +1,73 @@
+#pragma once
+/// \file
+/// Finds workers for a unit, and what has to stop to make room for it.
+/// Answers the load of rigid accelerator sizes on workers of few
+/// accelerators: tight places first, so that whole workers stay free.
+
+#include <jasminetrack/tasks/model.hpp>
+
+#include <set>
+
+namespace jasminetrack::tasks
+{
+
+/// A run that could be stopped in favour of a higher priority.
+struct stoppable_run
+{
+    std::size_t run = 0;     ///< names it among all runs; a gang is one
+    resources held;          ///< on this worker
+    double lost_work = 0;    ///< core seconds of the whole run
+
+    friend bool operator==(stoppable_run const&,
+                           stoppable_run const&) = default;
+};
+
+/// What placement sees of a worker.
+struct worker_room
+{
+    std::string id;
+    std::string rack;
+    std::vector<std::string> labels;
+    resources free;      ///< room for a start now
+    resources capacity;  ///< all of it
+    resources reachable; ///< room once stops under way are through
+    std::vector<stoppable_run> stoppable;
+    int doubt = 0; ///< 0: none; placed only where nothing better is
+    std::int64_t same_step = 0; ///< tasks of the unit's step already here
+};
+
+/// What a unit asks for.
+struct unit_need
+{
+    resources each;
+    std::int64_t count = 1;
+    bool same_rack = false;
+    std::string rack;  ///< preferred; empty: any
+    std::string label; ///< required; empty: any
+    std::int64_t most_per_worker = 0; ///< 0: no bound
+    std::set<std::string> avoid;      ///< workers on which it failed
+    bool may_spread = true; ///< over racks although `same_rack`
+};
+
+/// \returns a worker for each task, or nothing if there is no room now.
+[[nodiscard]] std::optional<std::vector<std::string>>
+find_places(std::vector<worker_room> const& rooms, unit_need const& need);
+
+/// \returns whether one rack could hold the unit if nothing else ran there.
+[[nodiscard]] bool one_rack_holds(std::vector<worker_room> const& rooms,
+                                  unit_need const& need);
+
+/// Places, and the runs that must be stopped first.
+struct reclaim_plan
+{
+    std::vector<std::string> places;
+    std::set<std::size_t> victims;
+    double lost_work = 0;
+};
+
+/// \returns the plan that loses the least work, as far as a greedy search
+/// finds it.
+[[nodiscard]] std::optional<reclaim_plan>
+plan_reclaim(std::vector<worker_room> const& rooms, unit_need const& need);
+
+} // namespace jasminetrack::tasks
--- /dev/null
+++ b/packages/tasks/include/jasminetrack/tasks/worker_view.hpp
@@ -0,0 +1,96 @@
+#pragma once
+/// \file
+/// What the dispatcher knows of one worker: its clock, its lease, what is on
+/// it and how it did lately.
+
+#include <jasminetrack/tasks/orders.hpp>
+#include <jasminetrack/tasks/progress.hpp>
+
+#include <map>
+
+namespace jasminetrack::tasks
+{
+
+/// Names a unit among all jobs.
+struct unit_ref
+{
+    std::string job;
+    unit_id unit;
+
+    friend auto operator<=>(unit_ref const&, unit_ref const&) = default;
+};
+
+/// A run on a worker, as far as it takes room there.
+struct occupant
+{
+    unit_ref unit;
+    resources held;
+    bool ending = false;        ///< stopped, or its unit's run is over
+    milliseconds stop_sent = 0; ///< 0: never
+};
+
+/// One worker. Times without a name of their own are the dispatcher's
+/// monotonic clock.
+class worker_view
+{
+public:
+    worker_view() = default;
+    explicit worker_view(worker_info listed_info)
+        : info(std::move(listed_info))
+    {
+    }
+
+    /// \returns the latest that the worker's clock can show for sure.
+    [[nodiscard]] milliseconds clock_floor(milliseconds now) const noexcept;
+    /// \returns whether the lease of all that runs there has expired.
+    [[nodiscard]] bool lease_expired(milliseconds now) const noexcept;
+    /// \returns room for starts now, given what is reserved.
+    [[nodiscard]] resources free_room() const noexcept;
+    /// \returns room once everything that is ending has left.
+    [[nodiscard]] resources reachable_room() const noexcept;
+    [[nodiscard]] bool answered_since(milliseconds time) const noexcept
+    {
+        return fenced && answered_at >= time;
+    }
+
+    void note_clock(milliseconds now, milliseconds clock) noexcept;
+    void extend_lease(milliseconds until) noexcept;
+    void add(task_run const& run, occupant o);
+    void remove(task_run const& run);
+    /// The run leaves soon: its room will be free.
+    void mark_ending(task_run const& run);
+    /// Forgets all that belonged to one life of the worker.
+    void begin_life(std::int64_t born_ms);
+
+    worker_info info;
+    bool listed = true;
+    milliseconds draining_since = -1;
+    bool fenced = false; ///< it has seen this dispatcher's token
+    bool foreign = false; ///< runs a task whose needs are not known
+    milliseconds answered_at = -1;
+    milliseconds silent_since = -1; ///< first unanswered call in a row
+
+    bool hold_sent = false; ///< a hold is under way
+    milliseconds hold_due = 0;
+    std::int64_t last_seen = 0; ///< ends whose consequences are in the log
+    std::int64_t taken_end = 0; ///< ends whose consequences are known here
+    std::int64_t taken_batch = 0; ///< batch that puts them into the log
+
+    std::map<task_run, occupant> occupants;
+    resources reserved; ///< promised to units that wait for stops
+
+    int failures = 0; ///< runs that failed there in a row, of any job
+    std::string last_failed_job;
+    milliseconds avoid_until = 0;
+
+private:
+    resources used_;
+    resources ending_;
+    milliseconds clock_ms_ = 0;
+    milliseconds clock_at_ = -1;
+    milliseconds lease_until_ = 0; ///< on the worker's clock
+
+    friend class dispatcher;
+};
+
+} // namespace jasminetrack::tasks
--- /dev/null
+++ b/packages/tasks/src/dispatcher.cpp
@@ -0,0 +1,218 @@
+#include <jasminetrack/tasks/dispatcher.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace jasminetrack::tasks
+{
+
+dispatcher::dispatcher(std::int64_t token, dispatch_bounds bounds,
+                       milliseconds now, listener listen)
+    : token_(token), bounds_(bounds), began_(now), listen_(std::move(listen))
+{
+}
+
+job_progress const* dispatcher::progress_of(std::string const& id) const
+{
+    auto const at = jobs_.find(id);
+    return at == jobs_.end() ? nullptr : &at->second.progress;
+}
+
+worker_view const* dispatcher::find_worker(std::string const& id) const
+{
+    auto const at = workers_.find(id);
+    return at == workers_.end() ? nullptr : &at->second;
+}
+
+step_spec const& dispatcher::step_of(job_entry const& e,
+                                     unit_ref const& ref) const
+{
+    return e.job.spec.steps[static_cast<std::size_t>(ref.unit.step)];
+}
+
+resources dispatcher::held_by(step_spec const& s) const
+{
+    auto held = s.need;
+    if (s.filling)
+        held.millicores = 0;
+    return held;
+}
+
+task_run dispatcher::run_of(unit_ref const& ref, std::int64_t run,
+                            std::size_t index, bool gang) const
+{
+    auto const task =
+        gang ? static_cast<std::int64_t>(index) : ref.unit.index;
+    return {{ref.job, ref.unit.occurrence, ref.unit.step, task}, run};
+}
+
+std::optional<unit_ref> dispatcher::ref_of(task_run const& run)
+{
+    auto const* e = find_job(run.task.job);
+    if (!e || run.task.step < 0 ||
+        run.task.step >= std::ssize(e->job.spec.steps))
+        return std::nullopt;
+    auto const& step =
+        e->job.spec.steps[static_cast<std::size_t>(run.task.step)];
+    unit_ref ref{run.task.job,
+                 {run.task.occurrence, run.task.step,
+                  step.gang ? 0 : run.task.index}};
+    if (e->progress.units.count(ref.unit) == 0)
+        return std::nullopt;
+    return ref;
+}
+
+dispatcher::job_entry* dispatcher::find_job(std::string const& id)
+{
+    auto const at = jobs_.find(id);
+    return at == jobs_.end() ? nullptr : &at->second;
+}
+
+unit* dispatcher::find_unit(unit_ref const& ref)
+{
+    auto* e = find_job(ref.job);
+    if (!e)
+        return nullptr;
+    auto const at = e->progress.units.find(ref.unit);
+    return at == e->progress.units.end() ? nullptr : &at->second;
+}
+
+queue const* dispatcher::queue_of(job_entry const& e) const
+{
+    return find_queue(config_, e.job.queue);
+}
+
+bool dispatcher::is_ready(job_entry const& e, unit_id const& id,
+                          milliseconds wall) const
+{
+    auto const& spec = e.job.spec;
+    if (spec.occurrences > 0 &&
+        wall < spec.first_due_ms + id.occurrence * spec.interval_ms)
+        return false;
+    auto const& step = spec.steps[static_cast<std::size_t>(id.step)];
+    for (int const before : step.after)
+    {
+        auto at = e.progress.units.lower_bound({id.occurrence, before, 0});
+        for (; at != e.progress.units.end() &&
+               at->first.occurrence == id.occurrence &&
+               at->first.step == before;
+             ++at)
+            if (at->second.phase != unit_phase::done)
+                return false;
+    }
+    return true;
+}
+
+void dispatcher::say(std::string step, std::string job, std::string text) const
+{
+    if (listen_)
+        listen_({std::move(step), std::move(job), std::move(text)});
+}
+
+void dispatcher::mark_dirty(std::string const& job)
+{
+    dirty_.insert(job);
+}
+
+void dispatcher::set_configuration(configuration const& c)
+{
+    if (c.version <= config_.version)
+        return;
+    config_ = c;
+    changed_ = true;
+    for (auto& [id, e] : jobs_)
+        if (auto const* q = queue_of(e))
+            e.priority = q->priority;
+}
+
+void dispatcher::put_job(milliseconds now, accepted_job const& job,
+                         job_progress progress)
+{
+    if (jobs_.count(job.id) != 0 || is_final(progress.phase))
+        return;
+    job_entry e;
+    e.job = job;
+    e.progress = std::move(progress);
+    e.known_at = now;
+    for (auto const& [id, u] : e.progress.units)
+    {
+        e.waiting += u.phase == unit_phase::waiting ? 1 : 0;
+        e.undone += u.phase == unit_phase::done ? 0 : 1;
+    }
+    auto& placed = jobs_.emplace(job.id, std::move(e)).first->second;
+    if (auto const* q = queue_of(placed))
+        placed.priority = q->priority;
+    changed_ = true;
+    adopt(now, placed);
+    evaluate(now, placed);
+}
+
+void dispatcher::cancel_job(milliseconds now, std::string const& id)
+{
+    auto* e = find_job(id);
+    if (!e || is_final(e->progress.phase))
+        return;
+    say("job.cancel", id, "");
+    finish_job(now, *e, job_phase::cancelled);
+}
+
+void dispatcher::on_stored(milliseconds now, std::int64_t batch)
+{
+    stored_batch_ = std::max(stored_batch_, batch);
+    batch_sent_ = false;
+    for (auto& [id, w] : workers_)
+        if (w.taken_end > w.last_seen && w.taken_batch <= stored_batch_)
+            w.hold_due = now;
+    while (!unsent_.empty())
+    {
+        auto const ref = unsent_.front();
+        auto const at = active_.find(ref);
+        if (at != active_.end() && at->second.batch > stored_batch_)
+            break;
+        unsent_.pop_front();
+        send_starts(now, ref);
+    }
+    for (auto at = final_batch_.begin(); at != final_batch_.end();)
+    {
+        auto const run = active_.lower_bound({at->first, {}});
+        bool const busy = run != active_.end() && run->first.job == at->first;
+        if (busy || at->second > stored_batch_)
+        {
+            ++at;
+            continue;
+        }
+        jobs_.erase(at->first);
+        at = final_batch_.erase(at);
+    }
+    emit_batch();
+}
+
+void dispatcher::tick(milliseconds now, milliseconds wall)
+{
+    check_lost_workers(now);
+    check_hanging(now);
+    schedule(now, wall);
+    send_due_holds(now);
+    emit_batch();
+}
+
+void dispatcher::emit_batch()
+{
+    if (batch_sent_ || dirty_.empty())
+        return;
+    store_order order;
+    order.batch = next_batch_++;
+    for (auto const& id : dirty_)
+        if (auto const* e = find_job(id))
+            order.records.push_back({id, encode(e->progress)});
+    dirty_.clear();
+    batch_sent_ = true;
+    out_.push_back(std::move(order));
+}
+
+actions dispatcher::take_actions()
+{
+    return std::exchange(out_, {});
+}
+
+} // namespace jasminetrack::tasks
--- /dev/null
+++ b/packages/tasks/src/dispatcher_schedule.cpp
@@ -0,0 +1,267 @@
+#include <jasminetrack/tasks/dispatcher.hpp>
+
+#include <algorithm>
+#include <tuple>
+
+namespace jasminetrack::tasks
+{
+namespace
+{
+
+/// Placement runs at most this often, and at least this often.
+constexpr milliseconds schedule_least_ms = 20;
+constexpr milliseconds schedule_most_ms = 500;
+/// A worker that gave no word for this long gets nothing new.
+constexpr milliseconds answer_age_ms = 3'500;
+/// Room that was stopped for is planned anew after stops took this long.
+constexpr milliseconds reservation_slack_ms = 800;
+/// An accelerator counts as this many cores when work is lost.
+constexpr double cores_an_accelerator = 8;
+constexpr double thousand = 1000;
+/// A run that is stopped loses at least its start.
+constexpr double least_lost_s = 0.5;
+/// Lower priorities wait this many estimates for a rack of their own.
+constexpr milliseconds rack_patience = 2;
+constexpr int doubt_failing = 1;
+
+} // namespace
+
+void dispatcher::schedule(milliseconds now, milliseconds wall)
+{
+    auto const age = now - scheduled_at_;
+    if (age < schedule_least_ms || (!changed_ && age < schedule_most_ms))
+        return;
+    scheduled_at_ = now;
+    changed_ = false;
+    serve_reservations(now);
+    std::set<unit_ref> full; // steps that found no room in this pass
+    for (auto const& w : waiting_units(now, wall))
+    {
+        auto step = w.ref;
+        step.unit.index = 0;
+        if (full.count(step) != 0 || reservations_.count(w.ref) != 0)
+            continue;
+        auto& e = *w.entry;
+        auto const need = need_of(now, e, w.ref);
+        auto const rooms = rooms_for(now, e, step_of(e, w.ref), w.ref,
+                                     w.priority);
+        auto wanted = need;
+        if (need.same_rack && !need.may_spread)
+            wanted.may_spread = !one_rack_holds(rooms, need);
+        if (auto const places = find_places(rooms, wanted))
+        {
+            place(now, e, w.ref, *places);
+            continue;
+        }
+        auto const plan = may_reclaim(e) ? plan_reclaim(rooms, need)
+                                         : std::optional<reclaim_plan>();
+        if (!plan)
+        {
+            full.insert(step);
+            continue;
+        }
+        say("unit.reclaim", w.ref.job,
+            "victims=" + std::to_string(plan->victims.size()) +
+                " lost_core_s=" + std::to_string(plan->lost_work));
+        reservations_[w.ref] = {plan->places, now};
+        for (auto const& id : plan->places)
+            workers_.at(id).reserved += need.each;
+        std::vector<unit_ref> victims;
+        for (auto const& [ref, a] : active_)
+            if (plan->victims.count(a.number) != 0)
+                victims.push_back(ref);
+        for (auto const& ref : victims)
+            end_run(now, ref, "stopped for job " + w.ref.job);
+    }
+}
+
+std::vector<dispatcher::waiting_unit>
+dispatcher::waiting_units(milliseconds, milliseconds wall)
+{
+    std::vector<waiting_unit> list;
+    for (auto& [id, e] : jobs_)
+    {
+        if (is_final(e.progress.phase) || e.waiting == 0)
+            continue;
+        for (auto const& [unit, u] : e.progress.units)
+            if (u.phase == unit_phase::waiting && is_ready(e, unit, wall))
+                list.push_back({&e, {id, unit}, e.priority, e.known_at});
+    }
+    std::stable_sort(list.begin(), list.end(),
+                     [](waiting_unit const& a, waiting_unit const& b)
+                     {
+                         return std::tuple(a.priority, a.order) <
+                                std::tuple(b.priority, b.order);
+                     });
+    return list;
+}
+
+unit_need dispatcher::need_of(milliseconds now, job_entry const& e,
+                              unit_ref const& ref) const
+{
+    auto const& step = step_of(e, ref);
+    unit_need need;
+    need.each = held_by(step);
+    need.count = step.gang ? step.count : 1;
+    need.same_rack = step.same_rack;
+    need.rack = step.rack;
+    need.label = step.label;
+    need.most_per_worker = step.most_per_worker;
+    if (auto const at = e.failed_on.find(ref); at != e.failed_on.end())
+        need.avoid = at->second;
+    need.may_spread =
+        e.priority == 0 ||
+        now - e.known_at > rack_patience * std::max<milliseconds>(
+                                               step.estimate_ms, 1000);
+    return need;
+}
+
+std::vector<worker_room>
+dispatcher::rooms_for(milliseconds now, job_entry const& e,
+                      step_spec const& step, unit_ref const& ref,
+                      std::int64_t priority) const
+{
+    auto const* q = queue_of(e);
+    std::vector<worker_room> rooms;
+    bool const reclaim = may_reclaim(e);
+    for (auto const& [id, w] : workers_)
+    {
+        if (!q || w.info.service != q->service || !w.listed ||
+            w.info.draining || w.foreign ||
+            !w.answered_since(now - answer_age_ms) || w.silent_since >= 0)
+            continue;
+        worker_room room;
+        room.id = id;
+        room.rack = w.info.rack;
+        room.labels = w.info.labels;
+        room.free = w.free_room();
+        room.capacity = w.info.capacity;
+        room.reachable = w.reachable_room();
+        if (now < w.avoid_until)
+            room.doubt = doubt_failing + w.failures;
+        for (auto const& [run, o] : w.occupants)
+        {
+            if (step.most_per_worker > 0 && o.unit.job == ref.job &&
+                o.unit.unit.step == ref.unit.step &&
+                o.unit.unit.occurrence == ref.unit.occurrence)
+                ++room.same_step;
+            if (!reclaim || o.ending)
+                continue;
+            auto const at = active_.find(o.unit);
+            auto const job = jobs_.find(o.unit.job);
+            if (at == active_.end() || at->second.over || job == jobs_.end() ||
+                job->second.priority <= priority)
+                continue;
+            auto const& other = step_of(job->second, o.unit);
+            if (other.lasting)
+                continue;
+            room.stoppable.push_back({at->second.number, o.held,
+                                      lost_work(now, at->second, other)});
+        }
+        rooms.push_back(std::move(room));
+    }
+    return rooms;
+}
+
+double dispatcher::lost_work(milliseconds now, active_run const& a,
+                             step_spec const& s) const
+{
+    auto const since = s.checkpoints ? a.saved_at : a.first_sent;
+    auto const seconds =
+        a.first_sent == 0 ? 0.0
+                          : static_cast<double>(now - since) / thousand;
+    auto const cores =
+        static_cast<double>(s.need.millicores) / thousand +
+        cores_an_accelerator * static_cast<double>(s.need.accelerators);
+    return (seconds + least_lost_s) * cores *
+           static_cast<double>(a.members.size());
+}
+
+bool dispatcher::may_reclaim(job_entry const& e) const
+{
+    if (e.priority != 0)
+        return false;
+    std::int64_t guaranteed = 0;
+    for (auto const& t : config_.teams)
+        if (t.name == e.job.team)
+            guaranteed = t.guaranteed_accelerators;
+    std::int64_t wanted = 0;
+    for (auto const& [id, other] : jobs_)
+    {
+        if (other.job.team != e.job.team || other.priority != 0 ||
+            is_final(other.progress.phase))
+            continue;
+        std::int64_t most = 0;
+        for (auto const& s : other.job.spec.steps)
+            most = std::max(most, s.count * s.need.accelerators);
+        wanted += most;
+    }
+    return wanted <= guaranteed;
+}
+
+bool dispatcher::fits_now(milliseconds now, job_entry const& e,
+                          unit_ref const& ref,
+                          std::vector<std::string> const& places) const
+{
+    auto const need = held_by(step_of(e, ref));
+    std::map<std::string, resources> wanted;
+    for (auto const& id : places)
+        wanted[id] += need;
+    return std::all_of(wanted.begin(), wanted.end(),
+                       [&](auto const& entry)
+                       {
+                           auto const& w = workers_.at(entry.first);
+                           return w.answered_since(now - answer_age_ms) &&
+                                  fits(entry.second,
+                                       w.free_room() + entry.second);
+                       });
+}
+
+void dispatcher::serve_reservations(milliseconds now)
+{
+    std::vector<unit_ref> refs;
+    for (auto const& [ref, r] : reservations_)
+        refs.push_back(ref);
+    for (auto const& ref : refs)
+    {
+        auto const r = reservations_.at(ref);
+        auto& e = *find_job(ref.job);
+        bool const sound =
+            std::all_of(r.places.begin(), r.places.end(),
+                        [&](std::string const& id)
+                        {
+                            auto const at = workers_.find(id);
+                            return at != workers_.end() &&
+                                   at->second.listed &&
+                                   !at->second.info.draining;
+                        });
+        bool const overdue =
+            now - r.since > bounds_.stop_ms + reservation_slack_ms;
+        if (sound && fits_now(now, e, ref, r.places))
+        {
+            drop_reservation(ref);
+            place(now, e, ref, r.places);
+        }
+        else if (!sound || overdue)
+        {
+            say("unit.reclaim_again", ref.job,
+                sound ? "why=\"stops took too long\""
+                      : "why=\"a worker became unfit\"");
+            drop_reservation(ref);
+        }
+    }
+}
+
+void dispatcher::drop_reservation(unit_ref const& ref)
+{
+    auto const at = reservations_.find(ref);
+    if (at == reservations_.end())
+        return;
+    auto const need = held_by(step_of(*find_job(ref.job), ref));
+    for (auto const& id : at->second.places)
+        if (auto const w = workers_.find(id); w != workers_.end())
+            w->second.reserved -= need;
+    reservations_.erase(at);
+}
+
+} // namespace jasminetrack::tasks
--- /dev/null
+++ b/packages/tasks/src/dispatcher_workers.cpp
@@ -0,0 +1,381 @@
+#include <jasminetrack/tasks/dispatcher.hpp>
+
+#include <algorithm>
+
+namespace jasminetrack::tasks
+{
+namespace
+{
+
+/// A lease outlives a lost dispatcher and a short cut of its worker.
+constexpr milliseconds lease_ms = 6'000;
+/// A worker that leaves may be gone sooner than its lease tells.
+constexpr milliseconds draining_lease_ms = 3'000;
+/// A third of the lease: two renewals may be lost.
+constexpr milliseconds hold_wait_ms = 2'000;
+constexpr milliseconds renew_ms = 1'000;
+constexpr milliseconds silent_retry_ms = 300;
+/// An earlier dispatcher stops within this time of its successor's start.
+constexpr milliseconds handover_ms = 3'000;
+/// An unlisted worker may come back into the list within this time.
+constexpr milliseconds unlisted_keep_ms = 60'000;
+/// How long a worker is left alone after it failed a run, doubled each time.
+constexpr milliseconds failed_rest_ms = 4'000;
+constexpr milliseconds failed_rest_most_ms = 32'000;
+constexpr std::size_t ends_a_page = 500;
+
+} // namespace
+
+void dispatcher::put_worker(milliseconds now, worker_info const& info)
+{
+    auto& w = workers_[info.id];
+    bool const reborn =
+        w.info.born_ms != 0 && info.born_ms > w.info.born_ms;
+    if (reborn)
+        lose_life(now, w, "a new life is listed");
+    auto const born = std::max(w.info.born_ms, info.born_ms);
+    if (reborn)
+        w.begin_life(born);
+    if (info.draining && !w.info.draining)
+    {
+        w.draining_since = now;
+        say("worker.draining", "", "worker=" + info.id + " remaining_ms=" +
+                                       std::to_string(info.remaining_ms));
+    }
+    if (w.info.id.empty())
+        say("worker.listed", "",
+            "worker=" + info.id + " address=" + info.address +
+                " rack=" + info.rack + " born=" + std::to_string(born));
+    w.info = info;
+    w.info.born_ms = born;
+    w.listed = true;
+    changed_ = true;
+}
+
+void dispatcher::unlist_worker(milliseconds now, std::string const& id)
+{
+    auto const at = workers_.find(id);
+    if (at == workers_.end() || !at->second.listed)
+        return;
+    at->second.listed = false;
+    at->second.draining_since = now;
+    changed_ = true;
+    say("worker.unlisted", "", "worker=" + id);
+}
+
+void dispatcher::send_due_holds(milliseconds now)
+{
+    for (auto& [id, w] : workers_)
+    {
+        if (w.hold_sent || w.info.address.empty() || now < w.hold_due)
+            continue;
+        bool const ends_open = w.taken_end > w.last_seen &&
+                               w.taken_batch > stored_batch_;
+        send_hold(now, w, w.fenced && !ends_open && w.silent_since < 0);
+    }
+}
+
+void dispatcher::send_hold(milliseconds now, worker_view& w, bool wait)
+{
+    if (w.taken_batch <= stored_batch_)
+        w.last_seen = w.taken_end;
+    hold_order order{w.info.id, w.info.address, token_, 0, w.last_seen,
+                     wait ? hold_wait_ms : 0};
+    if (w.clock_at_ >= 0)
+    {
+        auto const wanted = w.info.draining ? draining_lease_ms : lease_ms;
+        order.until_ms =
+            w.clock_floor(now) + std::min(wanted, bounds_.lease_most_ms);
+        w.extend_lease(order.until_ms);
+    }
+    w.hold_sent = true;
+    out_.push_back(order);
+}
+
+void dispatcher::on_hold(milliseconds now, hold_reply const& r)
+{
+    auto const at = workers_.find(r.worker);
+    if (at == workers_.end())
+        return;
+    auto& w = at->second;
+    w.hold_sent = false;
+    if (r.result == call_result::fenced)
+    {
+        deposed_ = true;
+        say("dispatcher.deposed", "", "worker=" + r.worker);
+        return;
+    }
+    if (r.result != call_result::done)
+    {
+        w.hold_due = now + silent_retry_ms;
+        if (w.silent_since < 0)
+        {
+            w.silent_since = now;
+            say("worker.silent", "",
+                "worker=" + r.worker + " result=" + to_text(r.result));
+        }
+        return;
+    }
+    if (r.born_ms != 0 && w.info.born_ms != 0 && r.born_ms != w.info.born_ms)
+    {
+        lose_life(now, w, "another life answered");
+        w.begin_life(r.born_ms);
+    }
+    if (r.born_ms != 0)
+        w.info.born_ms = r.born_ms;
+    if (w.silent_since >= 0)
+        say("worker.answers", "",
+            "worker=" + r.worker + " silent_ms=" +
+                std::to_string(now - w.silent_since));
+    bool const first = w.clock_at_ < 0;
+    w.note_clock(now, r.clock_ms);
+    if (first)
+        w.extend_lease(r.clock_ms + bounds_.lease_most_ms);
+    if (!w.fenced)
+        changed_ = true;
+    w.fenced = true;
+    w.silent_since = -1;
+    w.answered_at = now;
+    w.hold_due = now;
+    take_ends(now, w, r);
+    take_running(now, w, r);
+    take_unlisted(now, w, r);
+    if (w.taken_end > w.last_seen)
+        w.hold_due = now + renew_ms; // sooner once the log has them
+    if (w.taken_batch <= stored_batch_)
+        w.hold_due = now;
+}
+
+void dispatcher::take_ends(milliseconds now, worker_view& w,
+                           hold_reply const& r)
+{
+    bool any = false;
+    for (auto const& end : r.ended)
+    {
+        if (end.number <= w.taken_end)
+            continue;
+        any = true;
+        w.taken_end = end.number;
+        say("run.ended", end.run.task.job,
+            "worker=" + w.info.id + " step=" +
+                std::to_string(end.run.task.step) + " index=" +
+                std::to_string(end.run.task.index) + " run=" +
+                std::to_string(end.run.run) + " how=" + to_text(end.how) +
+                " number=" + std::to_string(end.number));
+        w.remove(end.run);
+        changed_ = true;
+        auto const ref = ref_of(end.run);
+        if (!ref)
+            continue;
+        auto const at = active_.find(*ref);
+        if (at == active_.end())
+            continue;
+        auto const index = member_index(*ref, at->second, end.run);
+        if (!index)
+            continue;
+        if (!end.checkpoint.empty())
+            find_unit(*ref)->checkpoint = end.checkpoint;
+        note_outcome(now, w, end.run.task.job, end.how);
+        run_ended(now, *ref, *index, end.how);
+    }
+    if (!any)
+        return;
+    if (!dirty_.empty())
+        w.taken_batch = next_batch_;
+    else
+        w.taken_batch = batch_sent_ ? next_batch_ - 1 : stored_batch_;
+}
+
+void dispatcher::note_outcome(milliseconds now, worker_view& w,
+                              std::string const& job, run_end how)
+{
+    if (how == run_end::done)
+    {
+        w.failures = 0;
+        w.last_failed_job.clear();
+        w.avoid_until = 0;
+    }
+    if (how != run_end::failed || w.last_failed_job == job)
+        return;
+    w.last_failed_job = job;
+    ++w.failures;
+    auto const rest =
+        std::min(failed_rest_most_ms, failed_rest_ms << std::min(w.failures, 4));
+    w.avoid_until = now + rest;
+    say("worker.doubted", job,
+        "worker=" + w.info.id + " failures=" + std::to_string(w.failures) +
+            " rest_ms=" + std::to_string(rest));
+}
+
+void dispatcher::take_running(milliseconds now, worker_view& w,
+                              hold_reply const& r)
+{
+    w.foreign = false;
+    for (auto const& t : r.running)
+    {
+        auto const at = w.occupants.find(t.run);
+        if (at == w.occupants.end())
+        {
+            adopt_or_stop(now, w, t);
+            continue;
+        }
+        auto& o = at->second;
+        auto const run = active_.find(o.unit);
+        if (run == active_.end())
+        {
+            if (now - o.stop_sent > bounds_.stop_ms)
+                send_stop(now, w, t.run);
+            continue;
+        }
+        auto& a = run->second;
+        auto const index = member_index(o.unit, a, t.run);
+        if (!index)
+            continue;
+        auto& m = a.members[*index];
+        if (m.phase == member_phase::adopted ||
+            m.phase == member_phase::unclear ||
+            m.phase == member_phase::starting)
+        {
+            m.phase = member_phase::running;
+            m.started_ms = r.clock_ms;
+            m.moved_at = now;
+            auto* e = find_job(o.unit.job);
+            if (e && !e->progress.begun)
+            {
+                e->progress.begun = true;
+                evaluate(now, *e);
+            }
+        }
+        if (t.percent > m.percent)
+        {
+            m.percent = t.percent;
+            m.moved_at = now;
+        }
+        auto* u = find_unit(o.unit);
+        if (u && !t.checkpoint.empty() && t.checkpoint != u->checkpoint)
+        {
+            u->checkpoint = t.checkpoint;
+            a.saved_at = now;
+        }
+        if (o.ending && now - o.stop_sent > bounds_.stop_ms)
+            send_stop(now, w, t.run);
+    }
+}
+
+void dispatcher::adopt_or_stop(milliseconds now, worker_view& w,
+                               running_task const& t)
+{
+    auto const ref = ref_of(t.run);
+    if (!ref)
+    {
+        w.foreign = true;
+        say("run.unknown", t.run.task.job,
+            "worker=" + w.info.id + " run=" + std::to_string(t.run.run));
+    }
+    else
+    {
+        occupant o{*ref, held_by(step_of(*find_job(ref->job), *ref)), true, 0};
+        w.add(t.run, o);
+        say("run.stale", t.run.task.job,
+            "worker=" + w.info.id + " run=" + std::to_string(t.run.run));
+    }
+    send_stop(now, w, t.run);
+}
+
+void dispatcher::take_unlisted(milliseconds now, worker_view& w,
+                               hold_reply const& r)
+{
+    if (r.ended.size() >= ends_a_page)
+        return; // more ends will follow
+    std::set<task_run> listed;
+    for (auto const& t : r.running)
+        listed.insert(t.run);
+    std::vector<std::pair<task_run, unit_ref>> missing;
+    for (auto const& [run, o] : w.occupants)
+        if (listed.count(run) == 0)
+            missing.emplace_back(run, o.unit);
+    for (auto const& [run, ref] : missing)
+    {
+        auto const at = active_.find(ref);
+        auto const index = at == active_.end()
+                               ? std::nullopt
+                               : member_index(ref, at->second, run);
+        if (!index)
+        {
+            w.remove(run);
+            changed_ = true;
+            continue;
+        }
+        auto const& m = at->second.members[*index];
+        bool const surely_off =
+            m.phase == member_phase::adopted ||
+            ((m.phase == member_phase::unclear ||
+              m.phase == member_phase::starting) &&
+             r.clock_ms > m.until_ms) ||
+            (m.phase == member_phase::running && r.clock_ms > m.started_ms);
+        if (!surely_off)
+            continue;
+        say("run.absent", run.task.job,
+            "worker=" + w.info.id + " index=" +
+                std::to_string(run.task.index) + " run=" +
+                std::to_string(run.run) + " phase=" +
+                std::to_string(static_cast<int>(m.phase)));
+        end_run(now, ref, "a member is not on its worker");
+        if (active_.count(ref) != 0)
+            member_off(now, ref, *index);
+    }
+}
+
+void dispatcher::check_lost_workers(milliseconds now)
+{
+    for (auto at = workers_.begin(); at != workers_.end();)
+    {
+        auto& w = at->second;
+        bool const never_reached =
+            !w.fenced && w.clock_at_ < 0 &&
+            now - began_ > bounds_.lease_most_ms +
+                               bounds_.lease_most_ms / 50 + handover_ms;
+        if (!w.occupants.empty() && (never_reached || w.lease_expired(now)))
+            lose_life(now, w, "its lease expired");
+        bool const gone = !w.listed && w.occupants.empty() &&
+                          now - w.draining_since > unlisted_keep_ms;
+        at = gone ? workers_.erase(at) : std::next(at);
+    }
+}
+
+void dispatcher::lose_life(milliseconds now, worker_view& w,
+                           std::string const& why)
+{
+    std::vector<std::pair<task_run, unit_ref>> lost;
+    for (auto const& [run, o] : w.occupants)
+        lost.emplace_back(run, o.unit);
+    say("worker.lost", "",
+        "worker=" + w.info.id + " runs=" + std::to_string(lost.size()) +
+            " why=\"" + why + "\"");
+    for (auto const& [run, ref] : lost)
+    {
+        auto const at = active_.find(ref);
+        auto const index = at == active_.end()
+                               ? std::nullopt
+                               : member_index(ref, at->second, run);
+        w.remove(run);
+        if (!index)
+            continue;
+        end_run(now, ref, "its worker was lost");
+        if (active_.count(ref) != 0)
+            member_off(now, ref, *index);
+    }
+    changed_ = true;
+}
+
+void dispatcher::send_stop(milliseconds now, worker_view& w,
+                           task_run const& run)
+{
+    auto const at = w.occupants.find(run);
+    if (at != w.occupants.end())
+        at->second.stop_sent = now;
+    if (!w.info.address.empty())
+        out_.push_back(stop_order{w.info.id, w.info.address, token_, run});
+}
+
+} // namespace jasminetrack::tasks
--- /dev/null
+++ b/packages/tasks/src/model.cpp
@@ -0,0 +1,94 @@
+#include <jasminetrack/tasks/model.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace jasminetrack::tasks
+{
+
+char const* to_text(job_phase p) noexcept
+{
+    constexpr std::array names{"queued", "running", "completed", "failed",
+                               "cancelled"};
+    return names[static_cast<std::size_t>(p)];
+}
+
+char const* to_text(run_end e) noexcept
+{
+    constexpr std::array names{"done",   "failed", "stopped",
+                               "lapsed", "broken", "alone"};
+    return names[static_cast<std::size_t>(e)];
+}
+
+queue const* find_queue(configuration const& c, std::string const& host,
+                        std::string const& path)
+{
+    queue const* best = nullptr;
+    for (auto const& q : c.queues)
+    {
+        if (q.host != host || !path.starts_with(q.prefix))
+            continue;
+        if (!best || q.prefix.size() > best->prefix.size())
+            best = &q;
+    }
+    return best;
+}
+
+queue const* find_queue(configuration const& c, std::string const& name)
+{
+    auto const at =
+        std::find_if(c.queues.begin(), c.queues.end(),
+                     [&](queue const& q) { return q.name == name; });
+    return at == c.queues.end() ? nullptr : &*at;
+}
+
+team const* team_of_key(configuration const& c, std::string const& key)
+{
+    for (auto const& t : c.teams)
+        if (std::find(t.keys.begin(), t.keys.end(), key) != t.keys.end())
+            return &t;
+    return nullptr;
+}
+
+namespace
+{
+
+std::optional<std::string> check_step(step_spec const& s, std::size_t number)
+{
+    auto const name = "steps[" + std::to_string(number) + "].";
+    if (s.count < 1 || s.count > most_tasks)
+        return name + "count must be 1 to " + std::to_string(most_tasks);
+    if (s.need.millicores < 0 || s.need.memory_mb < 0 ||
+        s.need.accelerators < 0)
+        return name + "needs must not be negative";
+    for (int const before : s.after)
+        if (before < 0 || static_cast<std::size_t>(before) >= number)
+            return name + "after must name earlier steps";
+    return std::nullopt;
+}
+
+} // namespace
+
+std::optional<std::string> check(job_spec const& spec)
+{
+    if (spec.steps.empty() ||
+        spec.steps.size() > static_cast<std::size_t>(most_steps))
+        return "steps must have 1 to " + std::to_string(most_steps) +
+               " entries";
+    if (spec.occurrences < 0 || spec.interval_ms < 0 ||
+        spec.occurrences > most_tasks)
+        return "occurrences and their interval must be in range";
+    std::int64_t tasks = 0;
+    for (std::size_t i = 0; i < spec.steps.size(); ++i)
+    {
+        if (auto reason = check_step(spec.steps[i], i))
+            return reason;
+        tasks += spec.steps[i].count;
+    }
+    if (tasks * std::max<std::int64_t>(1, spec.occurrences) > most_tasks)
+        return "a job may have at most " + std::to_string(most_tasks) +
+               " tasks";
+    return std::nullopt;
+}
+
+} // namespace jasminetrack::tasks
--- /dev/null
+++ b/packages/tasks/src/placement.cpp
@@ -0,0 +1,272 @@
+#include <jasminetrack/tasks/placement.hpp>
+
+#include <algorithm>
+#include <limits>
+#include <map>
+#include <tuple>
+
+namespace jasminetrack::tasks
+{
+namespace
+{
+
+using room_list = std::vector<worker_room const*>;
+
+bool is_allowed(worker_room const& w, unit_need const& need)
+{
+    if (need.avoid.count(w.id) != 0)
+        return false;
+    return need.label.empty() ||
+           std::find(w.labels.begin(), w.labels.end(), need.label) !=
+               w.labels.end();
+}
+
+std::int64_t times_in(std::int64_t need, std::int64_t room)
+{
+    if (need <= 0)
+        return std::numeric_limits<std::int64_t>::max();
+    return room < 0 ? 0 : room / need;
+}
+
+/// \returns how many of the unit's tasks a room takes.
+std::int64_t tasks_in(resources const& room, worker_room const& w,
+                      unit_need const& need)
+{
+    auto n = std::min({times_in(need.each.millicores, room.millicores),
+                       times_in(need.each.memory_mb, room.memory_mb),
+                       times_in(need.each.accelerators, room.accelerators),
+                       need.count});
+    if (need.most_per_worker > 0)
+        n = std::min(n, need.most_per_worker - w.same_step);
+    return std::max<std::int64_t>(0, n);
+}
+
+/// Orders workers: no doubt first, then the preferred rack, then the tightest.
+auto tightness(worker_room const& w, unit_need const& need)
+{
+    return std::tuple(w.doubt, !need.rack.empty() && w.rack != need.rack,
+                      w.free.accelerators, w.free.memory_mb, w.id);
+}
+
+std::optional<std::vector<std::string>> fill(room_list rooms,
+                                             unit_need const& need)
+{
+    std::sort(rooms.begin(), rooms.end(),
+              [&](worker_room const* a, worker_room const* b)
+              { return tightness(*a, need) < tightness(*b, need); });
+    std::vector<std::string> places;
+    for (auto const* w : rooms)
+    {
+        auto n = tasks_in(w->free, *w, need);
+        for (; n > 0 && std::ssize(places) < need.count; --n)
+            places.push_back(w->id);
+        if (std::ssize(places) == need.count)
+            return places;
+    }
+    return std::nullopt;
+}
+
+std::map<std::string, room_list> by_rack(room_list const& rooms)
+{
+    std::map<std::string, room_list> racks;
+    for (auto const* w : rooms)
+        racks[w->rack].push_back(w);
+    return racks;
+}
+
+int worst_doubt(std::vector<std::string> const& places, room_list const& rooms)
+{
+    int worst = 0;
+    for (auto const* w : rooms)
+        if (std::find(places.begin(), places.end(), w->id) != places.end())
+            worst = std::max(worst, w->doubt);
+    return worst;
+}
+
+/// The rack that is left with the least free accelerators takes the unit.
+std::optional<std::vector<std::string>>
+fill_one_rack(room_list const& rooms, unit_need const& need)
+{
+    std::optional<std::vector<std::string>> best;
+    std::tuple<int, std::int64_t> best_rank{};
+    for (auto const& [rack, members] : by_rack(rooms))
+    {
+        auto places = fill(members, need);
+        if (!places)
+            continue;
+        std::int64_t free = 0;
+        for (auto const* w : members)
+            free += w->free.accelerators;
+        std::tuple const rank{worst_doubt(*places, members), free};
+        if (best && best_rank <= rank)
+            continue;
+        best = std::move(places);
+        best_rank = rank;
+    }
+    return best;
+}
+
+/// What one worker gives up so that some of the unit's tasks fit there.
+struct worker_offer
+{
+    worker_room const* worker = nullptr;
+    std::int64_t tasks = 0;
+    std::vector<std::size_t> victims;
+    double lost_work = 0;
+
+    [[nodiscard]] double price() const noexcept
+    {
+        return lost_work / static_cast<double>(tasks);
+    }
+};
+
+/// The cheapest stops on one worker by which `wanted` tasks fit; runs in
+/// `stopped` cost nothing more.
+std::optional<worker_offer> offer_of(worker_room const& w,
+                                     unit_need const& need,
+                                     std::int64_t wanted,
+                                     std::set<std::size_t> const& stopped)
+{
+    worker_offer offer{&w, tasks_in(w.reachable, w, need), {}, 0};
+    auto room = w.reachable;
+    auto runs = w.stoppable;
+    auto const price = [&](stoppable_run const& r)
+    { return stopped.count(r.run) != 0 ? 0.0 : r.lost_work; };
+    std::sort(runs.begin(), runs.end(),
+              [&](stoppable_run const& a, stoppable_run const& b)
+              { return price(a) < price(b); });
+    for (auto const& r : runs)
+    {
+        if (offer.tasks >= wanted)
+            break;
+        room += r.held;
+        offer.victims.push_back(r.run);
+        offer.lost_work += price(r);
+        offer.tasks = tasks_in(room, w, need);
+    }
+    if (offer.tasks < wanted)
+        return std::nullopt;
+    // A stop that turned out not to be needed is taken back.
+    for (auto i = offer.victims.size(); i-- > 0;)
+    {
+        auto const less = room - runs[i].held;
+        if (tasks_in(less, w, need) < wanted)
+            continue;
+        room = less;
+        offer.lost_work -= price(runs[i]);
+        offer.victims.erase(offer.victims.begin() +
+                            static_cast<std::ptrdiff_t>(i));
+    }
+    offer.tasks = std::min(wanted, tasks_in(room, w, need));
+    return offer;
+}
+
+/// The best offer of one worker for any number of tasks up to `most`.
+std::optional<worker_offer> best_offer(worker_room const& w,
+                                       unit_need const& need,
+                                       std::int64_t most,
+                                       std::set<std::size_t> const& stopped)
+{
+    std::optional<worker_offer> best;
+    for (std::int64_t n = 1; n <= most; ++n)
+    {
+        auto offer = offer_of(w, need, n, stopped);
+        if (!offer)
+            break;
+        if (!best || offer->price() <= best->price())
+            best = std::move(offer);
+    }
+    return best;
+}
+
+std::optional<reclaim_plan> plan_on(room_list rooms, unit_need const& need)
+{
+    reclaim_plan plan;
+    while (std::ssize(plan.places) < need.count)
+    {
+        std::optional<worker_offer> best;
+        std::size_t best_at = 0;
+        auto const open = need.count - std::ssize(plan.places);
+        for (std::size_t i = 0; i < rooms.size(); ++i)
+        {
+            auto offer = best_offer(*rooms[i], need, open, plan.victims);
+            if (!offer)
+                continue;
+            auto const rank = [](worker_offer const& o)
+            {
+                return std::tuple(o.worker->doubt, o.price(),
+                                  o.worker->reachable.accelerators);
+            };
+            if (best && rank(*best) <= rank(*offer))
+                continue;
+            best = std::move(offer);
+            best_at = i;
+        }
+        if (!best)
+            return std::nullopt;
+        plan.places.insert(plan.places.end(),
+                           static_cast<std::size_t>(best->tasks),
+                           best->worker->id);
+        plan.victims.insert(best->victims.begin(), best->victims.end());
+        plan.lost_work += best->lost_work;
+        rooms.erase(rooms.begin() + static_cast<std::ptrdiff_t>(best_at));
+    }
+    return plan;
+}
+
+room_list allowed(std::vector<worker_room> const& rooms, unit_need const& need)
+{
+    room_list list;
+    for (auto const& w : rooms)
+        if (is_allowed(w, need))
+            list.push_back(&w);
+    return list;
+}
+
+} // namespace
+
+std::optional<std::vector<std::string>>
+find_places(std::vector<worker_room> const& rooms, unit_need const& need)
+{
+    auto const list = allowed(rooms, need);
+    if (need.same_rack && need.count > 1)
+    {
+        auto places = fill_one_rack(list, need);
+        if (places || !need.may_spread)
+            return places;
+    }
+    return fill(list, need);
+}
+
+bool one_rack_holds(std::vector<worker_room> const& rooms,
+                    unit_need const& need)
+{
+    for (auto const& [rack, members] : by_rack(allowed(rooms, need)))
+    {
+        std::int64_t held = 0;
+        for (auto const* w : members)
+            held += tasks_in(w->capacity, *w, need);
+        if (held >= need.count)
+            return true;
+    }
+    return false;
+}
+
+std::optional<reclaim_plan> plan_reclaim(std::vector<worker_room> const& rooms,
+                                         unit_need const& need)
+{
+    auto const list = allowed(rooms, need);
+    std::optional<reclaim_plan> best;
+    if (need.same_rack && need.count > 1)
+        for (auto const& [rack, members] : by_rack(list))
+        {
+            auto plan = plan_on(members, need);
+            if (plan && (!best || plan->lost_work < best->lost_work))
+                best = std::move(plan);
+        }
+    if (best)
+        return best;
+    return plan_on(list, need);
+}
+
+} // namespace jasminetrack::tasks
--- /dev/null
+++ b/packages/tasks/src/progress.cpp
@@ -0,0 +1,137 @@
+#include <jasminetrack/tasks/progress.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace jasminetrack::tasks
+{
+
+using nlohmann::json;
+
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(resources, millicores,
+                                                memory_mb, accelerators)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
+    step_spec, count, need, estimate_ms, after, gang, same_rack, checkpoints,
+    copies, lasting, filling, most_per_worker, label, rack, image, target_ms,
+    may_miss)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(job_spec, payload, steps,
+                                                first_due_ms, interval_ms,
+                                                occurrences)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(accepted_job, id, queue, team,
+                                                accepted_ms, spec)
+
+namespace
+{
+
+/// A progress record begins with these bytes: phase and whether it began.
+constexpr std::size_t summary_bytes = 2;
+
+std::string to_bytes(json const& value)
+{
+    auto const bytes = json::to_cbor(value);
+    return {bytes.begin(), bytes.end()};
+}
+
+json row_of(unit_id const& id, unit const& u)
+{
+    return json::array({id.occurrence, id.step, id.index,
+                        static_cast<int>(u.phase), u.run, u.failures,
+                        u.failed_run, u.checkpoint, u.places});
+}
+
+void read_row(json const& row, job_progress& into)
+{
+    unit_id const id{row.at(0), row.at(1), row.at(2)};
+    auto const at = into.units.find(id);
+    if (at == into.units.end())
+        return;
+    auto& u = at->second;
+    u.phase = static_cast<unit_phase>(row.at(3).get<int>());
+    u.run = row.at(4);
+    u.failures = row.at(5);
+    u.failed_run = row.at(6);
+    u.checkpoint = row.at(7);
+    u.places = row.at(8).get<std::vector<std::string>>();
+}
+
+} // namespace
+
+job_progress fresh_progress(job_spec const& spec)
+{
+    job_progress p;
+    auto const occurrences = std::max<std::int64_t>(1, spec.occurrences);
+    for (std::int64_t k = 0; k < occurrences; ++k)
+        for (std::size_t s = 0; s < spec.steps.size(); ++s)
+        {
+            auto const& step = spec.steps[s];
+            auto const units = step.gang ? 1 : step.count;
+            for (std::int64_t i = 0; i < units; ++i)
+                p.units[{k, static_cast<std::int64_t>(s), i}] = {};
+        }
+    return p;
+}
+
+std::string encode(accepted_job const& job)
+{
+    return to_bytes(json(job));
+}
+
+std::optional<accepted_job> decode_job(std::string const& bytes)
+{
+    try
+    {
+        return json::from_cbor(bytes).get<accepted_job>();
+    }
+    catch (json::exception const&)
+    {
+        return std::nullopt;
+    }
+}
+
+std::string encode(job_progress const& progress)
+{
+    std::string bytes;
+    bytes += static_cast<char>(progress.phase);
+    bytes += static_cast<char>(progress.begun ? 1 : 0);
+    if (is_final(progress.phase))
+        return bytes;
+    json rows = json::array();
+    for (auto const& [id, u] : progress.units)
+        if (u != unit{})
+            rows.push_back(row_of(id, u));
+    return bytes + to_bytes(rows);
+}
+
+std::optional<progress_summary> decode_summary(std::string const& bytes)
+{
+    if (bytes.size() < summary_bytes || bytes[0] < 0 ||
+        bytes[0] > static_cast<char>(job_phase::cancelled))
+        return std::nullopt;
+    return progress_summary{static_cast<job_phase>(bytes[0]), bytes[1] != 0};
+}
+
+std::optional<job_progress> decode_progress(std::string const& bytes,
+                                            job_spec const& spec)
+{
+    auto const summary = decode_summary(bytes);
+    if (!summary)
+        return std::nullopt;
+    auto progress = fresh_progress(spec);
+    progress.phase = summary->phase;
+    progress.begun = summary->begun;
+    if (bytes.size() == summary_bytes)
+        return progress;
+    try
+    {
+        for (auto const& row : json::from_cbor(bytes.substr(summary_bytes)))
+            read_row(row, progress);
+        return progress;
+    }
+    catch (json::exception const&)
+    {
+        return std::nullopt;
+    }
+}
+
+} // namespace jasminetrack::tasks
--- /dev/null
+++ b/packages/tasks/src/worker_view.cpp
@@ -0,0 +1,107 @@
+#include <jasminetrack/tasks/worker_view.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace jasminetrack::tasks
+{
+namespace
+{
+
+/// A worker's clock may run this much slow, in thousandths.
+constexpr milliseconds clock_slowness = 20;
+constexpr milliseconds thousand = 1000;
+
+} // namespace
+
+char const* to_text(call_result r) noexcept
+{
+    constexpr std::array names{"done",      "fenced",     "old_run",
+                               "late",      "no_room",    "no_ticket",
+                               "unhealthy", "other_life", "invalid",
+                               "no_answer"};
+    return names[static_cast<std::size_t>(r)];
+}
+
+milliseconds worker_view::clock_floor(milliseconds now) const noexcept
+{
+    auto const passed = now - clock_at_;
+    return clock_ms_ + passed - passed * clock_slowness / thousand;
+}
+
+bool worker_view::lease_expired(milliseconds now) const noexcept
+{
+    return clock_at_ >= 0 && clock_floor(now) > lease_until_;
+}
+
+resources worker_view::free_room() const noexcept
+{
+    return info.capacity - used_ - reserved;
+}
+
+resources worker_view::reachable_room() const noexcept
+{
+    return info.capacity - used_ - reserved + ending_;
+}
+
+void worker_view::note_clock(milliseconds now, milliseconds clock) noexcept
+{
+    if (clock < clock_floor(now) && clock_at_ >= 0)
+        return; // an older answer that was overtaken
+    clock_ms_ = clock;
+    clock_at_ = now;
+}
+
+void worker_view::extend_lease(milliseconds until) noexcept
+{
+    lease_until_ = std::max(lease_until_, until);
+}
+
+void worker_view::add(task_run const& run, occupant o)
+{
+    remove(run);
+    used_ += o.held;
+    if (o.ending)
+        ending_ += o.held;
+    occupants.emplace(run, std::move(o));
+}
+
+void worker_view::remove(task_run const& run)
+{
+    auto const at = occupants.find(run);
+    if (at == occupants.end())
+        return;
+    used_ -= at->second.held;
+    if (at->second.ending)
+        ending_ -= at->second.held;
+    occupants.erase(at);
+}
+
+void worker_view::mark_ending(task_run const& run)
+{
+    auto const at = occupants.find(run);
+    if (at == occupants.end() || at->second.ending)
+        return;
+    at->second.ending = true;
+    ending_ += at->second.held;
+}
+
+void worker_view::begin_life(std::int64_t born_ms)
+{
+    info.born_ms = born_ms;
+    occupants.clear();
+    used_ = {};
+    ending_ = {};
+    clock_ms_ = 0;
+    clock_at_ = -1;
+    lease_until_ = 0;
+    last_seen = 0;
+    taken_end = 0;
+    taken_batch = 0;
+    failures = 0;
+    avoid_until = 0;
+    fenced = false;
+    foreign = false;
+}
+
+} // namespace jasminetrack::tasks
