--- a/packages/entry/include/jasminetrack/entry/dispatch_loop.hpp
+++ b/packages/entry/include/jasminetrack/entry/dispatch_loop.hpp
@@ -87,6 +87,8 @@
     dispatch_figures figures_;
     std::thread thread_;
 
+    std::int64_t first_sequence_; ///< of an epoch's appends
+
     // Below: only the loop's thread.
     tasks::leadership leadership_;
     std::unique_ptr<tasks::dispatcher> dispatcher_;
--- a/packages/entry/src/dispatch_loop.cpp
+++ b/packages/entry/src/dispatch_loop.cpp
@@ -32,6 +32,15 @@
            claim_delay_step_ms;
 }
 
+/// Two nodes may claim one epoch at once. The log takes an append with the
+/// same sequence for a repeat and confirms it, so each starts at its own.
+std::int64_t first_sequence(std::string const& incarnation)
+{
+    constexpr std::size_t numbers = std::size_t{1} << 52;
+    return static_cast<std::int64_t>(
+        std::hash<std::string>()(incarnation) % numbers + 1);
+}
+
 void log_decision(tasks::decision const& d)
 {
     write_log(log_level::info, d.step, {{"job", d.job}, {"", d.text}});
@@ -57,6 +66,7 @@
                write_log(log_level::warning, "workers.read.failed",
                          {{"reason", reason}});
            }}),
+      first_sequence_(first_sequence(incarnation_)),
       leadership_(incarnation_, claim_delay(settings.node))
 {
 }
@@ -171,7 +181,7 @@
     append_call call;
     call.topic = topic::work;
     call.records.push_back({role_key, encode(role)});
-    call.writer = {writer_name, role.epoch, 1};
+    call.writer = {writer_name, role.epoch, first_sequence_};
     call.at = work_next_;
     call.timeout_ms = append_timeout_ms;
     ports_.log.append(std::move(call),
@@ -201,7 +211,7 @@
 {
     auto const now = monotonic_ms();
     term_ = leadership_.newest().epoch;
-    sequence_ = 1;
+    sequence_ = first_sequence_;
     append_.reset();
     append_waits_ = false;
     to_store_.clear();
