--- a/packages/daemon/src/run_entry.cpp
+++ b/packages/daemon/src/run_entry.cpp
@@ -5,6 +5,7 @@
 #include <jasminetrack/runtime/logging.hpp>
 
 #include <chrono>
+#include <cstdlib>
 #include <fstream>
 #include <sstream>
 #include <thread>
@@ -88,13 +89,13 @@
     node.drain();
     std::this_thread::sleep_for(std::chrono::milliseconds(leave_rotation_ms));
     bool const answered =
-        callers.stop(settings.stop_within_ms / answering_part);
-    node.stop();
-    checks.stop(1);
+        callers.drain(settings.stop_within_ms / answering_part);
     write_log(log_level::info, "stop.done",
               {{"all_answered", answered ? "yes" : "no"}});
     runtime::close_log();
-    return answered ? 0 : exit_cut_off;
+    // Nothing is kept, so nothing is torn down: callers on open connections
+    // are answered to the last moment.
+    std::_Exit(answered ? 0 : exit_cut_off);
 }
 
 } // namespace jasminetrack::daemon
--- a/packages/runtime/include/jasminetrack/runtime/http_server.hpp
+++ b/packages/runtime/include/jasminetrack/runtime/http_server.hpp
@@ -37,6 +37,11 @@
 
     /// \returns false with a reason when the address cannot be taken.
     [[nodiscard]] bool start(std::string& reason);
+    /// Takes no new connections and waits until every request is answered.
+    /// The server goes on answering on open connections: a closed listener
+    /// of the library answers 404 on those, which would be false.
+    /// \returns false if `drain_ms` was not enough.
+    bool drain(std::int64_t drain_ms);
     /// Waits until every request is answered and sent, then closes.
     /// \returns false if `drain_ms` was not enough; the rest is cut off.
     bool stop(std::int64_t drain_ms);
--- a/packages/runtime/src/http_server.cpp
+++ b/packages/runtime/src/http_server.cpp
@@ -278,18 +278,21 @@
     }
 }
 
+bool http_server::drain(std::int64_t drain_ms)
+{
+    impl_->closing = true;
+    if (drain_ms <= 0)
+        return false;
+    (void)detail::refuse_new_connections(impl_->address);
+    return impl_->wait_until_quiet(drain_ms);
+}
+
 bool http_server::stop(std::int64_t drain_ms)
 {
     if (!impl_->open)
         return true;
     impl_->open = false;
-    impl_->closing = true;
-    bool drained = false;
-    if (drain_ms > 0)
-    {
-        (void)detail::refuse_new_connections(impl_->address);
-        drained = impl_->wait_until_quiet(drain_ms);
-    }
+    bool const drained = drain(drain_ms);
     impl_->server.close().wait();
     impl_->pool.join();
     return drained;
--- a/packages/tasks/src/dispatcher_workers.cpp
+++ b/packages/tasks/src/dispatcher_workers.cpp
@@ -81,7 +81,9 @@
         w.last_seen = w.taken_end;
     hold_order order{w.info.id, w.info.address, token_, 0, w.last_seen,
                      wait ? hold_wait_ms : 0};
-    if (w.clock_at_ >= 0)
+    // A silent worker is only asked: each renewal that it may still carry out
+    // would put off the time from which its runs are surely over.
+    if (w.clock_at_ >= 0 && w.silent_since < 0)
     {
         auto const wanted = w.info.draining ? draining_lease_ms : lease_ms;
         order.until_ms =
