--- a/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -198,6 +198,8 @@
                  std::optional<std::size_t> ended = std::nullopt);
     void run_ended(milliseconds now, unit_ref const& ref, std::size_t index,
                    run_end how);
+    /// A run that counted as lost had ended done: the work is done.
+    void take_earlier_done(milliseconds now, unit_ref const& ref);
     void count_failure(job_entry& e, unit_ref const& ref, unit& u,
                        active_run& a, std::string const& worker);
     void finish_run(milliseconds now, unit_ref const& ref);
@@ -221,7 +223,10 @@
               unit_ref const& ref, std::int64_t priority) const;
     [[nodiscard]] unit_need need_of(milliseconds now, job_entry const& e,
                                     unit_ref const& ref) const;
-    [[nodiscard]] bool may_reclaim(job_entry const& e) const;
+    [[nodiscard]] reclaim_terms terms_of(job_entry const& e,
+                                         unit_ref const& ref) const;
+    /// Whether all urgent jobs of the team fit into its guarantee.
+    [[nodiscard]] bool is_guaranteed(job_entry const& e) const;
     [[nodiscard]] double lost_work(milliseconds now, active_run const& a,
                                    step_spec const& s) const;
     [[nodiscard]] bool fits_now(milliseconds now, job_entry const& e,
--- a/packages/tasks/include/jasminetrack/tasks/placement.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/placement.hpp
@@ -46,28 +46,63 @@
     std::string label;                ///< required; empty: any
     std::int64_t most_per_worker = 0; ///< 0: no bound
     std::set<std::string> avoid;      ///< workers on which it failed
-    bool may_spread = true;           ///< over racks although `same_rack`
+    milliseconds waited_ms = 0;
+    milliseconds estimate_ms = 1; ///< of one task, on a sound worker
+};
+
+/// Whether a gang that wants one rack may take several.
+enum class racks : std::uint8_t
+{
+    one,
+    several,
 };
 
 /// \returns a worker for each task, or nothing if there is no room now.
 [[nodiscard]] std::optional<std::vector<std::string>>
-find_places(std::vector<worker_room> const& rooms, unit_need const& need);
+find_places(std::vector<worker_room> const& rooms, unit_need const& need,
+            racks allowed);
 
 /// \returns whether one rack could hold the unit if nothing else ran there.
 [[nodiscard]] bool one_rack_holds(std::vector<worker_room> const& rooms,
                                   unit_need const& need);
 
+/// \returns core seconds of `held` over a time; an accelerator counts as
+/// eight cores.
+[[nodiscard]] double core_seconds(resources const& held,
+                                  milliseconds time) noexcept;
+
 /// Places, and the runs that must be stopped first.
 struct reclaim_plan
 {
     std::vector<std::string> places;
     std::set<std::size_t> victims;
-    double lost_work = 0;
+    double lost_work = 0;  ///< core seconds
+    bool fits_now = false; ///< nothing has to stop first
 };
 
+/// What a unit may stop, and what it is worth.
+struct reclaim_terms
+{
+    bool may_stop = false;   ///< work of lower priority
+    bool guaranteed = false; ///< it must start, whatever is lost
+    double own_work = 0;     ///< core seconds
+    double far_factor = 1;   ///< slower when spread over racks
+};
+
+/// Chooses between the room there is and what could be stopped. Answers
+/// bursts of urgent gangs that want one rack while lower priorities have
+/// borrowed it: a gang that is spread takes `far_factor` times as long and
+/// comes late, so stopping a little of other work is better for callers, and
+/// so is a short wait.
+/// \returns nothing if the unit should wait.
+[[nodiscard]] std::optional<reclaim_plan>
+choose(std::vector<worker_room> const& rooms, unit_need const& need,
+       reclaim_terms const& terms);
+
 /// \returns the plan that loses the least work, as far as a greedy search
 /// finds it.
 [[nodiscard]] std::optional<reclaim_plan>
-plan_reclaim(std::vector<worker_room> const& rooms, unit_need const& need);
+plan_reclaim(std::vector<worker_room> const& rooms, unit_need const& need,
+             racks allowed);
 
 } // namespace jasminetrack::tasks
--- a/packages/tasks/src/dispatcher_runs.cpp
+++ b/packages/tasks/src/dispatcher_runs.cpp
@@ -277,6 +277,21 @@
     evaluate(now, e);
 }
 
+void dispatcher::take_earlier_done(milliseconds now, unit_ref const& ref)
+{
+    auto& e = *find_job(ref.job);
+    auto& u = e.progress.units.at(ref.unit);
+    if (u.phase == unit_phase::done || step_of(e, ref).lasting ||
+        is_final(e.progress.phase))
+        return;
+    set_unit_phase(e, u, unit_phase::done);
+    mark_dirty(ref.job);
+    drop_reservation(ref);
+    if (active_.count(ref) != 0)
+        end_run(now, ref, "an earlier run had ended done");
+    evaluate(now, e);
+}
+
 void dispatcher::count_failure(job_entry& e, unit_ref const& ref, unit& u,
                                active_run& a, std::string const& worker)
 {
--- a/packages/tasks/src/dispatcher_schedule.cpp
+++ b/packages/tasks/src/dispatcher_schedule.cpp
@@ -15,13 +15,8 @@
 constexpr milliseconds answer_age_ms = 3'500;
 /// Room that was stopped for is planned anew after stops took this long.
 constexpr milliseconds reservation_slack_ms = 800;
-/// An accelerator counts as this many cores when work is lost.
-constexpr double cores_an_accelerator = 8;
-constexpr double thousand = 1000;
 /// A run that is stopped loses at least its start.
-constexpr double least_lost_s = 0.5;
-/// Lower priorities wait this many estimates for a rack of their own.
-constexpr milliseconds rack_patience = 2;
+constexpr milliseconds least_lost_ms = 500;
 constexpr int doubt_failing = 1;
 
 } // namespace
@@ -45,16 +40,13 @@
         auto const need = need_of(now, e, w.ref);
         auto const rooms =
             rooms_for(now, e, step_of(e, w.ref), w.ref, w.priority);
-        auto wanted = need;
-        if (need.same_rack && !need.may_spread)
-            wanted.may_spread = !one_rack_holds(rooms, need);
-        if (auto const places = find_places(rooms, wanted))
+        auto const choice = choose(rooms, need, terms_of(e, w.ref));
+        if (choice && choice->victims.empty() && choice->fits_now)
         {
-            place(now, e, w.ref, *places);
+            place(now, e, w.ref, choice->places);
             continue;
         }
-        auto const plan = may_reclaim(e) ? plan_reclaim(rooms, need)
-                                         : std::optional<reclaim_plan>();
+        auto const& plan = choice;
         if (!plan)
         {
             full.insert(step);
@@ -108,10 +100,8 @@
     need.most_per_worker = step.most_per_worker;
     if (auto const at = e.failed_on.find(ref); at != e.failed_on.end())
         need.avoid = at->second;
-    need.may_spread =
-        e.priority == 0 ||
-        now - e.known_at >
-            rack_patience * std::max<milliseconds>(step.estimate_ms, 1000);
+    need.waited_ms = now - e.known_at;
+    need.estimate_ms = std::max<milliseconds>(step.estimate_ms, 1);
     return need;
 }
 
@@ -123,7 +113,7 @@
 {
     auto const* q = queue_of(e);
     std::vector<worker_room> rooms;
-    bool const reclaim = may_reclaim(e);
+    bool const reclaim = e.priority == 0;
     for (auto const& [id, w] : workers_)
     {
         if (!q || w.info.service != q->service || !w.listed ||
@@ -167,19 +157,26 @@
                              step_spec const& s) const
 {
     auto const since = s.checkpoints ? a.saved_at : a.first_sent;
-    auto const seconds =
-        a.first_sent == 0 ? 0.0 : static_cast<double>(now - since) / thousand;
-    auto const cores =
-        static_cast<double>(s.need.millicores) / thousand +
-        cores_an_accelerator * static_cast<double>(s.need.accelerators);
-    return (seconds + least_lost_s) * cores *
+    auto const ran = a.first_sent == 0 ? 0 : now - since;
+    return core_seconds(s.need, ran + least_lost_ms) *
            static_cast<double>(a.members.size());
 }
 
-bool dispatcher::may_reclaim(job_entry const& e) const
+reclaim_terms dispatcher::terms_of(job_entry const& e,
+                                   unit_ref const& ref) const
+{
+    auto const& step = step_of(e, ref);
+    reclaim_terms terms;
+    terms.may_stop = e.priority == 0;
+    terms.guaranteed = terms.may_stop && is_guaranteed(e);
+    terms.own_work = core_seconds(step.need, step.estimate_ms) *
+                     static_cast<double>(step.gang ? step.count : 1);
+    terms.far_factor = static_cast<double>(bounds_.far_factor);
+    return terms;
+}
+
+bool dispatcher::is_guaranteed(job_entry const& e) const
 {
-    if (e.priority != 0)
-        return false;
     std::int64_t guaranteed = 0;
     for (auto const& t : config_.teams)
         if (t.name == e.job.team)
--- a/packages/tasks/src/dispatcher_workers.cpp
+++ b/packages/tasks/src/dispatcher_workers.cpp
@@ -224,11 +224,15 @@
         if (!ref)
             continue;
         auto const at = active_.find(*ref);
-        if (at == active_.end())
-            continue;
-        auto const index = member_index(*ref, at->second, end.run);
+        auto const index = at == active_.end()
+                               ? std::nullopt
+                               : member_index(*ref, at->second, end.run);
         if (!index)
+        {
+            if (end.how == run_end::done)
+                take_earlier_done(now, *ref);
             continue;
+        }
         if (!end.checkpoint.empty())
             find_unit(*ref)->checkpoint = end.checkpoint;
         note_outcome(now, w, end.run.task.job, end.how);
--- a/packages/tasks/src/placement.cpp
+++ b/packages/tasks/src/placement.cpp
@@ -208,6 +208,7 @@
         plan.lost_work += best->lost_work;
         rooms.erase(rooms.begin() + static_cast<std::ptrdiff_t>(best_at));
     }
+    plan.fits_now = false;
     return plan;
 }
 
@@ -222,16 +223,23 @@
 
 } // namespace
 
+double core_seconds(resources const& held, milliseconds time) noexcept
+{
+    constexpr double cores_an_accelerator = 8;
+    constexpr double thousand = 1000;
+    auto const cores =
+        static_cast<double>(held.millicores) / thousand +
+        cores_an_accelerator * static_cast<double>(held.accelerators);
+    return cores * static_cast<double>(time) / thousand;
+}
+
 std::optional<std::vector<std::string>>
-find_places(std::vector<worker_room> const& rooms, unit_need const& need)
+find_places(std::vector<worker_room> const& rooms, unit_need const& need,
+            racks allowed_racks)
 {
     auto const list = allowed(rooms, need);
-    if (need.same_rack && need.count > 1)
-    {
-        auto places = fill_one_rack(list, need);
-        if (places || !need.may_spread)
-            return places;
-    }
+    if (allowed_racks == racks::one)
+        return fill_one_rack(list, need);
     return fill(list, need);
 }
 
@@ -250,20 +258,84 @@
 }
 
 std::optional<reclaim_plan> plan_reclaim(std::vector<worker_room> const& rooms,
-                                         unit_need const& need)
+                                         unit_need const& need,
+                                         racks allowed_racks)
 {
     auto const list = allowed(rooms, need);
+    if (allowed_racks == racks::several)
+        return plan_on(list, need);
     std::optional<reclaim_plan> best;
-    if (need.same_rack && need.count > 1)
-        for (auto const& [rack, members] : by_rack(list))
-        {
-            auto plan = plan_on(members, need);
-            if (plan && (!best || plan->lost_work < best->lost_work))
-                best = std::move(plan);
-        }
-    if (best)
-        return best;
-    return plan_on(list, need);
+    for (auto const& [rack, members] : by_rack(list))
+    {
+        auto plan = plan_on(members, need);
+        if (plan && (!best || plan->lost_work < best->lost_work))
+            best = std::move(plan);
+    }
+    return best;
+}
+
+namespace
+{
+
+/// A unit whose objective is a small multiple of its estimate may wait this
+/// share of the estimate for its rack and still be in time.
+constexpr double urgent_patience = 0.5;
+constexpr double patience = 4;
+/// A stop must save more work than it loses.
+constexpr double gain_least = 1;
+
+std::optional<reclaim_plan> places_now(std::vector<worker_room> const& rooms,
+                                       unit_need const& need,
+                                       racks allowed_racks)
+{
+    auto places = find_places(rooms, need, allowed_racks);
+    if (!places)
+        return std::nullopt;
+    return reclaim_plan{std::move(*places), {}, 0, true};
+}
+
+bool is_worth(reclaim_plan const& plan, double saved)
+{
+    return plan.lost_work <= gain_least * saved;
+}
+
+/// For a gang that wants one rack, where one rack could hold it.
+std::optional<reclaim_plan> choose_rack(std::vector<worker_room> const& rooms,
+                                        unit_need const& need,
+                                        reclaim_terms const& terms)
+{
+    if (auto now = places_now(rooms, need, racks::one))
+        return now;
+    auto const spread_loss = terms.own_work * (terms.far_factor - 1);
+    if (terms.may_stop)
+    {
+        auto plan = plan_reclaim(rooms, need, racks::one);
+        if (plan && is_worth(*plan, spread_loss))
+            return plan;
+    }
+    auto const share = terms.may_stop ? urgent_patience : patience;
+    auto const limit = share * static_cast<double>(need.estimate_ms);
+    if (!terms.guaranteed && static_cast<double>(need.waited_ms) < limit)
+        return std::nullopt;
+    return places_now(rooms, need, racks::several);
+}
+
+} // namespace
+
+std::optional<reclaim_plan> choose(std::vector<worker_room> const& rooms,
+                                   unit_need const& need,
+                                   reclaim_terms const& terms)
+{
+    bool const wants_rack =
+        need.same_rack && need.count > 1 && one_rack_holds(rooms, need);
+    auto choice = wants_rack ? choose_rack(rooms, need, terms)
+                             : places_now(rooms, need, racks::several);
+    if (choice || !terms.may_stop)
+        return choice;
+    auto plan = plan_reclaim(rooms, need, racks::several);
+    if (plan && (terms.guaranteed || is_worth(*plan, terms.own_work)))
+        return plan;
+    return std::nullopt;
 }
 
 } // namespace jasminetrack::tasks
