Relay of log calls over peers; an append always carries a record

Change: calls to the log, all of them idempotent, go through a peer when the direct way fails; peers find each other in the topic of jobs.

--- a/packages/daemon/src/run_entry.cpp
+++ b/packages/daemon/src/run_entry.cpp
@@ -26,6 +26,8 @@
 /// Of the time to stop, the part that answering may still take.
 constexpr std::int64_t answering_part = 3;
 constexpr int check_threads = 2;
+constexpr int peer_threads = 12;
+constexpr std::int64_t relayed_bytes = 4 * 1024 * 1024;
 constexpr std::int64_t request_bytes = 512 * 1024;
 constexpr std::int64_t header_bytes = 16 * 1024;
 constexpr std::int64_t most_requests = 512;
@@ -71,11 +73,17 @@
     runtime::http_server checks(settings.ready, bounds,
                                 [&](http_request const& r)
                                 { return platform::serve_checks(node, r); });
+    bounds.threads = peer_threads;
+    bounds.body_bytes = relayed_bytes;
+    runtime::http_server peers(settings.mesh, bounds,
+                               [&](http_request const& r)
+                               { return node.serve_peer(r); });
     std::string reason;
-    if (!callers.start(reason) || !checks.start(reason))
+    if (!callers.start(reason) || !checks.start(reason) || !peers.start(reason))
     {
         write_log(log_level::error, "start",
-                  {{"peer", settings.listen + " " + settings.ready},
+                  {{"peer", settings.listen + " " + settings.ready + " " +
+                                settings.mesh},
                    {"reason", reason}});
         return exit_start;
     }
--- a/packages/entry/include/jasminetrack/entry/dispatch_loop.hpp
+++ b/packages/entry/include/jasminetrack/entry/dispatch_loop.hpp
@@ -70,6 +70,7 @@
     void append_again();
     void appended(std::int64_t term, append_answer const& a);
     void give_sign(milliseconds now);
+    [[nodiscard]] tasks::log_record sign_of_life() const;
     void on_workers(std::vector<log_entry> const& entries, bool reloaded);
 
     entry_settings settings_;
--- a/packages/entry/include/jasminetrack/entry/entry_node.hpp
+++ b/packages/entry/include/jasminetrack/entry/entry_node.hpp
@@ -5,6 +5,7 @@
 
 #include <jasminetrack/entry/dispatch_loop.hpp>
 #include <jasminetrack/entry/job_requests.hpp>
+#include <jasminetrack/entry/relay.hpp>
 
 namespace jasminetrack::entry
 {
@@ -29,6 +30,9 @@
         return draining_;
     }
     [[nodiscard]] std::string metrics() const;
+    /// Answers another entry VM.
+    [[nodiscard]] runtime::http_reply
+    serve_peer(runtime::http_request const& request);
 
     void start();
     /// Gives up the dispatcher's role and stops being ready.
@@ -37,15 +41,21 @@
 
 private:
     void take_configuration(std::vector<log_entry> const& entries);
+    void take_jobs(std::vector<log_entry> const& entries);
+    void announce();
 
     entry_settings settings_;
     platform_ports ports_;
+    runtime::http_client client_;
+    peer_directory peers_;
+    relayed_log log_;
     std::string incarnation_;
     mutable std::mutex mutex_;
     std::shared_ptr<tasks::configuration const> config_;
     view_age jobs_age_;
     view_age config_age_;
     std::atomic<bool> draining_{false};
+    std::atomic<bool> announced_{false};
     job_table table_;
     runtime::timer_service timers_;
     record_writer writer_;
--- a/packages/entry/include/jasminetrack/entry/ports.hpp
+++ b/packages/entry/include/jasminetrack/entry/ports.hpp
@@ -53,6 +53,8 @@
     unknown,  ///< may have been done, now or later
 };
 
+[[nodiscard]] char const* to_text(append_result r) noexcept;
+
 struct append_answer
 {
     append_result result = append_result::unknown;
--- a/packages/entry/include/jasminetrack/entry/settings.hpp
+++ b/packages/entry/include/jasminetrack/entry/settings.hpp
@@ -17,6 +17,7 @@
     std::string data_center;
     std::string listen; ///< IP:port for callers
     std::string ready;  ///< IP:port for the balancer's checks and metrics
+    std::string mesh;   ///< IP:port for other entry VMs
     std::string log;    ///< IP:port of the platform's log
     std::string advice; ///< IP:port of the placement advice; may be empty
     std::string log_level = "info";
--- a/packages/entry/src/dispatch_loop.cpp
+++ b/packages/entry/src/dispatch_loop.cpp
@@ -193,7 +193,7 @@
     auto const now = monotonic_ms();
     write_log(log_level::info, "role.claim.answered",
               {{"epoch", std::to_string(role.epoch)},
-               {"result", std::to_string(static_cast<int>(a.result))},
+               {"result", to_text(a.result)},
                {"reason", a.reason}});
     if (a.result != append_result::stored)
     {
@@ -438,6 +438,9 @@
                        to_store_.front().records.end());
         to_store_.pop_front();
     }
+    // The log does not count an append without records.
+    if (records.empty())
+        records.push_back(sign_of_life());
     call.records = std::move(records);
     append_ = std::move(call);
     append_again();
@@ -462,13 +465,20 @@
         step_down("the log refused its epoch");
         return;
     }
+    if (a.result == append_result::conflict)
+    {
+        step_down("the log expects another sequence: " + a.reason);
+        return;
+    }
     if (a.result != append_result::stored)
     {
         if (log_failing_since_ < 0)
         {
             log_failing_since_ = now;
             write_log(log_level::warning, "log.append.failing",
-                      {{"reason", a.reason}});
+                      {{"sequence", std::to_string(append_->writer.sequence)},
+                       {"result", to_text(a.result)},
+                       {"reason", a.reason}});
         }
         append_waits_ = true; // the next tick repeats it
         return;
@@ -486,6 +496,11 @@
         give_sign(now);
 }
 
+tasks::log_record dispatch_loop::sign_of_life() const
+{
+    return {role_key, encode(tasks::role_record{term_, incarnation_, false})};
+}
+
 void dispatch_loop::give_sign(milliseconds now)
 {
     if (append_)
@@ -503,8 +518,7 @@
         return;
     }
     if (now - appended_at_ >= sign_ms)
-        append({{role_key,
-                 encode(tasks::role_record{term_, incarnation_, false})}});
+        append({sign_of_life()});
 }
 
 } // namespace jasminetrack::entry
--- a/packages/entry/src/entry_node.cpp
+++ b/packages/entry/src/entry_node.cpp
@@ -15,13 +15,17 @@
 using runtime::monotonic_ms;
 using runtime::write_log;
 
-constexpr milliseconds follow_wait_ms = 2'000;
+constexpr milliseconds follow_wait_ms = 1'500;
 constexpr milliseconds config_rest_ms = 50;
 constexpr milliseconds jobs_rest_ms = 20;
 constexpr milliseconds work_rest_ms = 100;
 /// Without contact to the log for this long callers are better off elsewhere.
 constexpr milliseconds ready_age_ms = 4'000;
 
+/// Keys of entry VMs' addresses in the topic of jobs.
+constexpr std::string_view node_prefix = "node/";
+constexpr milliseconds announce_wait_ms = 800;
+
 /// Says once when a dependency is lost and once when it is back.
 class contact_log
 {
@@ -58,13 +62,15 @@
 } // namespace
 
 entry_node::entry_node(entry_settings const& settings, platform_ports ports)
-    : settings_(settings), ports_(ports),
+    : settings_(settings), ports_(ports), peers_(settings.node),
+      log_(ports.log, client_, peers_),
       incarnation_(new_incarnation(settings.node)),
-      writer_(ports.log, topic::jobs, incarnation_, timers_),
+      writer_(log_, topic::jobs, incarnation_, timers_),
       requests_(table_, writer_, jobs_age_),
-      dispatch_(settings, incarnation_, ports, table_, timers_),
+      dispatch_(settings, incarnation_, {log_, ports.workers, ports.decoder},
+                table_, timers_),
       config_follower_(
-          ports.log, topic::configuration, {follow_wait_ms, config_rest_ms},
+          log_, topic::configuration, {follow_wait_ms, config_rest_ms},
           {[this, contact = std::make_shared<contact_log>("configuration")](
                std::vector<log_entry> const& entries, std::int64_t, bool)
            {
@@ -74,20 +80,11 @@
            },
            [contact = std::make_shared<contact_log>("configuration")](
                std::string const& reason) { contact->bad(reason); }}),
-      jobs_follower_(
-          ports.log, topic::jobs, {follow_wait_ms, jobs_rest_ms},
-          {[this](std::vector<log_entry> const& entries, std::int64_t, bool)
-           {
-               jobs_age_.note_contact(monotonic_ms());
-               std::vector<std::string> ids;
-               for (auto const& e : entries)
-                   if (auto id = table_.apply_job(e))
-                       ids.push_back(std::move(*id));
-               if (!ids.empty())
-                   dispatch_.on_jobs(std::move(ids));
-           },
-           [](std::string const&) {}}),
-      work_follower_(ports.log, topic::work, {follow_wait_ms, work_rest_ms},
+      jobs_follower_(log_, topic::jobs, {follow_wait_ms, jobs_rest_ms},
+                     {[this](std::vector<log_entry> const& entries,
+                             std::int64_t, bool) { take_jobs(entries); },
+                      [](std::string const&) {}}),
+      work_follower_(log_, topic::work, {follow_wait_ms, work_rest_ms},
                      {[this](std::vector<log_entry> const& entries,
                              std::int64_t next, bool reloaded)
                       {
@@ -143,6 +140,36 @@
     }
 }
 
+void entry_node::take_jobs(std::vector<log_entry> const& entries)
+{
+    jobs_age_.note_contact(monotonic_ms());
+    std::vector<std::string> ids;
+    for (auto const& e : entries)
+        if (e.key.starts_with(node_prefix))
+            peers_.put(e.key.substr(node_prefix.size()), e.value);
+        else if (auto id = table_.apply_job(e))
+            ids.push_back(std::move(*id));
+    if (!ids.empty())
+        dispatch_.on_jobs(std::move(ids));
+    announce();
+}
+
+void entry_node::announce()
+{
+    if (announced_.exchange(true))
+        return;
+    auto const result = writer_.write(
+        {std::string(node_prefix) + settings_.node, settings_.mesh},
+        announce_wait_ms, announce_wait_ms);
+    if (result != write_result::stored)
+        announced_ = false;
+}
+
+runtime::http_reply entry_node::serve_peer(runtime::http_request const& request)
+{
+    return serve_relay(ports_.log, request);
+}
+
 void entry_node::start()
 {
     dispatch_.start();
--- /dev/null
+++ b/packages/entry/src/relay.cpp
@@ -0,0 +1,326 @@
+#include <jasminetrack/entry/relay.hpp>
+
+#include "relay_codec.hpp"
+
+#include <jasminetrack/runtime/logging.hpp>
+#include <jasminetrack/runtime/timer_service.hpp>
+
+#include <algorithm>
+#include <array>
+#include <future>
+
+namespace jasminetrack::entry
+{
+namespace
+{
+
+using runtime::delivery;
+using runtime::http_answer;
+using runtime::http_call;
+using runtime::log_level;
+using runtime::monotonic_ms;
+using runtime::write_log;
+
+/// The direct way is tried again this often while it fails.
+constexpr milliseconds direct_retry_ms = 1'500;
+/// Peers that could not reach the log either are left alone for this long.
+constexpr milliseconds peers_rest_ms = 700;
+constexpr std::size_t most_peers = 2;
+constexpr milliseconds peer_slack_ms = 700;
+constexpr milliseconds newest_timeout_ms = 1'500;
+constexpr int status_ok = 200;
+constexpr int status_bad_request = 400;
+constexpr char const* relay_path = "/relay";
+constexpr char const* cbor_type = "application/cbor";
+
+bool failed(append_answer const& a)
+{
+    return a.result == append_result::refused ||
+           a.result == append_result::unknown;
+}
+
+http_call make_call(std::string const& address, std::string body,
+                    milliseconds timeout)
+{
+    http_call call;
+    call.address = address;
+    call.method = "POST";
+    call.path = relay_path;
+    call.body = std::move(body);
+    call.content_type = cbor_type;
+    call.timeout_ms = timeout;
+    return call;
+}
+
+http_call make_call(std::string const& address, append_call const& call)
+{
+    return make_call(address, encode_call(call),
+                     call.timeout_ms + peer_slack_ms);
+}
+
+std::optional<append_answer> answer_in(http_answer const& a)
+{
+    if (a.result != delivery::answered || a.status != status_ok)
+        return std::nullopt;
+    return decode_append_answer(a.body);
+}
+
+} // namespace
+
+char const* to_text(append_result r) noexcept
+{
+    constexpr std::array names{"stored", "fenced", "conflict", "refused",
+                               "unknown"};
+    return names[static_cast<std::size_t>(r)];
+}
+
+peer_directory::peer_directory(std::string self) : self_(std::move(self)) {}
+
+std::vector<std::string> peer_directory::some(std::size_t most)
+{
+    std::lock_guard<std::mutex> const lock(mutex_);
+    auto const count = std::min(most, order_.size());
+    return {order_.begin(),
+            order_.begin() + static_cast<std::ptrdiff_t>(count)};
+}
+
+void peer_directory::put(std::string const& node, std::string const& address)
+{
+    if (node == self_)
+        return;
+    std::lock_guard<std::mutex> const lock(mutex_);
+    auto& known = nodes_[node];
+    if (known == address)
+        return;
+    std::erase(order_, known);
+    known = address;
+    // Each node has an order of its own, so that no peer gets all the load.
+    auto const at =
+        std::hash<std::string>()(self_ + node) % (order_.size() + 1);
+    order_.insert(order_.begin() + static_cast<std::ptrdiff_t>(at), address);
+}
+
+void peer_directory::put_last(std::string const& address)
+{
+    std::lock_guard<std::mutex> const lock(mutex_);
+    if (std::erase(order_, address) > 0)
+        order_.push_back(address);
+}
+
+bool path_health::try_direct(milliseconds now)
+{
+    std::lock_guard<std::mutex> const lock(mutex_);
+    if (!degraded_)
+        return true;
+    if (now < retry_at_)
+        return false;
+    retry_at_ = now + direct_retry_ms;
+    return true;
+}
+
+bool path_health::degraded() const
+{
+    std::lock_guard<std::mutex> const lock(mutex_);
+    return degraded_;
+}
+
+bool path_health::try_peers(milliseconds now) const
+{
+    std::lock_guard<std::mutex> const lock(mutex_);
+    return now >= peers_after_;
+}
+
+bool path_health::direct_good()
+{
+    std::lock_guard<std::mutex> const lock(mutex_);
+    return std::exchange(degraded_, false);
+}
+
+bool path_health::direct_bad(milliseconds now)
+{
+    std::lock_guard<std::mutex> const lock(mutex_);
+    retry_at_ = now + direct_retry_ms;
+    return !std::exchange(degraded_, true);
+}
+
+void path_health::peers_bad(milliseconds now)
+{
+    std::lock_guard<std::mutex> const lock(mutex_);
+    peers_after_ = now + peers_rest_ms;
+}
+
+relayed_log::relayed_log(log_port& direct, runtime::http_client& client,
+                         peer_directory& peers)
+    : direct_(direct), client_(client), peers_(peers)
+{
+}
+
+void relayed_log::direct_failed(std::string const& reason)
+{
+    if (health_.direct_bad(monotonic_ms()))
+        write_log(log_level::warning, "log.direct.lost", {{"reason", reason}});
+}
+
+void relayed_log::direct_worked()
+{
+    if (health_.direct_good())
+        write_log(log_level::info, "log.direct.back", {});
+}
+
+void relayed_log::append(append_call call,
+                         std::function<void(append_answer)> done)
+{
+    if (!health_.try_direct(monotonic_ms()))
+    {
+        append_answer none;
+        none.result = append_result::refused;
+        none.reason = "the direct way fails";
+        append_by_peers(std::move(call), none, std::move(done));
+        return;
+    }
+    auto copy = call;
+    direct_.append(std::move(copy),
+                   [this, call = std::move(call),
+                    done = std::move(done)](append_answer const& a)
+                   {
+                       if (!failed(a))
+                       {
+                           direct_worked();
+                           done(a);
+                           return;
+                       }
+                       direct_failed(a.reason);
+                       append_by_peers(call, a, done);
+                   });
+}
+
+void relayed_log::append_by_peers(append_call call, append_answer direct,
+                                  std::function<void(append_answer)> done)
+{
+    auto const peers = peers_.some(1);
+    if (peers.empty() || !health_.try_peers(monotonic_ms()))
+    {
+        done(direct);
+        return;
+    }
+    auto const address = peers.front();
+    client_.send(
+        make_call(address, call),
+        [this, address, direct, done = std::move(done)](http_answer const& a)
+        {
+            auto answer = answer_in(a);
+            if (!answer || failed(*answer))
+            {
+                peers_.put_last(address);
+                health_.peers_bad(monotonic_ms());
+            }
+            // A peer that gave no word may have passed the call on.
+            if (!answer)
+                answer = append_answer{append_result::unknown, 0, a.reason};
+            if (direct.result == append_result::unknown &&
+                answer->result == append_result::refused)
+                answer->result = append_result::unknown;
+            done(*answer);
+        });
+}
+
+std::optional<std::string> relayed_log::ask_peers(std::string body,
+                                                  milliseconds timeout)
+{
+    if (!health_.try_peers(monotonic_ms()))
+        return std::nullopt;
+    for (auto const& address : peers_.some(most_peers))
+    {
+        auto const a = client_.send(make_call(address, body, timeout));
+        if (a.result == delivery::answered && a.status == status_ok)
+            return a.body;
+        peers_.put_last(address);
+    }
+    health_.peers_bad(monotonic_ms());
+    return std::nullopt;
+}
+
+read_answer relayed_log::read(read_call const& call)
+{
+    read_answer direct;
+    bool const was_degraded = health_.degraded();
+    if (health_.try_direct(monotonic_ms()))
+    {
+        auto probe = call;
+        if (was_degraded)
+            probe.wait_ms = 0;
+        direct = direct_.read(probe);
+        if (direct.result != read_result::failed)
+        {
+            direct_worked();
+            return direct;
+        }
+        direct_failed(direct.reason);
+    }
+    auto const body = ask_peers(encode_call(call),
+                                call.wait_ms + peer_slack_ms + peer_slack_ms);
+    auto answer = body ? decode_read_answer(*body) : std::nullopt;
+    if (answer && answer->result == read_result::failed)
+        health_.peers_bad(monotonic_ms());
+    return answer.value_or(direct);
+}
+
+newest_answer relayed_log::newest(topic t, std::string const& after)
+{
+    newest_answer direct;
+    if (health_.try_direct(monotonic_ms()))
+    {
+        direct = direct_.newest(t, after);
+        if (direct.answered)
+        {
+            direct_worked();
+            return direct;
+        }
+        direct_failed(direct.reason);
+    }
+    auto const body =
+        ask_peers(encode_call(newest_call{t, after}), newest_timeout_ms);
+    auto answer = body ? decode_newest_answer(*body) : std::nullopt;
+    return answer.value_or(direct);
+}
+
+namespace
+{
+
+/// Carries a relayed call out on the direct way.
+struct relay_executor
+{
+    log_port& direct;
+
+    std::string operator()(append_call const& c) const
+    {
+        auto const result = std::make_shared<std::promise<append_answer>>();
+        auto answer = result->get_future();
+        direct.append(c, [result](append_answer const& a)
+                      { result->set_value(a); });
+        return encode_answer(answer.get());
+    }
+    std::string operator()(read_call const& c) const
+    {
+        return encode_answer(direct.read(c));
+    }
+    std::string operator()(newest_call const& c) const
+    {
+        return encode_answer(direct.newest(c.of, c.after));
+    }
+};
+
+} // namespace
+
+runtime::http_reply serve_relay(log_port& direct,
+                                runtime::http_request const& request)
+{
+    auto const call = request.path == relay_path ? decode_call(request.body)
+                                                 : std::optional<relay_call>();
+    if (!call)
+        return {status_bad_request, "", cbor_type, {}};
+    return {
+        status_ok, std::visit(relay_executor{direct}, *call), cbor_type, {}};
+}
+
+} // namespace jasminetrack::entry
--- /dev/null
+++ b/packages/entry/src/relay_codec.cpp
@@ -0,0 +1,167 @@
+#include "relay_codec.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace jasminetrack::entry
+{
+namespace
+{
+
+using nlohmann::json;
+
+std::string to_bytes(json const& value)
+{
+    auto const bytes = json::to_cbor(value);
+    return {bytes.begin(), bytes.end()};
+}
+
+json to_binary(std::string const& text)
+{
+    return json::binary({text.begin(), text.end()});
+}
+
+std::string from_binary(json const& j)
+{
+    auto const& bytes = j.get_binary();
+    return {bytes.begin(), bytes.end()};
+}
+
+json encode_entries(std::vector<log_entry> const& entries)
+{
+    json rows = json::array();
+    for (auto const& e : entries)
+        rows.push_back({e.offset, e.key, to_binary(e.value)});
+    return rows;
+}
+
+std::vector<log_entry> decode_entries(json const& rows)
+{
+    std::vector<log_entry> entries;
+    for (auto const& row : rows)
+        entries.push_back({row.at(0), row.at(1), from_binary(row.at(2))});
+    return entries;
+}
+
+json to_row(append_call const& c)
+{
+    json records = json::array();
+    for (auto const& r : c.records)
+        records.push_back({r.key, to_binary(r.value)});
+    return {"append",          static_cast<int>(c.topic),
+            c.writer.name,     c.writer.epoch,
+            c.writer.sequence, c.at ? json(*c.at) : json(nullptr),
+            c.timeout_ms,      records};
+}
+
+json to_row(read_call const& c)
+{
+    return {"read", static_cast<int>(c.topic), c.from, c.wait_ms};
+}
+
+json to_row(newest_call const& c)
+{
+    return {"newest", static_cast<int>(c.of), c.after};
+}
+
+append_call read_append(json const& row)
+{
+    append_call c;
+    c.topic = static_cast<topic>(row.at(1).get<int>());
+    c.writer = {row.at(2), row.at(3), row.at(4)};
+    if (!row.at(5).is_null())
+        c.at = row.at(5).get<std::int64_t>();
+    c.timeout_ms = row.at(6);
+    for (auto const& r : row.at(7))
+        c.records.push_back({r.at(0), from_binary(r.at(1))});
+    return c;
+}
+
+relay_call read_row(json const& row)
+{
+    auto const kind = row.at(0).get<std::string>();
+    auto const of = static_cast<topic>(row.at(1).get<int>());
+    if (kind == "append")
+        return read_append(row);
+    if (kind == "read")
+        return read_call{of, row.at(2), row.at(3)};
+    return newest_call{of, row.at(2)};
+}
+
+/// \returns nothing for bytes that no version of this program wrote.
+template <typename Read>
+auto decode(std::string const& bytes, Read read)
+    -> std::optional<decltype(read(json()))>
+{
+    try
+    {
+        return read(json::from_cbor(bytes));
+    }
+    catch (json::exception const&)
+    {
+        return std::nullopt;
+    }
+}
+
+} // namespace
+
+std::string encode_call(relay_call const& call)
+{
+    return std::visit([](auto const& c) { return to_bytes(to_row(c)); }, call);
+}
+
+std::optional<relay_call> decode_call(std::string const& bytes)
+{
+    return decode(bytes, read_row);
+}
+
+std::string encode_answer(append_answer const& a)
+{
+    return to_bytes({static_cast<int>(a.result), a.end, a.reason});
+}
+
+std::string encode_answer(read_answer const& a)
+{
+    return to_bytes({static_cast<int>(a.result), a.next, a.at_end,
+                     encode_entries(a.entries), a.reason});
+}
+
+std::string encode_answer(newest_answer const& a)
+{
+    return to_bytes(
+        {a.answered, a.more, a.end, encode_entries(a.entries), a.reason});
+}
+
+std::optional<append_answer> decode_append_answer(std::string const& bytes)
+{
+    return decode(bytes,
+                  [](json const& row)
+                  {
+                      return append_answer{
+                          static_cast<append_result>(row.at(0).get<int>()),
+                          row.at(1), row.at(2)};
+                  });
+}
+
+std::optional<read_answer> decode_read_answer(std::string const& bytes)
+{
+    return decode(bytes,
+                  [](json const& row)
+                  {
+                      return read_answer{
+                          static_cast<read_result>(row.at(0).get<int>()),
+                          row.at(1), row.at(2), decode_entries(row.at(3)),
+                          row.at(4)};
+                  });
+}
+
+std::optional<newest_answer> decode_newest_answer(std::string const& bytes)
+{
+    return decode(bytes,
+                  [](json const& row)
+                  {
+                      return newest_answer{row.at(0), decode_entries(row.at(3)),
+                                           row.at(1), row.at(2), row.at(4)};
+                  });
+}
+
+} // namespace jasminetrack::entry
--- /dev/null
+++ b/packages/entry/src/relay_codec.hpp
@@ -0,0 +1,33 @@
+#pragma once
+/// \file
+/// CBOR forms of calls to the log, as entry VMs send them to each other.
+
+#include <jasminetrack/entry/ports.hpp>
+
+#include <variant>
+
+namespace jasminetrack::entry
+{
+
+struct newest_call
+{
+    topic of = topic::jobs;
+    std::string after;
+};
+
+using relay_call = std::variant<append_call, read_call, newest_call>;
+
+[[nodiscard]] std::string encode_call(relay_call const& call);
+[[nodiscard]] std::optional<relay_call> decode_call(std::string const& bytes);
+
+[[nodiscard]] std::string encode_answer(append_answer const& a);
+[[nodiscard]] std::string encode_answer(read_answer const& a);
+[[nodiscard]] std::string encode_answer(newest_answer const& a);
+[[nodiscard]] std::optional<append_answer>
+decode_append_answer(std::string const& bytes);
+[[nodiscard]] std::optional<read_answer>
+decode_read_answer(std::string const& bytes);
+[[nodiscard]] std::optional<newest_answer>
+decode_newest_answer(std::string const& bytes);
+
+} // namespace jasminetrack::entry
--- a/packages/entry/src/settings.cpp
+++ b/packages/entry/src/settings.cpp
@@ -36,6 +36,7 @@
     s.data_center = in.required_name("data_center");
     s.listen = in.required_address("listen");
     s.ready = in.required_address("ready");
+    s.mesh = in.required_address("mesh");
     s.log = in.required_address("log");
     s.advice = in.text("advice", "");
     s.threads = in.integer("threads", s.threads, 2, 256);
