--- a/packages/entry/include/jasminetrack/entry/record_writer.hpp
+++ b/packages/entry/include/jasminetrack/entry/record_writer.hpp
@@ -45,8 +45,10 @@
         std::optional<write_result> result;
     };
 
-    void send_next();
-    void send_batch();
+    /// Takes queued records into a new batch. \returns false if there is none.
+    [[nodiscard]] bool next_batch();
+    /// Sends the batch if it is wanted; gives the lock up meanwhile.
+    void send(std::unique_lock<std::mutex>& lock, bool wanted);
     void answered(append_answer const& a);
     void on_timer();
 
--- a/packages/entry/src/job_requests.cpp
+++ b/packages/entry/src/job_requests.cpp
@@ -17,15 +17,15 @@
 constexpr milliseconds current_ms = 1'500;
 /// A job that was accepted elsewhere is known here within this time.
 constexpr milliseconds lag_ms = 400;
-/// Part of the caller's time that is left for the answer's way back.
-constexpr milliseconds deadline_part = 5;
+/// An append without answer is waited for during this part of the caller's
+/// time; the caller can then ask again, elsewhere and under the same id.
+constexpr milliseconds unknown_part = 3;
 /// A log that takes nothing is waited for so long before a refusal.
 constexpr milliseconds refuse_after_ms = 500;
 
 milliseconds most_wait(caller const& who)
 {
-    return std::max<milliseconds>(1, who.deadline_ms -
-                                         who.deadline_ms / deadline_part);
+    return std::max<milliseconds>(1, who.deadline_ms / unknown_part);
 }
 
 char const* to_text(write_result r)
--- a/packages/entry/src/record_writer.cpp
+++ b/packages/entry/src/record_writer.cpp
@@ -4,6 +4,7 @@
 #include <jasminetrack/runtime/timer_service.hpp>
 
 #include <chrono>
+#include <utility>
 
 namespace jasminetrack::entry
 {
@@ -44,7 +45,7 @@
         return write_result::refused;
     queue_.push_back(mine);
     if (batch_.empty())
-        send_next();
+        send(lock, next_batch());
     auto const begun = clock::now();
     auto const ended = [&] { return mine->result.has_value(); };
     if (changed_.wait_until(lock, begun + milliseconds(refuse_after_ms), ended))
@@ -59,7 +60,7 @@
     return write_result::unknown;
 }
 
-void record_writer::send_next()
+bool record_writer::next_batch()
 {
     while (!queue_.empty() && batch_.size() < most_a_batch)
     {
@@ -71,21 +72,26 @@
         batch_.push_back(next);
     }
     if (batch_.empty())
-        return;
+        return false;
     ++writer_.sequence;
     unsure_ = false;
-    send_batch();
+    return true;
 }
 
-void record_writer::send_batch()
+void record_writer::send(std::unique_lock<std::mutex>& lock, bool wanted)
 {
+    if (!wanted)
+        return;
     append_call call;
     call.topic = topic_;
     call.writer = writer_;
     for (auto const& e : batch_)
         call.records.push_back(e->record);
+    // The log may answer within the call.
+    lock.unlock();
     log_.append(std::move(call),
                 [this](append_answer const& a) { answered(a); });
+    lock.lock();
 }
 
 void record_writer::answered(append_answer const& a)
@@ -102,7 +108,7 @@
             e->result = write_result::stored;
         batch_.clear();
         changed_.notify_all();
-        send_next();
+        send(lock, next_batch());
         return;
     }
     if (failing_since_ < 0)
@@ -120,7 +126,7 @@
         batch_.clear();
         changed_.notify_all();
         --writer_.sequence;
-        send_next();
+        send(lock, next_batch());
         return;
     }
     retry_ = true; // with the next timer: the same bytes, same sequence
@@ -128,11 +134,8 @@
 
 void record_writer::on_timer()
 {
-    std::lock_guard<std::mutex> const lock(mutex_);
-    if (!retry_)
-        return;
-    retry_ = false;
-    send_batch();
+    std::unique_lock<std::mutex> lock(mutex_);
+    send(lock, std::exchange(retry_, false));
 }
 
 } // namespace jasminetrack::entry
