--- a/packages/entry/include/jasminetrack/entry/relay.hpp
+++ b/packages/entry/include/jasminetrack/entry/relay.hpp
@@ -25,6 +25,8 @@
     [[nodiscard]] std::vector<std::string> some(std::size_t most);
 
     void put(std::string const& node, std::string const& address);
+    /// The first peer goes to the end of the line.
+    void rotate();
     /// A peer that did not help goes to the end of the line.
     void put_last(std::string const& address);
 
--- a/packages/entry/src/relay.cpp
+++ b/packages/entry/src/relay.cpp
@@ -22,10 +22,12 @@
 using runtime::write_log;
 
 /// The direct way is tried again this often while it fails.
-constexpr milliseconds direct_retry_ms = 1'500;
+constexpr milliseconds direct_retry_ms = 1'000;
 /// Peers that could not reach the log either are left alone for this long.
 constexpr milliseconds peers_rest_ms = 700;
-constexpr std::size_t most_peers = 2;
+/// A read through a peer is short, so that a log that is back is noticed well
+/// within the time in which a configuration must be in force.
+constexpr milliseconds relayed_wait_ms = 500;
 constexpr milliseconds peer_slack_ms = 700;
 constexpr milliseconds newest_timeout_ms = 1'500;
 constexpr int status_ok = 200;
@@ -107,6 +109,13 @@
         order_.push_back(address);
 }
 
+void peer_directory::rotate()
+{
+    std::lock_guard<std::mutex> const lock(mutex_);
+    if (!order_.empty())
+        std::rotate(order_.begin(), order_.begin() + 1, order_.end());
+}
+
 bool path_health::try_direct(milliseconds now)
 {
     std::lock_guard<std::mutex> const lock(mutex_);
@@ -229,13 +238,14 @@
 {
     if (!health_.try_peers(monotonic_ms()))
         return std::nullopt;
-    for (auto const& address : peers_.some(most_peers))
-    {
-        auto const a = client_.send(make_call(address, body, timeout));
-        if (a.result == delivery::answered && a.status == status_ok)
-            return a.body;
-        peers_.put_last(address);
-    }
+    auto const peers = peers_.some(1);
+    if (peers.empty())
+        return std::nullopt;
+    auto const a =
+        client_.send(make_call(peers.front(), std::move(body), timeout));
+    if (a.result == delivery::answered && a.status == status_ok)
+        return a.body;
+    peers_.put_last(peers.front());
     health_.peers_bad(monotonic_ms());
     return std::nullopt;
 }
@@ -257,11 +267,16 @@
         }
         direct_failed(direct.reason);
     }
-    auto const body = ask_peers(encode_call(call),
-                                call.wait_ms + peer_slack_ms + peer_slack_ms);
+    auto relayed = call;
+    relayed.wait_ms = std::min(call.wait_ms, relayed_wait_ms);
+    auto const body =
+        ask_peers(encode_call(relayed), relayed.wait_ms + peer_slack_ms);
     auto answer = body ? decode_read_answer(*body) : std::nullopt;
     if (answer && answer->result == read_result::failed)
+    {
         health_.peers_bad(monotonic_ms());
+        peers_.rotate();
+    }
     return answer.value_or(direct);
 }
 
