--- a/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -4,6 +4,7 @@
 /// dispatcher's role; its token fences off those that held it before.
 
 #include <jasminetrack/tasks/placement.hpp>
+#include <jasminetrack/tasks/queue_order.hpp>
 #include <jasminetrack/tasks/worker_view.hpp>
 
 #include <deque>
@@ -133,6 +134,7 @@
         job_progress progress;
         std::int64_t priority = 0;
         milliseconds known_at = 0;
+        std::vector<milliseconds> chains; ///< of work, from each step on
         std::int64_t waiting = 0; ///< units in phase waiting
         std::int64_t undone = 0;  ///< units not done
         std::map<unit_ref, std::set<std::string>> failed_on;
@@ -149,8 +151,7 @@
     {
         job_entry* entry = nullptr;
         unit_ref ref;
-        std::int64_t priority = 0;
-        milliseconds order = 0;
+        queue_claim claim;
     };
 
     [[nodiscard]] step_spec const& step_of(job_entry const& e,
@@ -208,6 +209,13 @@
     void finish_job(milliseconds now, job_entry& e, job_phase phase);
     void adopt(milliseconds now, job_entry& e);
     void check_hanging(milliseconds now);
+    /// Moves runs off workers that leave before the runs can end.
+    void check_draining(milliseconds now);
+    [[nodiscard]] static bool should_leave(milliseconds now,
+                                           active_run const& a,
+                                           std::size_t index,
+                                           milliseconds left,
+                                           step_spec const& step);
     [[nodiscard]] std::optional<std::size_t>
     member_index(unit_ref const& ref, active_run const& a,
                  task_run const& run) const;
@@ -216,8 +224,7 @@
     void schedule(milliseconds now, milliseconds wall);
     void serve_reservations(milliseconds now);
     void drop_reservation(unit_ref const& ref);
-    [[nodiscard]] std::vector<waiting_unit> waiting_units(milliseconds now,
-                                                          milliseconds wall);
+    [[nodiscard]] std::vector<waiting_unit> waiting_units(milliseconds wall);
     [[nodiscard]] std::vector<worker_room>
     rooms_for(milliseconds now, job_entry const& e, step_spec const& step,
               unit_ref const& ref, std::int64_t priority) const;
@@ -229,6 +236,8 @@
     [[nodiscard]] bool is_guaranteed(job_entry const& e) const;
     [[nodiscard]] double lost_work(milliseconds now, active_run const& a,
                                    step_spec const& s) const;
+    [[nodiscard]] queue_claim claim_of(job_entry const& e, unit_id const& id,
+                                       milliseconds wall) const;
     [[nodiscard]] bool fits_now(milliseconds now, job_entry const& e,
                                 unit_ref const& ref,
                                 std::vector<std::string> const& places) const;
--- a/packages/tasks/src/dispatcher.cpp
+++ b/packages/tasks/src/dispatcher.cpp
@@ -133,6 +133,7 @@
     e.job = job;
     e.progress = std::move(progress);
     e.known_at = now;
+    e.chains = chains_of(job.spec);
     for (auto const& [id, u] : e.progress.units)
     {
         e.waiting += u.phase == unit_phase::waiting ? 1 : 0;
@@ -190,6 +191,7 @@
 {
     check_lost_workers(now);
     check_hanging(now);
+    check_draining(now);
     schedule(now, wall);
     send_due_holds(now);
     emit_batch();
--- a/packages/tasks/src/dispatcher_schedule.cpp
+++ b/packages/tasks/src/dispatcher_schedule.cpp
@@ -30,7 +30,7 @@
     changed_ = false;
     serve_reservations(now);
     std::set<unit_ref> full; // steps that found no room in this pass
-    for (auto const& w : waiting_units(now, wall))
+    for (auto const& w : waiting_units(wall))
     {
         auto step = w.ref;
         step.unit.index = 0;
@@ -39,7 +39,7 @@
         auto& e = *w.entry;
         auto const need = need_of(now, e, w.ref);
         auto const rooms =
-            rooms_for(now, e, step_of(e, w.ref), w.ref, w.priority);
+            rooms_for(now, e, step_of(e, w.ref), w.ref, w.claim.priority);
         auto const choice = choose(rooms, need, terms_of(e, w.ref));
         if (choice && choice->victims.empty() && choice->fits_now)
         {
@@ -68,7 +68,7 @@
 }
 
 std::vector<dispatcher::waiting_unit>
-dispatcher::waiting_units(milliseconds, milliseconds wall)
+dispatcher::waiting_units(milliseconds wall)
 {
     std::vector<waiting_unit> list;
     for (auto& [id, e] : jobs_)
@@ -77,16 +77,30 @@
             continue;
         for (auto const& [unit, u] : e.progress.units)
             if (u.phase == unit_phase::waiting && is_ready(e, unit, wall))
-                list.push_back({&e, {id, unit}, e.priority, e.known_at});
+                list.push_back({&e, {id, unit}, claim_of(e, unit, wall)});
     }
     std::stable_sort(list.begin(), list.end(),
-                     [](waiting_unit const& a, waiting_unit const& b) {
-                         return std::tuple(a.priority, a.order) <
-                                std::tuple(b.priority, b.order);
-                     });
+                     [](waiting_unit const& a, waiting_unit const& b)
+                     { return goes_before(a.claim, b.claim); });
     return list;
 }
 
+queue_claim dispatcher::claim_of(job_entry const& e, unit_id const& id,
+                                 milliseconds wall) const
+{
+    auto const& spec = e.job.spec;
+    auto const due = spec.occurrences > 0
+                         ? spec.first_due_ms + id.occurrence * spec.interval_ms
+                         : e.job.accepted_ms;
+    queue_claim claim;
+    claim.priority = e.priority;
+    claim.age_ms = std::max<milliseconds>(0, wall - due);
+    claim.remaining_ms = e.chains[static_cast<std::size_t>(id.step)];
+    if (auto const* q = queue_of(e))
+        claim.objective_ms = objective_of(*q, spec);
+    return claim;
+}
+
 unit_need dispatcher::need_of(milliseconds now, job_entry const& e,
                               unit_ref const& ref) const
 {
--- /dev/null
+++ b/packages/tasks/src/queue_order.cpp
@@ -0,0 +1,55 @@
+#include <jasminetrack/tasks/queue_order.hpp>
+
+#include <algorithm>
+#include <tuple>
+
+namespace jasminetrack::tasks
+{
+namespace
+{
+
+/// A job that ends after this many objectives is of no use to its caller.
+constexpr milliseconds late_objectives = 3;
+
+} // namespace
+
+prospect prospect_of(queue_claim const& c) noexcept
+{
+    auto const end = c.age_ms + c.remaining_ms;
+    if (end <= c.objective_ms)
+        return prospect::in_time;
+    return end <= late_objectives * c.objective_ms ? prospect::late
+                                                   : prospect::too_late;
+}
+
+bool goes_before(queue_claim const& a, queue_claim const& b) noexcept
+{
+    return std::tuple(prospect_of(a), a.priority, -a.age_ms) <
+           std::tuple(prospect_of(b), b.priority, -b.age_ms);
+}
+
+std::vector<milliseconds> chains_of(job_spec const& spec)
+{
+    std::vector<milliseconds> chains(spec.steps.size(), 0);
+    for (auto i = spec.steps.size(); i-- > 0;)
+    {
+        chains[i] += std::max<milliseconds>(spec.steps[i].estimate_ms, 1);
+        for (int const before : spec.steps[i].after)
+        {
+            auto& earlier = chains[static_cast<std::size_t>(before)];
+            earlier = std::max(earlier, chains[i]);
+        }
+    }
+    return chains;
+}
+
+milliseconds objective_of(queue const& q, job_spec const& spec)
+{
+    auto const chains = chains_of(spec);
+    auto const longest = *std::max_element(chains.begin(), chains.end());
+    return static_cast<milliseconds>(q.stretch *
+                                     static_cast<double>(longest)) +
+           q.latency_ms;
+}
+
+} // namespace jasminetrack::tasks
