--- a/packages/entry/src/dispatch_loop.cpp
+++ b/packages/entry/src/dispatch_loop.cpp
@@ -406,15 +406,19 @@
 void dispatch_loop::perform(tasks::stop_order const& o)
 {
     count(&dispatch_figures::stops);
-    ports_.workers.stop(o,
-                        [o](tasks::call_result r)
-                        {
-                            if (r != tasks::call_result::done)
-                                write_log(log_level::info, "run.stop.failed",
-                                          {{"job", o.run.task.job},
-                                           {"worker", o.worker},
-                                           {"result", to_text(r)}});
-                        });
+    auto const term = term_;
+    ports_.workers.stop(
+        o,
+        [this, term, o](tasks::call_result result)
+        {
+            post(
+                [this, term, o, result]
+                {
+                    if (dispatcher_ && term == term_)
+                        dispatcher_->on_stop(monotonic_ms(),
+                                             {o.worker, o.run, result});
+                });
+        });
 }
 
 void dispatch_loop::perform(tasks::store_order const& o)
--- a/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -3,6 +3,7 @@
 /// Runs the tasks of all jobs on all workers. One process at a time holds the
 /// dispatcher's role; its token fences off those that held it before.
 
+#include <jasminetrack/tasks/headroom.hpp>
 #include <jasminetrack/tasks/placement.hpp>
 #include <jasminetrack/tasks/queue_order.hpp>
 #include <jasminetrack/tasks/worker_view.hpp>
@@ -80,6 +81,7 @@
     void unlist_worker(milliseconds now, std::string const& id);
     void on_hold(milliseconds now, hold_reply const& reply);
     void on_start(milliseconds now, start_reply const& reply);
+    void on_stop(milliseconds now, stop_reply const& reply);
     /// The batch, and all before it, are in the log.
     void on_stored(milliseconds now, std::int64_t batch);
     /// \param wall time of day
@@ -241,6 +243,16 @@
     [[nodiscard]] bool fits_now(milliseconds now, job_entry const& e,
                                 unit_ref const& ref,
                                 std::vector<std::string> const& places) const;
+    /// Accelerators of a service that urgent work has, and that are free.
+    struct room_count
+    {
+        std::int64_t urgent = 0;
+        std::int64_t free = 0;
+    };
+    [[nodiscard]] std::map<std::string, room_count> count_rooms() const;
+    /// Whether lower priorities may take `need` and leave enough.
+    [[nodiscard]] bool leaves_headroom(milliseconds now, job_entry const& e,
+                                       unit_need const& need);
     void emit_batch();
 
     std::int64_t token_;
@@ -258,6 +270,8 @@
     std::map<std::string, worker_view> workers_;
     std::map<unit_ref, active_run> active_;
     std::map<unit_ref, reservation> reservations_;
+    std::map<std::string, urgent_headroom> headroom_; ///< by service
+    std::map<std::string, room_count> rooms_;
     std::deque<unit_ref> unsent_; ///< runs whose starts wait for the log
     std::set<std::string> dirty_;
     std::map<std::string, std::int64_t> final_batch_;
--- a/packages/tasks/include/jasminetrack/tasks/orders.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/orders.hpp
@@ -130,6 +130,13 @@
     std::vector<ended_task> ended;
 };
 
+struct stop_reply
+{
+    std::string worker;
+    task_run run;
+    call_result result = call_result::no_answer;
+};
+
 struct start_reply
 {
     std::string worker;
--- a/packages/tasks/src/dispatcher_schedule.cpp
+++ b/packages/tasks/src/dispatcher_schedule.cpp
@@ -29,6 +29,9 @@
     scheduled_at_ = now;
     changed_ = false;
     serve_reservations(now);
+    rooms_ = count_rooms();
+    for (auto const& [service, count] : rooms_)
+        headroom_[service].note(now, count.urgent);
     std::set<unit_ref> full; // steps that found no room in this pass
     for (auto const& w : waiting_units(wall))
     {
@@ -38,12 +41,18 @@
             continue;
         auto& e = *w.entry;
         auto const need = need_of(now, e, w.ref);
-        auto const rooms =
-            rooms_for(now, e, step_of(e, w.ref), w.ref, w.claim.priority);
+        if (e.priority != 0 && !leaves_headroom(now, e, need))
+        {
+            full.insert(step);
+            continue;
+        }
+        auto const rooms = rooms_for(now, e, step_of(e, w.ref), w.ref, w.claim.priority);
         auto const choice = choose(rooms, need, terms_of(e, w.ref));
         if (choice && choice->victims.empty() && choice->fits_now)
         {
             place(now, e, w.ref, choice->places);
+            if (auto const* q = queue_of(e))
+                rooms_[q->service].free -= need.each.accelerators * need.count;
             continue;
         }
         auto const& plan = choice;
@@ -101,6 +110,34 @@
     return claim;
 }
 
+std::map<std::string, dispatcher::room_count> dispatcher::count_rooms() const
+{
+    std::map<std::string, room_count> counts;
+    for (auto const& [id, w] : workers_)
+    {
+        auto& count = counts[w.info.service];
+        if (w.listed && !w.info.draining)
+            count.free += std::max<std::int64_t>(0, w.free_room().accelerators);
+        count.urgent += w.reserved.accelerators;
+        for (auto const& [run, o] : w.occupants)
+            if (auto const job = jobs_.find(o.unit.job);
+                job != jobs_.end() && job->second.priority == 0 && !o.ending)
+                count.urgent += o.held.accelerators;
+    }
+    return counts;
+}
+
+bool dispatcher::leaves_headroom(milliseconds now, job_entry const& e,
+                                 unit_need const& need)
+{
+    auto const* q = queue_of(e);
+    if (!q)
+        return true;
+    auto const left = rooms_[q->service].free -
+                      need.each.accelerators * need.count;
+    return left >= headroom_[q->service].wanted(now);
+}
+
 unit_need dispatcher::need_of(milliseconds now, job_entry const& e,
                               unit_ref const& ref) const
 {
--- a/packages/tasks/src/dispatcher_workers.cpp
+++ b/packages/tasks/src/dispatcher_workers.cpp
@@ -425,6 +425,26 @@
     changed_ = true;
 }
 
+void dispatcher::on_stop(milliseconds now, stop_reply const& r)
+{
+    if (r.result == call_result::fenced)
+    {
+        deposed_ = true;
+        return;
+    }
+    auto const at = workers_.find(r.worker);
+    if (r.result == call_result::done || at == workers_.end())
+        return;
+    say("stop.failed", r.run.task.job,
+        "worker=" + r.worker + " run=" + std::to_string(r.run.run) +
+            " result=" + to_text(r.result));
+    auto const o = at->second.occupants.find(r.run);
+    if (r.result == call_result::no_answer &&
+        o != at->second.occupants.end() && o->second.ending &&
+        at->second.silent_since < 0)
+        send_stop(now, at->second, r.run);
+}
+
 void dispatcher::send_stop(milliseconds now, worker_view& w,
                            task_run const& run)
 {
--- /dev/null
+++ b/packages/tasks/src/headroom.cpp
@@ -0,0 +1,33 @@
+#include <jasminetrack/tasks/headroom.hpp>
+
+#include <algorithm>
+
+namespace jasminetrack::tasks
+{
+namespace
+{
+
+/// Urgent demand of this time back is expected to come again.
+constexpr milliseconds window_ms = 3'000;
+
+} // namespace
+
+std::int64_t urgent_headroom::wanted(milliseconds now) const noexcept
+{
+    for (auto const& s : samples_)
+        if (now - s.at <= window_ms)
+            return std::max<std::int64_t>(0, s.in_use - in_use_);
+    return 0;
+}
+
+void urgent_headroom::note(milliseconds now, std::int64_t in_use)
+{
+    in_use_ = in_use;
+    while (!samples_.empty() && samples_.back().in_use <= in_use)
+        samples_.pop_back();
+    samples_.push_back({now, in_use});
+    while (now - samples_.front().at > window_ms)
+        samples_.pop_front();
+}
+
+} // namespace jasminetrack::tasks
--- a/tests/support/dispatch_world.cpp
+++ b/tests/support/dispatch_world.cpp
@@ -348,11 +348,16 @@
         answer, [answer] { answer(call_result::no_answer); });
 }
 
-void dispatch_world::send(std::size_t, stop_order const& o)
+void dispatch_world::send(std::size_t node, stop_order const& o)
 {
+    auto const answer = [this, node, o](call_result result)
+    {
+        if (nodes_[node])
+            nodes_[node]->on_stop(now_, {o.worker, o.run, result});
+    };
     carry<call_result>(
         o.worker, [this, o] { return take_stop(workers_.at(o.worker), o); },
-        [](call_result) {}, [] {});
+        answer, [answer] { answer(call_result::no_answer); });
 }
 
 void dispatch_world::send(std::size_t node, store_order const& o)
