--- a/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -136,6 +136,7 @@
         job_progress progress;
         std::int64_t priority = 0;
         milliseconds known_at = 0;
+        milliseconds objective_ms = 0;
         std::vector<milliseconds> chains; ///< of work, from each step on
         std::int64_t waiting = 0; ///< units in phase waiting
         std::int64_t undone = 0;  ///< units not done
@@ -149,10 +150,13 @@
         milliseconds since = 0;
     };
 
-    struct waiting_unit
+    /// The waiting units of one step; all need the same.
+    struct waiting_step
     {
         job_entry* entry = nullptr;
-        unit_ref ref;
+        std::int64_t occurrence = 0;
+        std::int64_t step = 0;
+        std::vector<std::int64_t> indices;
         queue_claim claim;
     };
 
@@ -165,6 +169,7 @@
     [[nodiscard]] job_entry* find_job(std::string const& id);
     [[nodiscard]] unit* find_unit(unit_ref const& ref);
     [[nodiscard]] queue const* queue_of(job_entry const& e) const;
+    void apply_queue(job_entry& e) const;
     [[nodiscard]] bool is_ready(job_entry const& e, unit_id const& id,
                                 milliseconds wall) const;
     void say(std::string step, std::string job, std::string text) const;
@@ -226,10 +231,25 @@
     void schedule(milliseconds now, milliseconds wall);
     void serve_reservations(milliseconds now);
     void drop_reservation(unit_ref const& ref);
-    [[nodiscard]] std::vector<waiting_unit> waiting_units(milliseconds wall);
-    [[nodiscard]] std::vector<worker_room>
-    rooms_for(milliseconds now, job_entry const& e, step_spec const& step,
-              unit_ref const& ref, std::int64_t priority) const;
+    [[nodiscard]] std::vector<waiting_step> waiting_steps(milliseconds wall);
+    /// \returns false if there is no room for units of this step now.
+    bool start_unit(milliseconds now, waiting_step const& w,
+                    std::int64_t index);
+    void reclaim(milliseconds now, unit_ref const& ref,
+                 reclaim_plan const& plan, resources const& each);
+    /// \returns the workers of a service as this pass sees them, by id.
+    [[nodiscard]] std::vector<worker_room>& rooms_of(milliseconds now,
+                                                     std::string const& service,
+                                                     std::int64_t priority);
+    [[nodiscard]] worker_room room_of(milliseconds now, worker_view const& w,
+                                      std::int64_t priority) const;
+    [[nodiscard]] static bool may_start_on(milliseconds now,
+                                           worker_view const& w);
+    void take_room(std::string const& service,
+                   std::vector<std::string> const& places,
+                   resources const& each);
+    void count_same_step(std::vector<worker_room>& rooms, unit_ref const& ref,
+                         unit_need const& need) const;
     [[nodiscard]] unit_need need_of(milliseconds now, job_entry const& e,
                                     unit_ref const& ref) const;
     [[nodiscard]] reclaim_terms terms_of(job_entry const& e,
@@ -251,7 +271,7 @@
     };
     [[nodiscard]] std::map<std::string, room_count> count_rooms() const;
     /// Whether lower priorities may take `need` and leave enough.
-    [[nodiscard]] bool leaves_headroom(milliseconds now, job_entry const& e,
+    [[nodiscard]] bool leaves_headroom(milliseconds now, std::string const& service,
                                        unit_need const& need);
     void emit_batch();
 
@@ -271,7 +291,10 @@
     std::map<unit_ref, active_run> active_;
     std::map<unit_ref, reservation> reservations_;
     std::map<std::string, urgent_headroom> headroom_; ///< by service
-    std::map<std::string, room_count> rooms_;
+    std::map<std::string, room_count> counts_; ///< of this pass, by service
+    /// Of this pass, by service and priority.
+    std::map<std::pair<std::string, std::int64_t>, std::vector<worker_room>>
+        rooms_;
     std::deque<unit_ref> unsent_; ///< runs whose starts wait for the log
     std::set<std::string> dirty_;
     std::map<std::string, std::int64_t> final_batch_;
--- a/packages/tasks/src/dispatcher.cpp
+++ b/packages/tasks/src/dispatcher.cpp
@@ -120,8 +120,7 @@
     config_ = c;
     changed_ = true;
     for (auto& [id, e] : jobs_)
-        if (auto const* q = queue_of(e))
-            e.priority = q->priority;
+        apply_queue(e);
 }
 
 void dispatcher::put_job(milliseconds now, accepted_job const& job,
@@ -140,13 +139,21 @@
         e.undone += u.phase == unit_phase::done ? 0 : 1;
     }
     auto& placed = jobs_.emplace(job.id, std::move(e)).first->second;
-    if (auto const* q = queue_of(placed))
-        placed.priority = q->priority;
+    apply_queue(placed);
     changed_ = true;
     adopt(now, placed);
     evaluate(now, placed);
 }
 
+void dispatcher::apply_queue(job_entry& e) const
+{
+    auto const* q = queue_of(e);
+    if (!q)
+        return;
+    e.priority = q->priority;
+    e.objective_ms = objective_of(*q, e.job.spec);
+}
+
 void dispatcher::cancel_job(milliseconds now, std::string const& id)
 {
     auto* e = find_job(id);
--- a/packages/tasks/src/dispatcher_schedule.cpp
+++ b/packages/tasks/src/dispatcher_schedule.cpp
@@ -29,67 +29,128 @@
     scheduled_at_ = now;
     changed_ = false;
     serve_reservations(now);
-    rooms_ = count_rooms();
-    for (auto const& [service, count] : rooms_)
+    rooms_.clear();
+    counts_ = count_rooms();
+    for (auto const& [service, count] : counts_)
         headroom_[service].note(now, count.urgent);
-    std::set<unit_ref> full; // steps that found no room in this pass
-    for (auto const& w : waiting_units(wall))
+    for (auto const& w : waiting_steps(wall))
+        for (auto const index : w.indices)
+            if (!start_unit(now, w, index))
+                break; // the step's other units need the same
+}
+
+bool dispatcher::start_unit(milliseconds now, waiting_step const& w,
+                            std::int64_t index)
+{
+    auto& e = *w.entry;
+    unit_ref const ref{e.job.id, {w.occurrence, w.step, index}};
+    if (reservations_.count(ref) != 0)
+        return true;
+    auto const* q = queue_of(e);
+    if (!q)
+        return false;
+    auto const need = need_of(now, e, ref);
+    if (e.priority != 0 && !leaves_headroom(now, q->service, need))
+        return false;
+    auto& rooms = rooms_of(now, q->service, e.priority);
+    count_same_step(rooms, ref, need);
+    auto const choice = choose(rooms, need, terms_of(e, ref));
+    if (!choice)
+        return false;
+    if (choice->fits_now)
     {
-        auto step = w.ref;
-        step.unit.index = 0;
-        if (full.count(step) != 0 || reservations_.count(w.ref) != 0)
-            continue;
-        auto& e = *w.entry;
-        auto const need = need_of(now, e, w.ref);
-        if (e.priority != 0 && !leaves_headroom(now, e, need))
-        {
-            full.insert(step);
-            continue;
-        }
-        auto const rooms = rooms_for(now, e, step_of(e, w.ref), w.ref, w.claim.priority);
-        auto const choice = choose(rooms, need, terms_of(e, w.ref));
-        if (choice && choice->victims.empty() && choice->fits_now)
-        {
-            place(now, e, w.ref, choice->places);
-            if (auto const* q = queue_of(e))
-                rooms_[q->service].free -= need.each.accelerators * need.count;
+        place(now, e, ref, choice->places);
+        take_room(q->service, choice->places, need.each);
+    }
+    else
+    {
+        reclaim(now, ref, *choice, need.each);
+    }
+    return true;
+}
+
+void dispatcher::reclaim(milliseconds now, unit_ref const& ref,
+                         reclaim_plan const& plan, resources const& each)
+{
+    say("unit.reclaim", ref.job,
+        "victims=" + std::to_string(plan.victims.size()) +
+            " lost_core_s=" + std::to_string(plan.lost_work));
+    reservations_[ref] = {plan.places, now};
+    for (auto const& id : plan.places)
+        workers_.at(id).reserved += each;
+    std::vector<unit_ref> victims;
+    for (auto const& [other, a] : active_)
+        if (plan.victims.count(a.number) != 0)
+            victims.push_back(other);
+    for (auto const& other : victims)
+        end_run(now, other, "stopped for job " + ref.job);
+    rooms_.clear();
+}
+
+void dispatcher::take_room(std::string const& service,
+                           std::vector<std::string> const& places,
+                           resources const& each)
+{
+    for (auto& [key, rooms] : rooms_)
+    {
+        if (key.first != service)
             continue;
-        }
-        auto const& plan = choice;
-        if (!plan)
+        for (auto const& id : places)
         {
-            full.insert(step);
-            continue;
+            auto const at = std::lower_bound(
+                rooms.begin(), rooms.end(), id,
+                [](worker_room const& r, std::string const& other)
+                { return r.id < other; });
+            at->free -= each;
+            at->reachable -= each;
         }
-        say("unit.reclaim", w.ref.job,
-            "victims=" + std::to_string(plan->victims.size()) +
-                " lost_core_s=" + std::to_string(plan->lost_work));
-        reservations_[w.ref] = {plan->places, now};
-        for (auto const& id : plan->places)
-            workers_.at(id).reserved += need.each;
-        std::vector<unit_ref> victims;
-        for (auto const& [ref, a] : active_)
-            if (plan->victims.count(a.number) != 0)
-                victims.push_back(ref);
-        for (auto const& ref : victims)
-            end_run(now, ref, "stopped for job " + w.ref.job);
+    }
+    counts_[service].free -=
+        each.accelerators * static_cast<std::int64_t>(places.size());
+}
+
+void dispatcher::count_same_step(std::vector<worker_room>& rooms,
+                                 unit_ref const& ref,
+                                 unit_need const& need) const
+{
+    if (need.most_per_worker == 0)
+        return;
+    for (auto& room : rooms)
+    {
+        room.same_step = 0;
+        for (auto const& [run, o] : workers_.at(room.id).occupants)
+            if (o.unit.job == ref.job && o.unit.unit.step == ref.unit.step &&
+                o.unit.unit.occurrence == ref.unit.occurrence)
+                ++room.same_step;
     }
 }
 
-std::vector<dispatcher::waiting_unit>
-dispatcher::waiting_units(milliseconds wall)
+std::vector<dispatcher::waiting_step>
+dispatcher::waiting_steps(milliseconds wall)
 {
-    std::vector<waiting_unit> list;
+    std::vector<waiting_step> list;
     for (auto& [id, e] : jobs_)
     {
         if (is_final(e.progress.phase) || e.waiting == 0)
             continue;
+        auto const first = list.size();
         for (auto const& [unit, u] : e.progress.units)
-            if (u.phase == unit_phase::waiting && is_ready(e, unit, wall))
-                list.push_back({&e, {id, unit}, claim_of(e, unit, wall)});
+        {
+            if (u.phase != unit_phase::waiting)
+                continue;
+            if (list.size() == first || list.back().step != unit.step ||
+                list.back().occurrence != unit.occurrence)
+            {
+                if (!is_ready(e, unit, wall))
+                    continue;
+                list.push_back({&e, unit.occurrence, unit.step, {},
+                                claim_of(e, unit, wall)});
+            }
+            list.back().indices.push_back(unit.index);
+        }
     }
     std::stable_sort(list.begin(), list.end(),
-                     [](waiting_unit const& a, waiting_unit const& b)
+                     [](waiting_step const& a, waiting_step const& b)
                      { return goes_before(a.claim, b.claim); });
     return list;
 }
@@ -105,8 +166,7 @@
     claim.priority = e.priority;
     claim.age_ms = std::max<milliseconds>(0, wall - due);
     claim.remaining_ms = e.chains[static_cast<std::size_t>(id.step)];
-    if (auto const* q = queue_of(e))
-        claim.objective_ms = objective_of(*q, spec);
+    claim.objective_ms = e.objective_ms;
     return claim;
 }
 
@@ -127,15 +187,12 @@
     return counts;
 }
 
-bool dispatcher::leaves_headroom(milliseconds now, job_entry const& e,
+bool dispatcher::leaves_headroom(milliseconds now, std::string const& service,
                                  unit_need const& need)
 {
-    auto const* q = queue_of(e);
-    if (!q)
-        return true;
-    auto const left = rooms_[q->service].free -
-                      need.each.accelerators * need.count;
-    return left >= headroom_[q->service].wanted(now);
+    auto const left =
+        counts_[service].free - need.each.accelerators * need.count;
+    return left >= headroom_[service].wanted(now);
 }
 
 unit_need dispatcher::need_of(milliseconds now, job_entry const& e,
@@ -156,52 +213,55 @@
     return need;
 }
 
-std::vector<worker_room> dispatcher::rooms_for(milliseconds now,
-                                               job_entry const& e,
-                                               step_spec const& step,
-                                               unit_ref const& ref,
-                                               std::int64_t priority) const
+std::vector<worker_room>& dispatcher::rooms_of(milliseconds now,
+                                               std::string const& service,
+                                               std::int64_t priority)
 {
-    auto const* q = queue_of(e);
-    std::vector<worker_room> rooms;
-    bool const reclaim = e.priority == 0;
+    auto const key = std::pair(service, priority);
+    auto const at = rooms_.find(key);
+    if (at != rooms_.end())
+        return at->second;
+    auto& rooms = rooms_[key];
     for (auto const& [id, w] : workers_)
+        if (w.info.service == service && may_start_on(now, w))
+            rooms.push_back(room_of(now, w, priority));
+    return rooms;
+}
+
+bool dispatcher::may_start_on(milliseconds now, worker_view const& w)
+{
+    return w.listed && !w.info.draining && !w.foreign &&
+           now >= w.blocked_until && w.silent_since < 0 &&
+           w.answered_since(now - answer_age_ms);
+}
+
+worker_room dispatcher::room_of(milliseconds now, worker_view const& w,
+                                std::int64_t priority) const
+{
+    worker_room room;
+    room.id = w.info.id;
+    room.rack = w.info.rack;
+    room.labels = w.info.labels;
+    room.free = w.free_room();
+    room.capacity = w.info.capacity;
+    room.reachable = w.reachable_room();
+    if (now < w.avoid_until)
+        room.doubt = doubt_failing + w.failures;
+    if (priority != 0)
+        return room;
+    for (auto const& [run, o] : w.occupants)
     {
-        if (!q || w.info.service != q->service || !w.listed ||
-            w.info.draining || w.foreign || now < w.blocked_until ||
-            !w.answered_since(now - answer_age_ms) || w.silent_since >= 0)
+        auto const at = active_.find(o.unit);
+        auto const job = jobs_.find(o.unit.job);
+        if (o.ending || at == active_.end() || at->second.over ||
+            job == jobs_.end() || job->second.priority <= priority)
             continue;
-        worker_room room;
-        room.id = id;
-        room.rack = w.info.rack;
-        room.labels = w.info.labels;
-        room.free = w.free_room();
-        room.capacity = w.info.capacity;
-        room.reachable = w.reachable_room();
-        if (now < w.avoid_until)
-            room.doubt = doubt_failing + w.failures;
-        for (auto const& [run, o] : w.occupants)
-        {
-            if (step.most_per_worker > 0 && o.unit.job == ref.job &&
-                o.unit.unit.step == ref.unit.step &&
-                o.unit.unit.occurrence == ref.unit.occurrence)
-                ++room.same_step;
-            if (!reclaim || o.ending)
-                continue;
-            auto const at = active_.find(o.unit);
-            auto const job = jobs_.find(o.unit.job);
-            if (at == active_.end() || at->second.over || job == jobs_.end() ||
-                job->second.priority <= priority)
-                continue;
-            auto const& other = step_of(job->second, o.unit);
-            if (other.lasting)
-                continue;
+        auto const& step = step_of(job->second, o.unit);
+        if (!step.lasting)
             room.stoppable.push_back(
-                {at->second.number, o.held, lost_work(now, at->second, other)});
-        }
-        rooms.push_back(std::move(room));
+                {at->second.number, o.held, lost_work(now, at->second, step)});
     }
-    return rooms;
+    return room;
 }
 
 double dispatcher::lost_work(milliseconds now, active_run const& a,
--- a/packages/tasks/src/placement.cpp
+++ b/packages/tasks/src/placement.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <limits>
 #include <map>
+#include <string_view>
 #include <tuple>
 
 namespace jasminetrack::tasks
@@ -44,7 +45,8 @@
 auto tightness(worker_room const& w, unit_need const& need)
 {
     return std::tuple(w.doubt, !need.rack.empty() && w.rack != need.rack,
-                      w.free.accelerators, w.free.memory_mb, w.id);
+                      w.free.accelerators, w.free.memory_mb,
+                      std::string_view(w.id));
 }
 
 std::optional<std::vector<std::string>> fill(room_list rooms,
@@ -65,9 +67,9 @@
     return std::nullopt;
 }
 
-std::map<std::string, room_list> by_rack(room_list const& rooms)
+std::map<std::string_view, room_list> by_rack(room_list const& rooms)
 {
-    std::map<std::string, room_list> racks;
+    std::map<std::string_view, room_list> racks;
     for (auto const* w : rooms)
         racks[w->rack].push_back(w);
     return racks;
