--- a/packages/entry/include/jasminetrack/entry/ports.hpp
+++ b/packages/entry/include/jasminetrack/entry/ports.hpp
@@ -41,7 +41,7 @@
     std::vector<tasks::log_record> records;
     log_writer writer;
     std::optional<std::int64_t> at; ///< only if the topic ends there
-    milliseconds timeout_ms = 1000;
+    milliseconds timeout_ms = 600;
 };
 
 enum class append_result : std::uint8_t
--- a/packages/entry/src/dispatch_loop.cpp
+++ b/packages/entry/src/dispatch_loop.cpp
@@ -18,7 +18,7 @@
 constexpr milliseconds sign_ms = 500;
 constexpr milliseconds claim_delay_step_ms = 15;
 constexpr std::size_t claim_delay_steps = 16;
-constexpr milliseconds append_timeout_ms = 1'000;
+constexpr milliseconds append_timeout_ms = 600;
 constexpr milliseconds workers_wait_ms = 1'000;
 constexpr milliseconds workers_rest_ms = 250;
 /// The key of the role among the records of work; not a job's id.
--- a/packages/entry/src/entry_node.cpp
+++ b/packages/entry/src/entry_node.cpp
@@ -15,7 +15,7 @@
 using runtime::monotonic_ms;
 using runtime::write_log;
 
-constexpr milliseconds follow_wait_ms = 1'500;
+constexpr milliseconds follow_wait_ms = 1'000;
 constexpr milliseconds config_rest_ms = 50;
 constexpr milliseconds jobs_rest_ms = 20;
 constexpr milliseconds work_rest_ms = 100;
--- a/packages/entry/src/job_requests.cpp
+++ b/packages/entry/src/job_requests.cpp
@@ -19,9 +19,7 @@
 constexpr milliseconds lag_ms = 400;
 /// An append without answer is waited for during this part of the caller's
 /// time; the caller can then ask again, elsewhere and under the same id.
-constexpr milliseconds unknown_part = 3;
-/// A log that takes nothing is waited for so long before a refusal.
-constexpr milliseconds refuse_after_ms = 500;
+constexpr milliseconds unknown_part = 2;
 
 milliseconds most_wait(caller const& who)
 {
@@ -69,7 +67,7 @@
     job.spec = std::move(spec);
     auto const tasks = job.spec.steps.size();
     auto const result =
-        writer_.write({id, encode(job)}, refuse_after_ms, most_wait(who));
+        writer_.write({id, encode(job)}, most_wait(who), most_wait(who));
     write_log(log_level::info, "job.submit",
               {{"job", id},
                {"queue", queue},
@@ -101,7 +99,7 @@
     if (view->cancelled || tasks::is_final(view->summary.phase))
         return cancel_result::cancelled;
     auto const result =
-        writer_.write({cancel_key(id), "1"}, refuse_after_ms, most_wait(who));
+        writer_.write({cancel_key(id), "1"}, most_wait(who), most_wait(who));
     write_log(log_level::info, "job.cancel_request",
               {{"job", id}, {"team", who.team}, {"result", to_text(result)}});
     if (result == write_result::stored)
