--- a/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -216,8 +216,6 @@
     void finish_job(milliseconds now, job_entry& e, job_phase phase);
     void adopt(milliseconds now, job_entry& e);
     void check_hanging(milliseconds now);
-    static void doubt_hanging(milliseconds now, worker_view& w,
-                              std::size_t members);
     /// Moves runs off workers that leave before the runs can end.
     void check_draining(milliseconds now);
     [[nodiscard]] static bool should_leave(milliseconds now,
--- a/packages/tasks/include/jasminetrack/tasks/worker_view.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/worker_view.hpp
@@ -79,7 +79,6 @@
     resources reserved; ///< promised to units that wait for stops
 
     int failures = 0; ///< runs that failed there in a row, of any job
-    int hangs = 0; ///< runs that stood still there since one was done
     std::string last_failed_job;
     milliseconds avoid_until = 0;
     milliseconds unanswered_at = -1; ///< newest order without an answer
--- a/packages/tasks/src/dispatcher_runs.cpp
+++ b/packages/tasks/src/dispatcher_runs.cpp
@@ -18,9 +18,8 @@
 constexpr milliseconds answer_age_ms = 3'500;
 /// A running task whose percentage stands still for this long hangs; longer
 /// for tasks whose percent points take longer.
-constexpr milliseconds hang_ms = 2'400;
+constexpr milliseconds hang_ms = 3'500;
 constexpr milliseconds hang_rest_ms = 15'000;
-constexpr milliseconds hang_rest_most_ms = 30'000;
 constexpr std::int64_t hang_points = 15;
 constexpr std::int64_t hundred = 100;
 /// Workers stay a little longer than they promise.
@@ -446,24 +445,13 @@
         if (at == active_.end())
             continue;
         for (auto const& m : at->second.members)
-            if (auto const w = workers_.find(m.worker); w != workers_.end())
-                doubt_hanging(now, w->second, at->second.members.size());
+            if (auto const w = workers_.find(m.worker);
+                w != workers_.end() && at->second.members.size() == 1)
+                w->second.avoid_until = now + hang_rest_ms;
         end_run(now, ref, "its progress stands still");
     }
 }
 
-/// Of a gang that stands still only one worker hangs, and nothing tells which:
-/// each is doubted for a part of the time, longer the more often it happens.
-void dispatcher::doubt_hanging(milliseconds now, worker_view& w,
-                               std::size_t members)
-{
-    ++w.hangs;
-    auto const rest =
-        hang_rest_ms * w.hangs / static_cast<milliseconds>(members);
-    w.avoid_until =
-        std::max(w.avoid_until, now + std::min(rest, hang_rest_most_ms));
-}
-
 void dispatcher::check_draining(milliseconds now)
 {
     std::vector<unit_ref> leaving;
--- a/packages/tasks/src/dispatcher_workers.cpp
+++ b/packages/tasks/src/dispatcher_workers.cpp
@@ -12,7 +12,7 @@
 /// A worker that leaves may be gone sooner than its lease tells.
 constexpr milliseconds draining_lease_ms = 3'000;
 /// A third of the lease: two renewals may be lost.
-constexpr milliseconds hold_wait_ms = 1'500;
+constexpr milliseconds hold_wait_ms = 2'000;
 constexpr milliseconds renew_ms = 1'000;
 constexpr milliseconds silent_retry_ms = 300;
 /// An earlier dispatcher stops within this time of its successor's start.
@@ -252,7 +252,6 @@
     if (how == run_end::done)
     {
         w.failures = 0;
-        w.hangs = 0;
         w.last_failed_job.clear();
         w.avoid_until = 0;
     }
--- a/packages/tasks/src/worker_view.cpp
+++ b/packages/tasks/src/worker_view.cpp
@@ -98,7 +98,6 @@
     taken_end = 0;
     taken_batch = 0;
     failures = 0;
-    hangs = 0;
     avoid_until = 0;
     fenced = false;
     foreign = false;
