--- a/packages/entry/include/jasminetrack/entry/job_requests.hpp
+++ b/packages/entry/include/jasminetrack/entry/job_requests.hpp
@@ -68,6 +68,9 @@
     [[nodiscard]] bool is_current() const;
 
 private:
+    [[nodiscard]] write_result store(caller const& who,
+                                     tasks::log_record const& record);
+
     job_table& table_;
     record_writer& writer_;
     view_age const& age_;
--- a/packages/entry/src/dispatch_loop.cpp
+++ b/packages/entry/src/dispatch_loop.cpp
@@ -407,18 +407,18 @@
 {
     count(&dispatch_figures::stops);
     auto const term = term_;
-    ports_.workers.stop(
-        o,
-        [this, term, o](tasks::call_result result)
-        {
-            post(
-                [this, term, o, result]
-                {
-                    if (dispatcher_ && term == term_)
-                        dispatcher_->on_stop(monotonic_ms(),
-                                             {o.worker, o.run, result});
-                });
-        });
+    ports_.workers.stop(o,
+                        [this, term, o](tasks::call_result result)
+                        {
+                            post(
+                                [this, term, o, result]
+                                {
+                                    if (dispatcher_ && term == term_)
+                                        dispatcher_->on_stop(
+                                            monotonic_ms(),
+                                            {o.worker, o.run, result});
+                                });
+                        });
 }
 
 void dispatch_loop::perform(tasks::store_order const& o)
--- a/packages/entry/src/job_requests.cpp
+++ b/packages/entry/src/job_requests.cpp
@@ -53,6 +53,16 @@
     return age_.age(monotonic_ms()) <= current_ms;
 }
 
+write_result job_requests::store(caller const& who,
+                                 tasks::log_record const& record)
+{
+    auto const result = writer_.write(record, most_wait(who), most_wait(who));
+    // The caller's next request here already finds it.
+    if (result == write_result::stored)
+        (void)table_.apply_job({0, record.key, record.value});
+    return result;
+}
+
 submit_result job_requests::submit(caller const& who, std::string const& queue,
                                    std::string const& id, tasks::job_spec spec)
 {
@@ -66,8 +76,7 @@
     job.accepted_ms = runtime::wall_ms();
     job.spec = std::move(spec);
     auto const tasks = job.spec.steps.size();
-    auto const result =
-        writer_.write({id, encode(job)}, most_wait(who), most_wait(who));
+    auto const result = store(who, {id, encode(job)});
     write_log(log_level::info, "job.submit",
               {{"job", id},
                {"queue", queue},
@@ -98,8 +107,7 @@
                             : cancel_result::refused;
     if (view->cancelled || tasks::is_final(view->summary.phase))
         return cancel_result::cancelled;
-    auto const result =
-        writer_.write({cancel_key(id), "1"}, most_wait(who), most_wait(who));
+    auto const result = store(who, {cancel_key(id), "1"});
     write_log(log_level::info, "job.cancel_request",
               {{"job", id}, {"team", who.team}, {"result", to_text(result)}});
     if (result == write_result::stored)
--- a/packages/entry/src/job_table.cpp
+++ b/packages/entry/src/job_table.cpp
@@ -86,7 +86,7 @@
     }
     auto& view = jobs_[e.key];
     if (view.job)
-        return std::nullopt; // a repeat of the request; the first holds
+        return e.key; // a repeat of the request; the first holds
     auto job = tasks::decode_job(e.value);
     if (!job)
         return std::nullopt;
--- a/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -138,8 +138,8 @@
         milliseconds known_at = 0;
         milliseconds objective_ms = 0;
         std::vector<milliseconds> chains; ///< of work, from each step on
-        std::int64_t waiting = 0; ///< units in phase waiting
-        std::int64_t undone = 0;  ///< units not done
+        std::int64_t waiting = 0;         ///< units in phase waiting
+        std::int64_t undone = 0;          ///< units not done
         std::map<unit_ref, std::set<std::string>> failed_on;
     };
 
@@ -220,8 +220,7 @@
     void check_draining(milliseconds now);
     [[nodiscard]] static bool should_leave(milliseconds now,
                                            active_run const& a,
-                                           std::size_t index,
-                                           milliseconds left,
+                                           std::size_t index, milliseconds left,
                                            step_spec const& step);
     [[nodiscard]] std::optional<std::size_t>
     member_index(unit_ref const& ref, active_run const& a,
@@ -271,7 +270,8 @@
     };
     [[nodiscard]] std::map<std::string, room_count> count_rooms() const;
     /// Whether lower priorities may take `need` and leave enough.
-    [[nodiscard]] bool leaves_headroom(milliseconds now, std::string const& service,
+    [[nodiscard]] bool leaves_headroom(milliseconds now,
+                                       std::string const& service,
                                        unit_need const& need);
     void emit_batch();
 
--- a/packages/tasks/include/jasminetrack/tasks/queue_order.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/queue_order.hpp
@@ -20,8 +20,8 @@
 /// What the order of the queue looks at.
 struct queue_claim
 {
-    std::int64_t priority = 0;    ///< 0 comes first
-    milliseconds age_ms = 0;      ///< since the job was accepted
+    std::int64_t priority = 0;     ///< 0 comes first
+    milliseconds age_ms = 0;       ///< since the job was accepted
     milliseconds remaining_ms = 0; ///< longest chain of work left
     milliseconds objective_ms = 0; ///< from acceptance to the end
 
--- a/packages/tasks/src/dispatcher_schedule.cpp
+++ b/packages/tasks/src/dispatcher_schedule.cpp
@@ -143,7 +143,10 @@
             {
                 if (!is_ready(e, unit, wall))
                     continue;
-                list.push_back({&e, unit.occurrence, unit.step, {},
+                list.push_back({&e,
+                                unit.occurrence,
+                                unit.step,
+                                {},
                                 claim_of(e, unit, wall)});
             }
             list.back().indices.push_back(unit.index);
--- a/packages/tasks/src/dispatcher_workers.cpp
+++ b/packages/tasks/src/dispatcher_workers.cpp
@@ -439,9 +439,8 @@
         "worker=" + r.worker + " run=" + std::to_string(r.run.run) +
             " result=" + to_text(r.result));
     auto const o = at->second.occupants.find(r.run);
-    if (r.result == call_result::no_answer &&
-        o != at->second.occupants.end() && o->second.ending &&
-        at->second.silent_since < 0)
+    if (r.result == call_result::no_answer && o != at->second.occupants.end() &&
+        o->second.ending && at->second.silent_since < 0)
         send_stop(now, at->second, r.run);
 }
 
--- a/packages/tasks/src/queue_order.cpp
+++ b/packages/tasks/src/queue_order.cpp
@@ -47,8 +47,7 @@
 {
     auto const chains = chains_of(spec);
     auto const longest = *std::max_element(chains.begin(), chains.end());
-    return static_cast<milliseconds>(q.stretch *
-                                     static_cast<double>(longest)) +
+    return static_cast<milliseconds>(q.stretch * static_cast<double>(longest)) +
            q.latency_ms;
 }
 
--- /dev/null
+++ b/tests/support/memory_platform.cpp
@@ -0,0 +1,247 @@
+#include "memory_platform.hpp"
+
+#include <algorithm>
+#include <chrono>
+
+namespace support
+{
+
+using entry::append_result;
+using entry::read_result;
+using tasks::call_result;
+
+entry::append_answer memory_log::take(entry::append_call const& call)
+{
+    entry::append_answer answer;
+    auto& p = topics_[call.topic];
+    auto& w = p.writers[call.writer.name];
+    answer.end = static_cast<std::int64_t>(p.entries.size());
+    if (call.writer.epoch < w.epoch)
+    {
+        answer.result = append_result::fenced;
+        return answer;
+    }
+    if (call.writer.epoch == w.epoch)
+    {
+        if (auto const repeat = w.ends.find(call.writer.sequence);
+            repeat != w.ends.end())
+        {
+            answer.result = append_result::stored;
+            answer.end = repeat->second;
+            return answer;
+        }
+        if (w.sequence != 0 && call.writer.sequence != w.sequence + 1)
+        {
+            ++sequence_faults_;
+            answer.result = append_result::conflict;
+            answer.reason = "sequence";
+            return answer;
+        }
+    }
+    if (call.at && *call.at != answer.end)
+    {
+        answer.result = append_result::conflict;
+        return answer;
+    }
+    answer.result = append_result::stored;
+    if (call.writer.epoch > w.epoch)
+        w = {call.writer.epoch, 0, {}};
+    if (call.records.empty())
+        return answer; // appends nothing and uses no sequence
+    for (auto const& r : call.records)
+        p.entries.push_back(
+            {static_cast<std::int64_t>(p.entries.size()), r.key, r.value});
+    w.sequence = call.writer.sequence;
+    answer.end = static_cast<std::int64_t>(p.entries.size());
+    w.ends[w.sequence] = answer.end;
+    changed_.notify_all();
+    return answer;
+}
+
+void memory_log::append(entry::append_call call,
+                        std::function<void(entry::append_answer)> done)
+{
+    entry::append_answer answer;
+    {
+        std::lock_guard<std::mutex> const lock(mutex_);
+        answer.result = append_result::refused;
+        if (!down_)
+            answer = take(call);
+    }
+    done(answer);
+}
+
+entry::read_answer memory_log::read(entry::read_call const& call)
+{
+    std::unique_lock<std::mutex> lock(mutex_);
+    auto const from = static_cast<std::size_t>(call.from);
+    changed_.wait_for(lock, std::chrono::milliseconds(call.wait_ms),
+                      [&]
+                      { return topics_[call.topic].entries.size() > from; });
+    entry::read_answer answer;
+    if (down_)
+        return answer;
+    auto const& entries = topics_[call.topic].entries;
+    answer.result = read_result::page;
+    for (auto i = from; i < entries.size(); ++i)
+        answer.entries.push_back(entries[i]);
+    answer.next = static_cast<std::int64_t>(std::max(from, entries.size()));
+    answer.at_end = true;
+    return answer;
+}
+
+entry::newest_answer memory_log::newest(entry::topic t, std::string const&)
+{
+    std::lock_guard<std::mutex> const lock(mutex_);
+    entry::newest_answer answer;
+    if (down_)
+        return answer;
+    std::map<std::string, entry::log_entry> newest;
+    for (auto const& e : topics_[t].entries)
+        newest[e.key] = e;
+    answer.answered = true;
+    answer.end = static_cast<std::int64_t>(topics_[t].entries.size());
+    for (auto const& [key, e] : newest)
+        answer.entries.push_back(e);
+    return answer;
+}
+
+void memory_log::put(entry::topic t, std::string const& key,
+                     std::string const& value)
+{
+    std::lock_guard<std::mutex> const lock(mutex_);
+    auto& entries = topics_[t].entries;
+    entries.push_back({static_cast<std::int64_t>(entries.size()), key, value});
+    changed_.notify_all();
+}
+
+void memory_log::set_down(bool down)
+{
+    std::lock_guard<std::mutex> const lock(mutex_);
+    down_ = down;
+}
+
+int memory_log::sequence_faults() const
+{
+    std::lock_guard<std::mutex> const lock(mutex_);
+    return sequence_faults_;
+}
+
+std::size_t memory_log::size(entry::topic t) const
+{
+    std::lock_guard<std::mutex> const lock(mutex_);
+    auto const at = topics_.find(t);
+    return at == topics_.end() ? 0 : at->second.entries.size();
+}
+
+memory_workers::memory_workers(tasks::milliseconds run_ms) : run_ms_(run_ms)
+{
+    constexpr tasks::milliseconds answer_every_ms = 10;
+    timers_.subscribe(answer_every_ms, [this] { answer_holds(); });
+}
+
+memory_workers::~memory_workers()
+{
+    timers_.stop();
+}
+
+void memory_workers::hold(tasks::hold_order const& order,
+                          std::function<void(tasks::hold_reply)> done)
+{
+    std::lock_guard<std::mutex> const lock(mutex_);
+    holds_.push_back({order, std::move(done)});
+}
+
+void memory_workers::answer_holds()
+{
+    std::vector<std::pair<waiting_hold, tasks::hold_reply>> answers;
+    {
+        std::lock_guard<std::mutex> const lock(mutex_);
+        for (auto& h : holds_)
+            answers.emplace_back(h, take(h.order));
+        holds_.clear();
+    }
+    for (auto const& [h, reply] : answers)
+        h.done(reply);
+}
+
+tasks::hold_reply memory_workers::take(tasks::hold_order const& order)
+{
+    auto& w = workers_[order.worker];
+    tasks::hold_reply reply;
+    reply.worker = order.worker;
+    reply.clock_ms = runtime::monotonic_ms();
+    reply.result =
+        order.token < w.token ? call_result::fenced : call_result::done;
+    w.token = std::max(w.token, order.token);
+    std::erase_if(w.ended, [&](tasks::ended_task const& e)
+                  { return e.number <= order.last_seen; });
+    for (auto at = w.running.begin(); at != w.running.end();)
+    {
+        if (reply.clock_ms - at->second < run_ms_)
+        {
+            reply.running.push_back({at->first, "", 1});
+            ++at;
+            continue;
+        }
+        w.ended.push_back({w.next_end++, at->first, tasks::run_end::done, ""});
+        at = w.running.erase(at);
+    }
+    reply.ended = w.ended;
+    return reply;
+}
+
+void memory_workers::start(tasks::start_order const& order,
+                           std::function<void(tasks::start_reply)> done)
+{
+    tasks::start_reply reply{order.worker, order.run, call_result::done,
+                             runtime::monotonic_ms()};
+    {
+        std::lock_guard<std::mutex> const lock(mutex_);
+        auto& w = workers_[order.worker];
+        if (order.token < w.token)
+            reply.result = call_result::fenced;
+        else if (w.running.emplace(order.run, reply.clock_ms).second)
+            ++starts_[order.run.task];
+    }
+    done(reply);
+}
+
+void memory_workers::stop(tasks::stop_order const& order,
+                          std::function<void(call_result)> done)
+{
+    {
+        std::lock_guard<std::mutex> const lock(mutex_);
+        auto& w = workers_[order.worker];
+        if (w.running.erase(order.run) > 0)
+            w.ended.push_back(
+                {w.next_end++, order.run, tasks::run_end::stopped, ""});
+    }
+    done(call_result::done);
+}
+
+std::map<tasks::task_id, int> memory_workers::starts() const
+{
+    std::lock_guard<std::mutex> const lock(mutex_);
+    return starts_;
+}
+
+std::optional<tasks::configuration>
+memory_decoder::configuration_of(entry::log_entry const&, std::string&) const
+{
+    return config_;
+}
+
+std::optional<tasks::worker_info>
+memory_decoder::worker_of(entry::log_entry const& e, std::string&) const
+{
+    tasks::worker_info w;
+    w.id = e.key;
+    w.address = e.key;
+    w.service = "service";
+    w.rack = "r1";
+    w.capacity = {64'000, 128'000, 8};
+    return w;
+}
+
+} // namespace support
--- /dev/null
+++ b/tests/unit/test_task_policies.cpp
@@ -0,0 +1,144 @@
+/// \file
+/// The order of the queue, room left for urgent work, and who dispatches.
+
+#include "story.hpp"
+
+#include <jasminetrack/tasks/headroom.hpp>
+#include <jasminetrack/tasks/leadership.hpp>
+#include <jasminetrack/tasks/progress.hpp>
+#include <jasminetrack/tasks/queue_order.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace
+{
+
+using namespace jasminetrack::tasks;
+using support::expect;
+using support::section;
+
+class test_task_policies : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(test_task_policies);
+    CPPUNIT_TEST(what_can_be_in_time_goes_first);
+    CPPUNIT_TEST(the_objective_follows_the_longest_chain);
+    CPPUNIT_TEST(room_is_left_for_urgent_work_that_comes_and_goes);
+    CPPUNIT_TEST(a_silent_holder_is_succeeded);
+    CPPUNIT_TEST(progress_is_read_as_it_was_written);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void what_can_be_in_time_goes_first()
+    {
+        queue_claim const urgent{0, 100, 1'000, 2'000};
+        queue_claim const batch{2, 5'000, 1'000, 20'000};
+        queue_claim const late{0, 2'500, 1'000, 2'000};
+        queue_claim const lost{0, 9'000, 1'000, 2'000};
+        expect(goes_before(urgent, batch), "priority among those in time");
+        expect(goes_before(batch, late), "in time before late");
+        expect(goes_before(late, lost), "late before too late");
+        auto older = urgent;
+        older.age_ms = 500;
+        expect(goes_before(older, urgent), "then by age");
+    }
+
+    void the_objective_follows_the_longest_chain()
+    {
+        job_spec spec;
+        spec.steps.resize(3);
+        spec.steps[0].estimate_ms = 1'000;
+        spec.steps[1].estimate_ms = 5'000;
+        spec.steps[2].estimate_ms = 2'000;
+        spec.steps[2].after = {0};
+        expect(chains_of(spec) ==
+                   std::vector<milliseconds>{3'000, 5'000, 2'000},
+               "chains");
+        queue q;
+        q.stretch = 1.5;
+        q.latency_ms = 400;
+        expect(objective_of(q, spec) == 7'900, "objective");
+    }
+
+    void room_is_left_for_urgent_work_that_comes_and_goes()
+    {
+        urgent_headroom h;
+        h.note(0, 40);
+        h.note(1'000, 10);
+        expect(h.wanted(1'000) == 30, "what it had a moment ago");
+        h.note(2'000, 50);
+        expect(h.wanted(2'000) == 0, "nothing while it has its most");
+        h.note(2'500, 0);
+        expect(h.wanted(2'500) == 50, "its newest peak");
+        section("and not for ever",
+                [&]
+                {
+                    h.note(20'000, 0);
+                    expect(h.wanted(20'000) == 0, "forgotten");
+                });
+    }
+
+    void a_silent_holder_is_succeeded()
+    {
+        leadership l("b", 0);
+        expect(!l.should_claim(0), "not before the log was read");
+        l.on_read(0, false);
+        expect(l.should_claim(0), "nobody holds the role");
+        l.on_record(100, {1, "a", false});
+        expect(!l.should_claim(1'000), "a gave a sign of life");
+        l.on_read(1'500, true);
+        expect(!l.should_claim(2'000), "and another");
+        expect(l.should_claim(4'000), "then none");
+        section("not over a gap in reading",
+                [&]
+                {
+                    l.on_read_failed(4'000);
+                    expect(!l.should_claim(5'000), "the log is away");
+                    l.on_read(6'000, false);
+                    expect(!l.should_claim(6'100), "it is only just back");
+                });
+        section("at once after a resignation",
+                [&]
+                {
+                    l.on_record(6'200, {1, "a", true});
+                    expect(l.should_claim(6'200), "free");
+                    l.on_claim_sent(6'200);
+                    expect(!l.should_claim(6'300), "one claim at a time");
+                    l.on_claim_stored(6'300, {2, "b", false});
+                    expect(l.leading(), "leading");
+                });
+        l.on_record(9'000, {3, "c", false});
+        expect(!l.leading(), "a higher epoch ends it");
+    }
+
+    void progress_is_read_as_it_was_written()
+    {
+        job_spec spec;
+        spec.steps.resize(2);
+        spec.steps[0].count = 3;
+        spec.steps[1].count = 4;
+        spec.steps[1].gang = true;
+        auto p = fresh_progress(spec);
+        expect(p.units.size() == 4, "three tasks and one gang");
+        auto& u = p.units.at({0, 1, 0});
+        u.phase = unit_phase::active;
+        u.run = 7;
+        u.failures = 2;
+        u.failed_run = 6;
+        u.checkpoint = "c";
+        u.places = {"w1", "", "w2", "w1"};
+        p.begun = true;
+        p.phase = job_phase::running;
+        expect(decode_progress(encode(p), spec) == p, "the same");
+        expect(decode_summary(encode(p)) ==
+                   progress_summary{job_phase::running, true},
+               "summary");
+        expect(!decode_summary("x"), "bytes of others are refused");
+        accepted_job job{"id", "queue", "team", 5, spec};
+        expect(decode_job(encode(job)) == job, "jobs too");
+        expect(!decode_job("garbage"), "and garbage is not one");
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(test_task_policies);
+
+} // namespace
