--- a/packages/entry/src/relay.cpp
+++ b/packages/entry/src/relay.cpp
@@ -212,7 +212,7 @@
         done(direct);
         return;
     }
-    auto const address = peers.front();
+    auto const& address = peers.front();
     client_.send(
         make_call(address, call),
         [this, address, direct, done = std::move(done)](http_answer const& a)
--- a/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -182,6 +182,8 @@
     starts_under_way(worker_view const& w);
     void send_due_holds(milliseconds now);
     void send_hold(milliseconds now, worker_view& w, bool wait);
+    void note_silence(milliseconds now, worker_view& w, call_result result);
+    void note_answer(milliseconds now, worker_view& w, hold_reply const& r);
     void check_lost_workers(milliseconds now);
     void lose_life(milliseconds now, worker_view& w, std::string const& why,
                    std::map<task_run, occupant> const& kept = {});
@@ -199,6 +201,10 @@
     void send_starts(milliseconds now, unit_ref const& ref);
     void send_start(milliseconds now, job_entry& e, unit_ref const& ref,
                     std::size_t index);
+    void member_started(milliseconds now, unit_ref const& ref,
+                        std::size_t index, milliseconds clock_ms);
+    void start_failed(milliseconds now, unit_ref const& ref, std::size_t index,
+                      call_result result);
     [[nodiscard]] bool can_start(milliseconds now, active_run const& a) const;
     void member_off(milliseconds now, unit_ref const& ref, std::size_t index);
     /// Stops what is left of a run; `ended` is already off its worker.
--- a/packages/tasks/src/dispatcher_runs.cpp
+++ b/packages/tasks/src/dispatcher_runs.cpp
@@ -142,48 +142,58 @@
     auto const index = member_index(*ref, at->second, r.run);
     if (!index)
         return;
-    auto& m = at->second.members[*index];
-    auto& w = workers_.at(m.worker);
-    if (m.phase != member_phase::starting)
+    if (at->second.members[*index].phase != member_phase::starting)
         return;
-    auto& e = *find_job(ref->job);
     if (r.result == call_result::done)
-    {
-        m.phase = member_phase::running;
-        m.started_ms = r.clock_ms;
-        m.moved_at = now;
-        w.note_clock(now, r.clock_ms);
-        if (!e.progress.begun)
-        {
-            e.progress.begun = true;
-            evaluate(now, e);
-            mark_dirty(ref->job);
-        }
+        member_started(now, *ref, *index, r.clock_ms);
+    else
+        start_failed(now, *ref, *index, r.result);
+}
+
+void dispatcher::member_started(milliseconds now, unit_ref const& ref,
+                                std::size_t index, milliseconds clock_ms)
+{
+    auto& m = active_.at(ref).members[index];
+    m.phase = member_phase::running;
+    m.started_ms = clock_ms;
+    m.moved_at = now;
+    workers_.at(m.worker).note_clock(now, clock_ms);
+    auto& e = *find_job(ref.job);
+    if (e.progress.begun)
         return;
-    }
-    bool const sent_once = now - m.sent_at < start_window_ms / 2;
-    say("start.failed", ref->job,
-        "worker=" + r.worker + " index=" + std::to_string(r.run.task.index) +
-            " run=" + std::to_string(r.run.run) +
-            " result=" + to_text(r.result));
-    if (r.result == call_result::no_answer)
+    e.progress.begun = true;
+    evaluate(now, e);
+    mark_dirty(ref.job);
+}
+
+void dispatcher::start_failed(milliseconds now, unit_ref const& ref,
+                              std::size_t index, call_result result)
+{
+    auto& a = active_.at(ref);
+    auto& m = a.members[index];
+    auto& w = workers_.at(m.worker);
+    say("start.failed", ref.job,
+        "worker=" + m.worker + " index=" + std::to_string(index) +
+            " run=" + std::to_string(a.run) + " result=" + to_text(result));
+    if (result == call_result::no_answer)
     {
         w.unanswered_at = now;
         if (now - m.sent_at < start_window_ms - resend_least_ms)
-            send_start(now, e, *ref, *index);
+            send_start(now, *find_job(ref.job), ref, index);
         else
             m.phase = member_phase::unclear;
         return;
     }
     w.avoid_until = std::max(w.avoid_until, now + refused_rest_ms);
-    if (r.result == call_result::old_run || !sent_once)
+    bool const sent_once = m.last_sent_at == m.sent_at;
+    if (result == call_result::old_run || !sent_once)
     {
         m.phase = member_phase::unclear; // an earlier send may have run
         return;
     }
-    end_run(now, *ref, std::string("start refused: ") + to_text(r.result));
-    if (active_.count(*ref) != 0)
-        member_off(now, *ref, *index);
+    end_run(now, ref, std::string("start refused: ") + to_text(result));
+    if (active_.count(ref) != 0)
+        member_off(now, ref, index);
 }
 
 void dispatcher::member_off(milliseconds now, unit_ref const& ref,
--- a/packages/tasks/src/dispatcher_workers.cpp
+++ b/packages/tasks/src/dispatcher_workers.cpp
@@ -163,20 +163,36 @@
     }
     if (r.result != call_result::done)
     {
-        w.hold_due = now + silent_retry_ms;
-        w.unanswered_at = now;
-        if (w.silent_since < 0)
-        {
-            w.silent_since = now;
-            say("worker.silent", "",
-                "worker=" + r.worker + " result=" + to_text(r.result));
-        }
+        note_silence(now, w, r.result);
         return;
     }
+    note_answer(now, w, r);
+    take_ends(now, w, r);
+    take_running(now, w, r);
+    take_unlisted(now, w, r);
+    if (w.taken_end > w.last_seen)
+        w.hold_due = now + renew_ms; // sooner once the log has them
+    if (w.taken_batch <= stored_batch_)
+        w.hold_due = now;
+}
+
+void dispatcher::note_silence(milliseconds now, worker_view& w,
+                              call_result result)
+{
+    w.hold_due = now + silent_retry_ms;
+    w.unanswered_at = now;
+    if (w.silent_since >= 0)
+        return;
+    w.silent_since = now;
+    say("worker.silent", "",
+        "worker=" + w.info.id + " result=" + to_text(result));
+}
+
+void dispatcher::note_answer(milliseconds now, worker_view& w,
+                             hold_reply const& r)
+{
     if (r.born_ms != 0 && w.info.born_ms != 0 && r.born_ms != w.info.born_ms)
-    {
         begin_life(now, w, r.born_ms, r.clock_ms, "another life answered");
-    }
     if (r.born_ms != 0)
         w.info.born_ms = r.born_ms;
     if (w.silent_since >= 0)
@@ -193,13 +209,6 @@
     w.silent_since = -1;
     w.answered_at = now;
     w.hold_due = now;
-    take_ends(now, w, r);
-    take_running(now, w, r);
-    take_unlisted(now, w, r);
-    if (w.taken_end > w.last_seen)
-        w.hold_due = now + renew_ms; // sooner once the log has them
-    if (w.taken_batch <= stored_batch_)
-        w.hold_due = now;
 }
 
 void dispatcher::take_ends(milliseconds now, worker_view& w,
