--- a/packages/entry/include/jasminetrack/entry/record_writer.hpp
+++ b/packages/entry/include/jasminetrack/entry/record_writer.hpp
@@ -51,6 +51,9 @@
     void send(std::unique_lock<std::mutex>& lock, bool wanted);
     void answered(append_answer const& a);
     void on_timer();
+    /// \returns whether a new record is refused at once; lets one through
+    /// now and then.
+    [[nodiscard]] bool is_failing();
 
     log_port& log_;
     topic topic_;
@@ -62,6 +65,7 @@
     bool unsure_ = false;                       ///< the batch may be in the log
     bool retry_ = false; ///< the batch is to be sent again
     milliseconds failing_since_ = -1;
+    milliseconds probe_at_ = 0;
 };
 
 } // namespace jasminetrack::entry
--- a/packages/entry/src/record_writer.cpp
+++ b/packages/entry/src/record_writer.cpp
@@ -19,6 +19,8 @@
 /// are refused at once.
 constexpr milliseconds failing_ms = 600;
 constexpr milliseconds retry_ms = 100;
+/// While the log takes nothing, one record is tried this often.
+constexpr milliseconds probe_every_ms = 250;
 constexpr std::size_t most_a_batch = 64;
 
 } // namespace
@@ -39,9 +41,7 @@
     auto const mine = std::make_shared<entry>();
     mine->record = std::move(record);
     std::unique_lock<std::mutex> lock(mutex_);
-    bool const failing =
-        failing_since_ >= 0 && monotonic_ms() - failing_since_ > failing_ms;
-    if (failing)
+    if (is_failing())
         return write_result::refused;
     queue_.push_back(mine);
     if (batch_.empty())
@@ -60,6 +60,17 @@
     return write_result::unknown;
 }
 
+bool record_writer::is_failing()
+{
+    auto const now = monotonic_ms();
+    if (failing_since_ < 0 || now - failing_since_ <= failing_ms)
+        return false;
+    if (!batch_.empty() || now < probe_at_)
+        return true;
+    probe_at_ = now + probe_every_ms;
+    return false;
+}
+
 bool record_writer::next_batch()
 {
     while (!queue_.empty() && batch_.size() < most_a_batch)
--- a/tests/unit/test_record_writer.cpp
+++ b/tests/unit/test_record_writer.cpp
@@ -51,6 +51,12 @@
         std::lock_guard<std::mutex> const lock(mutex_);
         answers_ = std::move(answers);
     }
+    /// Once the answers told are used up; stored at first.
+    void otherwise(append_result result)
+    {
+        std::lock_guard<std::mutex> const lock(mutex_);
+        otherwise_ = result;
+    }
     [[nodiscard]] std::vector<append_call> calls() const
     {
         std::lock_guard<std::mutex> const lock(mutex_);
@@ -60,6 +66,7 @@
 private:
     mutable std::mutex mutex_;
     std::deque<append_result> answers_;
+    append_result otherwise_ = append_result::stored;
     std::vector<append_call> calls_;
 };
 
@@ -73,6 +80,7 @@
     CPPUNIT_TEST(a_refused_record_was_not_stored);
     CPPUNIT_TEST(an_unknown_append_is_repeated_as_it_was);
     CPPUNIT_TEST(a_failing_log_refuses_at_once);
+    CPPUNIT_TEST(a_log_that_is_back_is_used_again);
     CPPUNIT_TEST(a_path_that_fails_is_left_and_tried_again);
     CPPUNIT_TEST_SUITE_END();
 
@@ -162,6 +170,29 @@
         timers.stop();
     }
 
+    void a_log_that_is_back_is_used_again()
+    {
+        prompt_log log;
+        runtime::timer_service timers;
+        record_writer writer(log, topic::jobs, "node-1", timers);
+        log.otherwise(append_result::refused);
+        auto const write = [&] {
+            return writer.write({"a", "v"}, refuse_ms, wait_ms);
+        };
+        constexpr milliseconds outage_ms = 1'500;
+        constexpr milliseconds back_within_ms = 1'000;
+        auto const until = runtime::monotonic_ms() + outage_ms;
+        while (runtime::monotonic_ms() < until)
+            expect(write() == write_result::refused, "refused while away");
+        log.otherwise(append_result::stored);
+        auto const last = runtime::monotonic_ms() + back_within_ms;
+        auto result = write();
+        while (result != write_result::stored && runtime::monotonic_ms() < last)
+            result = write();
+        expect(result == write_result::stored, "stored once it is back");
+        timers.stop();
+    }
+
     void a_path_that_fails_is_left_and_tried_again()
     {
         path_health health;
