--- a/tests/unit/test_record_writer.cpp
+++ b/tests/unit/test_record_writer.cpp
@@ -29,8 +29,7 @@
         append_answer a;
         {
             std::lock_guard<std::mutex> const lock(mutex_);
-            a.result =
-                answers_.empty() ? append_result::stored : answers_.front();
+            a.result = answers_.empty() ? otherwise_ : answers_.front();
             if (!answers_.empty())
                 answers_.pop_front();
             calls_.push_back(std::move(call));
