--- a/packages/entry/src/entry_node.cpp
+++ b/packages/entry/src/entry_node.cpp
@@ -1,5 +1,7 @@
 #include <jasminetrack/entry/entry_node.hpp>
 
+#include "log_keys.hpp"
+
 #include <jasminetrack/runtime/logging.hpp>
 
 #include <prometheus/gauge.h>
@@ -22,8 +24,6 @@
 /// Without contact to the log for this long callers are better off elsewhere.
 constexpr milliseconds ready_age_ms = 4'000;
 
-/// Keys of entry VMs' addresses in the topic of jobs.
-constexpr std::string_view node_prefix = "node/";
 constexpr milliseconds announce_wait_ms = 800;
 
 /// Says once when a dependency is lost and once when it is back.
--- a/packages/entry/src/job_table.cpp
+++ b/packages/entry/src/job_table.cpp
@@ -1,16 +1,11 @@
 #include <jasminetrack/entry/job_table.hpp>
 
+#include "log_keys.hpp"
+
 #include <chrono>
 
 namespace jasminetrack::entry
 {
-namespace
-{
-
-constexpr std::string_view cancel_prefix = "cancel/";
-
-} // namespace
-
 std::string cancel_key(std::string const& id)
 {
     return std::string(cancel_prefix) + id;
--- a/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -175,7 +175,7 @@
     void say(std::string step, std::string job, std::string text) const;
     void mark_dirty(std::string const& job);
 
-    // dispatcher_workers.cpp
+    // dispatcher_workers.cpp, dispatcher_holds.cpp
     void begin_life(milliseconds now, worker_view& w, std::int64_t born_ms,
                     milliseconds clock_ms, std::string const& why);
     [[nodiscard]] std::map<task_run, occupant>
@@ -195,7 +195,7 @@
                       run_end how);
     void send_stop(milliseconds now, worker_view& w, task_run const& run);
 
-    // dispatcher_runs.cpp
+    // dispatcher_starts.cpp, dispatcher_runs.cpp, dispatcher_watch.cpp
     void place(milliseconds now, job_entry& e, unit_ref const& ref,
                std::vector<std::string> const& places);
     void send_starts(milliseconds now, unit_ref const& ref);
--- a/packages/tasks/include/jasminetrack/tasks/worker_view.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/worker_view.hpp
@@ -47,10 +47,8 @@
     [[nodiscard]] resources free_room() const noexcept;
     /// \returns room once everything that is ending has left.
     [[nodiscard]] resources reachable_room() const noexcept;
-    [[nodiscard]] bool answered_since(milliseconds time) const noexcept
-    {
-        return fenced && answered_at >= time;
-    }
+    /// \returns whether it knows this dispatcher and gave word lately.
+    [[nodiscard]] bool answers_lately(milliseconds now) const noexcept;
 
     void note_clock(milliseconds now, milliseconds clock) noexcept;
     void extend_lease(milliseconds until) noexcept;
--- /dev/null
+++ b/packages/tasks/src/dispatcher_holds.cpp
@@ -0,0 +1,274 @@
+#include <jasminetrack/tasks/dispatcher.hpp>
+
+#include <algorithm>
+
+namespace jasminetrack::tasks
+{
+namespace
+{
+
+/// A lease outlives a lost dispatcher and a short cut of its worker.
+constexpr milliseconds lease_ms = 6'000;
+/// A worker that leaves may be gone sooner than its lease tells.
+constexpr milliseconds draining_lease_ms = 3'000;
+/// A third of the lease: two renewals may be lost.
+constexpr milliseconds hold_wait_ms = 2'000;
+constexpr milliseconds renew_ms = 1'000;
+constexpr milliseconds silent_retry_ms = 300;
+constexpr std::size_t ends_a_page = 500;
+
+} // namespace
+
+void dispatcher::send_due_holds(milliseconds now)
+{
+    for (auto& [id, w] : workers_)
+    {
+        if (w.hold_sent || w.info.address.empty() || now < w.hold_due)
+            continue;
+        bool const ends_open =
+            w.taken_end > w.last_seen && w.taken_batch > stored_batch_;
+        send_hold(now, w, w.fenced && !ends_open && w.silent_since < 0);
+    }
+}
+
+void dispatcher::send_hold(milliseconds now, worker_view& w, bool wait)
+{
+    if (w.taken_batch <= stored_batch_)
+        w.last_seen = w.taken_end;
+    hold_order order{w.info.id, w.info.address, token_,
+                     0,         w.last_seen,    wait ? hold_wait_ms : 0};
+    // A silent worker is only asked: each renewal that it may still carry out
+    // would put off the time from which its runs are surely over.
+    if (w.clock_at_ >= 0 && w.silent_since < 0)
+    {
+        auto const wanted = w.info.draining ? draining_lease_ms : lease_ms;
+        order.until_ms =
+            w.clock_floor(now) + std::min(wanted, bounds_.lease_most_ms);
+        w.extend_lease(order.until_ms);
+    }
+    w.hold_sent = true;
+    out_.push_back(order);
+}
+
+void dispatcher::on_hold(milliseconds now, hold_reply const& r)
+{
+    auto const at = workers_.find(r.worker);
+    if (at == workers_.end())
+        return;
+    auto& w = at->second;
+    w.hold_sent = false;
+    if (r.result == call_result::fenced)
+    {
+        deposed_ = true;
+        say("dispatcher.deposed", "", "worker=" + r.worker);
+        return;
+    }
+    if (r.result != call_result::done)
+    {
+        note_silence(now, w, r.result);
+        return;
+    }
+    note_answer(now, w, r);
+    take_ends(now, w, r);
+    take_running(now, w, r);
+    take_unlisted(now, w, r);
+    if (w.taken_end > w.last_seen)
+        w.hold_due = now + renew_ms; // sooner once the log has them
+    if (w.taken_batch <= stored_batch_)
+        w.hold_due = now;
+}
+
+void dispatcher::note_silence(milliseconds now, worker_view& w,
+                              call_result result)
+{
+    w.hold_due = now + silent_retry_ms;
+    w.unanswered_at = now;
+    if (w.silent_since >= 0)
+        return;
+    w.silent_since = now;
+    say("worker.silent", "",
+        "worker=" + w.info.id + " result=" + to_text(result));
+}
+
+void dispatcher::note_answer(milliseconds now, worker_view& w,
+                             hold_reply const& r)
+{
+    if (r.born_ms != 0 && w.info.born_ms != 0 && r.born_ms != w.info.born_ms)
+        begin_life(now, w, r.born_ms, r.clock_ms, "another life answered");
+    if (r.born_ms != 0)
+        w.info.born_ms = r.born_ms;
+    if (w.silent_since >= 0)
+        say("worker.answers", "",
+            "worker=" + r.worker +
+                " silent_ms=" + std::to_string(now - w.silent_since));
+    bool const first = w.clock_at_ < 0;
+    w.note_clock(now, r.clock_ms);
+    if (first)
+        w.extend_lease(r.clock_ms + bounds_.lease_most_ms);
+    if (!w.fenced)
+        changed_ = true;
+    w.fenced = true;
+    w.silent_since = -1;
+    w.answered_at = now;
+    w.hold_due = now;
+}
+
+void dispatcher::take_ends(milliseconds now, worker_view& w,
+                           hold_reply const& r)
+{
+    bool any = false;
+    for (auto const& end : r.ended)
+    {
+        if (end.number <= w.taken_end)
+            continue;
+        any = true;
+        w.taken_end = end.number;
+        say("run.ended", end.run.task.job,
+            "worker=" + w.info.id +
+                " step=" + std::to_string(end.run.task.step) +
+                " index=" + std::to_string(end.run.task.index) + " run=" +
+                std::to_string(end.run.run) + " how=" + to_text(end.how) +
+                " number=" + std::to_string(end.number));
+        w.remove(end.run);
+        changed_ = true;
+        auto const ref = ref_of(end.run);
+        if (!ref)
+            continue;
+        auto const at = active_.find(*ref);
+        auto const index = at == active_.end()
+                               ? std::nullopt
+                               : member_index(*ref, at->second, end.run);
+        if (!index)
+        {
+            if (end.how == run_end::done)
+                take_earlier_done(now, *ref);
+            continue;
+        }
+        if (!end.checkpoint.empty())
+            find_unit(*ref)->checkpoint = end.checkpoint;
+        note_outcome(now, w, end.run.task.job, end.how);
+        run_ended(now, *ref, *index, end.how);
+    }
+    if (!any)
+        return;
+    if (!dirty_.empty())
+        w.taken_batch = next_batch_;
+    else
+        w.taken_batch = batch_sent_ ? next_batch_ - 1 : stored_batch_;
+}
+
+void dispatcher::take_running(milliseconds now, worker_view& w,
+                              hold_reply const& r)
+{
+    w.foreign = false;
+    for (auto const& t : r.running)
+    {
+        auto const at = w.occupants.find(t.run);
+        if (at == w.occupants.end())
+        {
+            adopt_or_stop(now, w, t);
+            continue;
+        }
+        auto& o = at->second;
+        auto const run = active_.find(o.unit);
+        if (run == active_.end())
+        {
+            if (now - o.stop_sent > bounds_.stop_ms)
+                send_stop(now, w, t.run);
+            continue;
+        }
+        auto& a = run->second;
+        auto const index = member_index(o.unit, a, t.run);
+        if (!index)
+            continue;
+        auto& m = a.members[*index];
+        if (m.phase == member_phase::adopted || is_in_doubt(m.phase))
+        {
+            m.phase = member_phase::running;
+            m.started_ms = r.clock_ms;
+            m.moved_at = now;
+            auto* e = find_job(o.unit.job);
+            if (e && !e->progress.begun)
+            {
+                e->progress.begun = true;
+                evaluate(now, *e);
+            }
+        }
+        if (t.percent > m.percent)
+        {
+            m.percent = t.percent;
+            m.moved_at = now;
+        }
+        auto* u = find_unit(o.unit);
+        if (u && !t.checkpoint.empty() && t.checkpoint != u->checkpoint)
+        {
+            u->checkpoint = t.checkpoint;
+            a.saved_at = now;
+        }
+        if (o.ending && now - o.stop_sent > bounds_.stop_ms)
+            send_stop(now, w, t.run);
+    }
+}
+
+void dispatcher::adopt_or_stop(milliseconds now, worker_view& w,
+                               running_task const& t)
+{
+    auto const ref = ref_of(t.run);
+    if (!ref)
+    {
+        w.foreign = true;
+        say("run.unknown", t.run.task.job,
+            "worker=" + w.info.id + " run=" + std::to_string(t.run.run));
+    }
+    else
+    {
+        occupant o{*ref, held_by(step_of(*find_job(ref->job), *ref)), true, 0};
+        w.add(t.run, o);
+        say("run.stale", t.run.task.job,
+            "worker=" + w.info.id + " run=" + std::to_string(t.run.run));
+    }
+    send_stop(now, w, t.run);
+}
+
+void dispatcher::take_unlisted(milliseconds now, worker_view& w,
+                               hold_reply const& r)
+{
+    if (r.ended.size() >= ends_a_page)
+        return; // more ends will follow
+    std::set<task_run> listed;
+    for (auto const& t : r.running)
+        listed.insert(t.run);
+    std::vector<std::pair<task_run, unit_ref>> missing;
+    for (auto const& [run, o] : w.occupants)
+        if (listed.count(run) == 0)
+            missing.emplace_back(run, o.unit);
+    for (auto const& [run, ref] : missing)
+    {
+        auto const at = active_.find(ref);
+        auto const index = at == active_.end()
+                               ? std::nullopt
+                               : member_index(ref, at->second, run);
+        if (!index)
+        {
+            w.remove(run);
+            changed_ = true;
+            continue;
+        }
+        auto const& m = at->second.members[*index];
+        bool const surely_off =
+            m.phase == member_phase::adopted ||
+            (is_in_doubt(m.phase) && r.clock_ms > m.until_ms) ||
+            (m.phase == member_phase::running && r.clock_ms > m.started_ms);
+        if (!surely_off)
+            continue;
+        say("run.absent", run.task.job,
+            "worker=" + w.info.id + " index=" + std::to_string(run.task.index) +
+                " run=" + std::to_string(run.run) +
+                " phase=" + std::to_string(static_cast<int>(m.phase)));
+        end_run(now, ref, "a member is not on its worker");
+        if (active_.count(ref) != 0)
+            member_off(now, ref, *index);
+    }
+}
+
+} // namespace jasminetrack::tasks
--- a/packages/tasks/src/dispatcher_schedule.cpp
+++ b/packages/tasks/src/dispatcher_schedule.cpp
@@ -11,8 +11,6 @@
 /// Placement runs at most this often, and at least this often.
 constexpr milliseconds schedule_least_ms = 20;
 constexpr milliseconds schedule_most_ms = 500;
-/// A worker that gave no word for this long gets nothing new.
-constexpr milliseconds answer_age_ms = 3'500;
 /// Room that was stopped for is planned anew after stops took this long.
 constexpr milliseconds reservation_slack_ms = 800;
 /// A run that is stopped loses at least its start.
@@ -101,6 +99,8 @@
                 rooms.begin(), rooms.end(), id,
                 [](worker_room const& r, std::string const& other)
                 { return r.id < other; });
+            if (at == rooms.end() || at->id != id)
+                continue;
             at->free -= each;
             at->reachable -= each;
         }
@@ -235,7 +235,7 @@
 {
     return w.listed && !w.info.draining && !w.foreign &&
            now >= w.blocked_until && w.silent_since < 0 &&
-           w.answered_since(now - answer_age_ms);
+           w.answers_lately(now);
 }
 
 worker_room dispatcher::room_of(milliseconds now, worker_view const& w,
@@ -321,7 +321,7 @@
                        [&](auto const& entry)
                        {
                            auto const& w = workers_.at(entry.first);
-                           return w.answered_since(now - answer_age_ms) &&
+                           return w.answers_lately(now) &&
                                   fits(entry.second,
                                        w.free_room() + entry.second);
                        });
--- /dev/null
+++ b/packages/tasks/src/dispatcher_starts.cpp
@@ -0,0 +1,174 @@
+#include <jasminetrack/tasks/dispatcher.hpp>
+
+#include <algorithm>
+
+namespace jasminetrack::tasks
+{
+namespace
+{
+
+/// A start that has not arrived by then is refused by the worker; half of
+/// the time that the members of a gang wait for each other.
+constexpr milliseconds start_window_ms = 1'500;
+/// No start is sent again with less of its window left.
+constexpr milliseconds resend_least_ms = 300;
+/// A worker that refused a start is left alone for this long.
+constexpr milliseconds refused_rest_ms = 2'000;
+
+} // namespace
+
+void dispatcher::place(milliseconds now, job_entry& e, unit_ref const& ref,
+                       std::vector<std::string> const& places)
+{
+    auto& u = e.progress.units.at(ref.unit);
+    auto const& step = step_of(e, ref);
+    set_unit_phase(e, u, unit_phase::active);
+    ++u.run;
+    u.places = places;
+    auto& a = active_[ref];
+    a = {};
+    a.run = u.run;
+    a.placed_at = now;
+    a.batch = next_batch_;
+    a.number = next_number_++;
+    for (std::size_t i = 0; i < places.size(); ++i)
+    {
+        member m;
+        m.worker = places[i];
+        a.members.push_back(m);
+        workers_.at(places[i]).add(run_of(ref, u.run, i, step.gang),
+                                   {ref, held_by(step), false, 0});
+    }
+    mark_dirty(ref.job);
+    unsent_.push_back(ref);
+    say("unit.place", ref.job,
+        "step=" + std::to_string(ref.unit.step) + " index=" +
+            std::to_string(ref.unit.index) + " run=" + std::to_string(u.run) +
+            " tasks=" + std::to_string(places.size()) + " first=" + places[0] +
+            " waited_ms=" + std::to_string(now - e.known_at));
+}
+
+bool dispatcher::can_start(milliseconds now, active_run const& a) const
+{
+    return std::all_of(a.members.begin(), a.members.end(),
+                       [&](member const& m)
+                       {
+                           auto const at = workers_.find(m.worker);
+                           return at != workers_.end() && at->second.listed &&
+                                  !at->second.info.draining &&
+                                  at->second.answers_lately(now);
+                       });
+}
+
+void dispatcher::send_starts(milliseconds now, unit_ref const& ref)
+{
+    auto const at = active_.find(ref);
+    if (at == active_.end() || at->second.over || at->second.first_sent != 0)
+        return;
+    if (!can_start(now, at->second))
+    {
+        end_run(now, ref, "a worker became unfit before the start");
+        return;
+    }
+    auto* e = find_job(ref.job);
+    at->second.first_sent = now;
+    at->second.saved_at = now;
+    for (std::size_t i = 0; i < at->second.members.size(); ++i)
+        send_start(now, *e, ref, i);
+}
+
+void dispatcher::send_start(milliseconds now, job_entry& e, unit_ref const& ref,
+                            std::size_t index)
+{
+    auto& a = active_.at(ref);
+    auto& m = a.members[index];
+    auto& w = workers_.at(m.worker);
+    if (m.phase == member_phase::recorded)
+    {
+        m.sent_at = now;
+        m.until_ms = w.clock_floor(now) + start_window_ms;
+        w.extend_lease(m.until_ms);
+    }
+    m.phase = member_phase::starting;
+    m.last_sent_at = now;
+    start_order order;
+    order.worker = w.info.id;
+    order.address = w.info.address;
+    order.token = token_;
+    order.run = run_of(ref, a.run, index, step_of(e, ref).gang);
+    order.payload = e.job.spec.payload;
+    order.until_ms = m.until_ms;
+    order.checkpoint = e.progress.units.at(ref.unit).checkpoint;
+    out_.push_back(std::move(order));
+}
+
+void dispatcher::on_start(milliseconds now, start_reply const& r)
+{
+    if (r.result == call_result::fenced)
+    {
+        deposed_ = true;
+        say("dispatcher.deposed", r.run.task.job, "worker=" + r.worker);
+        return;
+    }
+    auto const ref = ref_of(r.run);
+    auto const at = ref ? active_.find(*ref) : active_.end();
+    if (at == active_.end())
+        return;
+    auto const index = member_index(*ref, at->second, r.run);
+    if (!index)
+        return;
+    if (at->second.members[*index].phase != member_phase::starting)
+        return;
+    if (r.result == call_result::done)
+        member_started(now, *ref, *index, r.clock_ms);
+    else
+        start_failed(now, *ref, *index, r.result);
+}
+
+void dispatcher::member_started(milliseconds now, unit_ref const& ref,
+                                std::size_t index, milliseconds clock_ms)
+{
+    auto& m = active_.at(ref).members[index];
+    m.phase = member_phase::running;
+    m.started_ms = clock_ms;
+    m.moved_at = now;
+    workers_.at(m.worker).note_clock(now, clock_ms);
+    auto& e = *find_job(ref.job);
+    if (e.progress.begun)
+        return;
+    e.progress.begun = true;
+    evaluate(now, e);
+    mark_dirty(ref.job);
+}
+
+void dispatcher::start_failed(milliseconds now, unit_ref const& ref,
+                              std::size_t index, call_result result)
+{
+    auto& a = active_.at(ref);
+    auto& m = a.members[index];
+    auto& w = workers_.at(m.worker);
+    say("start.failed", ref.job,
+        "worker=" + m.worker + " index=" + std::to_string(index) +
+            " run=" + std::to_string(a.run) + " result=" + to_text(result));
+    if (result == call_result::no_answer)
+    {
+        w.unanswered_at = now;
+        if (now - m.sent_at < start_window_ms - resend_least_ms)
+            send_start(now, *find_job(ref.job), ref, index);
+        else
+            m.phase = member_phase::unclear;
+        return;
+    }
+    w.avoid_until = std::max(w.avoid_until, now + refused_rest_ms);
+    bool const sent_once = m.last_sent_at == m.sent_at;
+    if (result == call_result::old_run || !sent_once)
+    {
+        m.phase = member_phase::unclear; // an earlier send may have run
+        return;
+    }
+    end_run(now, ref, std::string("start refused: ") + to_text(result));
+    if (active_.count(ref) != 0)
+        member_off(now, ref, index);
+}
+
+} // namespace jasminetrack::tasks
--- a/packages/tasks/src/worker_view.cpp
+++ b/packages/tasks/src/worker_view.cpp
@@ -11,6 +11,9 @@
 /// A worker's clock may run this much slow, in thousandths.
 constexpr milliseconds clock_slowness = 20;
 constexpr milliseconds thousand = 1000;
+/// A worker that gave no word for this long gets nothing new; more than two
+/// of its answers are missing then.
+constexpr milliseconds answer_age_ms = 3'500;
 
 } // namespace
 
@@ -43,6 +46,11 @@
     return info.capacity - used_ - reserved + ending_;
 }
 
+bool worker_view::answers_lately(milliseconds now) const noexcept
+{
+    return fenced && now - answered_at <= answer_age_ms;
+}
+
 void worker_view::note_clock(milliseconds now, milliseconds clock) noexcept
 {
     if (clock < clock_floor(now) && clock_at_ >= 0)
