Urgent work does not wait for lost stops; speeds of workers are learnt

Change: room of a stop that takes longer than the bound of stops and 300 ms is not reachable any more; a victim that saves its progress loses only its start; the speed of a worker follows from how far its tasks are against others of their step. unit.place says racks, estimate, priority.

--- a/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -114,6 +114,7 @@
         milliseconds last_sent_at = 0; ///< again, for want of an answer
         std::int64_t percent = 0;
         milliseconds moved_at = 0; ///< when its percent last rose
+        run_progress progress;
     };
 
     /// The newest run of a unit while any member may be on a worker.
@@ -141,6 +142,7 @@
         std::int64_t waiting = 0;         ///< units in phase waiting
         std::int64_t undone = 0;          ///< units not done
         std::map<unit_ref, std::set<std::string>> failed_on;
+        std::map<std::int64_t, step_durations> durations; ///< by step
     };
 
     /// Places that wait for stops to come through.
@@ -193,11 +195,15 @@
     void adopt_or_stop(milliseconds now, worker_view& w, running_task const& t);
     void note_outcome(milliseconds now, worker_view& w, std::string const& job,
                       run_end how);
+    void learn_pace(milliseconds now, worker_view& w, unit_ref const& ref,
+                    member& m, milliseconds clock_ms, std::int64_t percent);
     void send_stop(milliseconds now, worker_view& w, task_run const& run);
 
     // dispatcher_starts.cpp, dispatcher_runs.cpp, dispatcher_watch.cpp
     void place(milliseconds now, job_entry& e, unit_ref const& ref,
                std::vector<std::string> const& places);
+    [[nodiscard]] std::size_t
+    count_racks(std::vector<std::string> const& places) const;
     void send_starts(milliseconds now, unit_ref const& ref);
     void send_start(milliseconds now, job_entry& e, unit_ref const& ref,
                     std::size_t index);
@@ -234,6 +240,7 @@
 
     // dispatcher_schedule.cpp
     void schedule(milliseconds now, milliseconds wall);
+    [[nodiscard]] milliseconds longest_stop() const noexcept;
     void serve_reservations(milliseconds now);
     void drop_reservation(unit_ref const& ref);
     [[nodiscard]] std::vector<waiting_step> waiting_steps(milliseconds wall);
--- a/packages/tasks/include/jasminetrack/tasks/placement.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/placement.hpp
@@ -32,7 +32,8 @@
     resources capacity;  ///< all of it
     resources reachable; ///< room once stops under way are through
     std::vector<stoppable_run> stoppable;
-    int doubt = 0; ///< 0: none; placed only where nothing better is
+    int doubt = 0;       ///< 0: none; placed only where nothing better is
+    bool slower = false; ///< too slow for what is urgent, not for the rest
     std::int64_t same_step = 0; ///< tasks of the unit's step already here
 };
 
--- a/packages/tasks/include/jasminetrack/tasks/worker_view.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/worker_view.hpp
@@ -5,6 +5,7 @@
 
 #include <jasminetrack/tasks/orders.hpp>
 #include <jasminetrack/tasks/progress.hpp>
+#include <jasminetrack/tasks/worker_pace.hpp>
 
 #include <map>
 
@@ -25,8 +26,9 @@
 {
     unit_ref unit;
     resources held;
-    bool ending = false;        ///< stopped, or its unit's run is over
-    milliseconds stop_sent = 0; ///< 0: never
+    bool ending = false;           ///< stopped, or its unit's run is over
+    milliseconds stop_sent = 0;    ///< newest; 0: never
+    milliseconds ending_since = 0; ///< when it began to end
 };
 
 /// One worker. Times without a name of their own are the dispatcher's
@@ -45,8 +47,9 @@
     [[nodiscard]] bool lease_expired(milliseconds now) const noexcept;
     /// \returns room for starts now, given what is reserved.
     [[nodiscard]] resources free_room() const noexcept;
-    /// \returns room once everything that is ending has left.
-    [[nodiscard]] resources reachable_room() const noexcept;
+    /// \returns room once all that began to end after `since` has left; what
+    /// takes longer may hold its room for as long as its lease.
+    [[nodiscard]] resources reachable_room(milliseconds since) const noexcept;
     /// \returns whether it knows this dispatcher and gave word lately.
     [[nodiscard]] bool answers_lately(milliseconds now) const noexcept;
 
@@ -55,7 +58,7 @@
     void add(task_run const& run, occupant o);
     void remove(task_run const& run);
     /// The run leaves soon: its room will be free.
-    void mark_ending(task_run const& run);
+    void mark_ending(milliseconds now, task_run const& run);
     /// Forgets all that belonged to one life of the worker.
     void begin_life(std::int64_t born_ms);
 
@@ -79,12 +82,12 @@
     int failures = 0; ///< runs that failed there in a row, of any job
     std::string last_failed_job;
     milliseconds avoid_until = 0;
+    worker_pace pace;
     milliseconds unanswered_at = -1; ///< newest order without an answer
     milliseconds blocked_until = 0;  ///< nothing is started before
 
 private:
     resources used_;
-    resources ending_;
     milliseconds clock_ms_ = 0;
     milliseconds clock_at_ = -1;
     milliseconds lease_until_ = 0; ///< on the worker's clock
--- a/packages/tasks/src/dispatcher_holds.cpp
+++ b/packages/tasks/src/dispatcher_holds.cpp
@@ -16,6 +16,7 @@
 constexpr milliseconds renew_ms = 1'000;
 constexpr milliseconds silent_retry_ms = 300;
 constexpr std::size_t ends_a_page = 500;
+constexpr std::int64_t all_percent = 100;
 
 } // namespace
 
@@ -147,6 +148,9 @@
         if (!end.checkpoint.empty())
             find_unit(*ref)->checkpoint = end.checkpoint;
         note_outcome(now, w, end.run.task.job, end.how);
+        if (end.how == run_end::done)
+            learn_pace(now, w, *ref, at->second.members[*index], r.clock_ms,
+                       all_percent);
         run_ended(now, *ref, *index, end.how);
     }
     if (!any)
@@ -194,6 +198,7 @@
                 evaluate(now, *e);
             }
         }
+        learn_pace(now, w, o.unit, m, r.clock_ms, t.percent);
         if (t.percent > m.percent)
         {
             m.percent = t.percent;
@@ -222,7 +227,8 @@
     }
     else
     {
-        occupant o{*ref, held_by(step_of(*find_job(ref->job), *ref)), true, 0};
+        occupant o{*ref, held_by(step_of(*find_job(ref->job), *ref)), true, 0,
+                   now};
         w.add(t.run, o);
         say("run.stale", t.run.task.job,
             "worker=" + w.info.id + " run=" + std::to_string(t.run.run));
--- a/packages/tasks/src/dispatcher_runs.cpp
+++ b/packages/tasks/src/dispatcher_runs.cpp
@@ -77,7 +77,7 @@
         auto const run = run_of(ref, a.run, i, step_of(e, ref).gang);
         if (at->second.occupants.count(run) == 0)
             continue;
-        at->second.mark_ending(run);
+        at->second.mark_ending(now, run);
         send_stop(now, at->second, run);
     }
     for (auto const i : unsent)
@@ -101,7 +101,7 @@
         for (std::size_t i = 0; i < a.members.size(); ++i)
             if (auto const w = workers_.find(a.members[i].worker);
                 w != workers_.end())
-                w->second.mark_ending(run_of(ref, a.run, i, true));
+                w->second.mark_ending(now, run_of(ref, a.run, i, true));
     }
     if (how == run_end::failed && !a.counted)
         count_failure(e, ref, u, a, worker);
@@ -236,7 +236,7 @@
             if (w.info.id.empty())
                 w.listed = false;
             w.add(run_of(ref, u.run, i, step.gang),
-                  {ref, held_by(step), a.over, 0});
+                  {ref, held_by(step), a.over, 0, a.over ? now : 0});
         }
     }
     std::vector<unit_ref> empty;
--- a/packages/tasks/src/dispatcher_schedule.cpp
+++ b/packages/tasks/src/dispatcher_schedule.cpp
@@ -12,10 +12,11 @@
 constexpr milliseconds schedule_least_ms = 20;
 constexpr milliseconds schedule_most_ms = 500;
 /// Room that was stopped for is planned anew after stops took this long.
-constexpr milliseconds reservation_slack_ms = 800;
+constexpr milliseconds reservation_slack_ms = 300;
 /// A run that is stopped loses at least its start.
 constexpr milliseconds least_lost_ms = 500;
 constexpr int doubt_failing = 1;
+constexpr int doubt_crawling = 1;
 
 } // namespace
 
@@ -247,9 +248,13 @@
     room.labels = w.info.labels;
     room.free = w.free_room();
     room.capacity = w.info.capacity;
-    room.reachable = w.reachable_room();
+    room.reachable = w.reachable_room(now - longest_stop());
     if (now < w.avoid_until)
         room.doubt = doubt_failing + w.failures;
+    auto const speed = w.pace.speed(now);
+    if (speed == worker_speed::crawling)
+        room.doubt += doubt_crawling;
+    room.slower = priority == 0 && speed == worker_speed::slower;
     if (priority != 0)
         return room;
     for (auto const& [run, o] : w.occupants)
@@ -270,8 +275,9 @@
 double dispatcher::lost_work(milliseconds now, active_run const& a,
                              step_spec const& s) const
 {
-    auto const since = s.checkpoints ? a.saved_at : a.first_sent;
-    auto const ran = a.first_sent == 0 ? 0 : now - since;
+    // A stop saves what a task has done, if it saves anything.
+    auto const ran =
+        a.first_sent == 0 || s.checkpoints ? 0 : now - a.first_sent;
     return core_seconds(s.need, ran + least_lost_ms) *
            static_cast<double>(a.members.size());
 }
@@ -327,6 +333,12 @@
                        });
 }
 
+/// A stop that takes longer was lost, or its worker is out of reach.
+milliseconds dispatcher::longest_stop() const noexcept
+{
+    return bounds_.stop_ms + reservation_slack_ms;
+}
+
 void dispatcher::serve_reservations(milliseconds now)
 {
     std::vector<unit_ref> refs;
@@ -344,8 +356,7 @@
                                                   at->second.listed &&
                                                   !at->second.info.draining;
                                        });
-        bool const overdue =
-            now - r.since > bounds_.stop_ms + reservation_slack_ms;
+        bool const overdue = now - r.since > longest_stop();
         if (sound && fits_now(now, e, ref, r.places))
         {
             drop_reservation(ref);
--- a/packages/tasks/src/dispatcher_starts.cpp
+++ b/packages/tasks/src/dispatcher_starts.cpp
@@ -37,7 +37,7 @@
         m.worker = places[i];
         a.members.push_back(m);
         workers_.at(places[i]).add(run_of(ref, u.run, i, step.gang),
-                                   {ref, held_by(step), false, 0});
+                                   {ref, held_by(step), false, 0, 0});
     }
     mark_dirty(ref.job);
     unsent_.push_back(ref);
@@ -45,9 +45,22 @@
         "step=" + std::to_string(ref.unit.step) + " index=" +
             std::to_string(ref.unit.index) + " run=" + std::to_string(u.run) +
             " tasks=" + std::to_string(places.size()) + " first=" + places[0] +
+            " racks=" + std::to_string(count_racks(places)) +
+            " same_rack=" + (step.same_rack ? "1" : "0") +
+            " estimate_ms=" + std::to_string(step.estimate_ms) +
+            " priority=" + std::to_string(e.priority) +
             " waited_ms=" + std::to_string(now - e.known_at));
 }
 
+std::size_t
+dispatcher::count_racks(std::vector<std::string> const& places) const
+{
+    std::set<std::string> racks;
+    for (auto const& id : places)
+        racks.insert(workers_.at(id).info.rack);
+    return racks.size();
+}
+
 bool dispatcher::can_start(milliseconds now, active_run const& a) const
 {
     return std::all_of(a.members.begin(), a.members.end(),
@@ -134,6 +147,8 @@
     m.moved_at = now;
     workers_.at(m.worker).note_clock(now, clock_ms);
     auto& e = *find_job(ref.job);
+    if (e.progress.units.at(ref.unit).checkpoint.empty())
+        m.progress.note(clock_ms, 0);
     if (e.progress.begun)
         return;
     e.progress.begun = true;
--- a/packages/tasks/src/dispatcher_watch.cpp
+++ b/packages/tasks/src/dispatcher_watch.cpp
@@ -52,6 +52,35 @@
     }
 }
 
+/// Members of a gang wait for each other, and tasks far from their data tell
+/// nothing of their worker.
+void dispatcher::learn_pace(milliseconds now, worker_view& w,
+                            unit_ref const& ref, member& m,
+                            milliseconds clock_ms, std::int64_t percent)
+{
+    auto& e = jobs_.at(ref.job);
+    auto const& step = step_of(e, ref);
+    if (step.gang || step.lasting ||
+        (!step.rack.empty() && step.rack != w.info.rack))
+        return;
+    m.progress.note(clock_ms, percent);
+    auto const took = m.progress.take_projection();
+    if (!took)
+        return;
+    auto const before = w.pace.speed(now);
+    auto& durations = e.durations[ref.unit.step];
+    if (auto const usual = durations.median())
+        w.pace.note(now, *took, *usual);
+    durations.note(*took);
+    if (w.pace.speed(now) == before)
+        return;
+    changed_ = true;
+    say("worker.pace", ref.job,
+        "worker=" + w.info.id + " speed=" + to_text(w.pace.speed(now)) +
+            " factor=" + std::to_string(w.pace.factor()) +
+            " task_ms=" + std::to_string(*took));
+}
+
 void dispatcher::check_draining(milliseconds now)
 {
     std::vector<unit_ref> leaving;
--- a/packages/tasks/src/dispatcher_workers.cpp
+++ b/packages/tasks/src/dispatcher_workers.cpp
@@ -81,7 +81,7 @@
         auto& m = at->second.members[*index];
         m.phase = member_phase::unclear;
         m.until_ms = clock_ms + stray_start_ms;
-        w.add(run, {o.unit, o.held, true, 0});
+        w.add(run, {o.unit, o.held, true, 0, now});
         send_stop(now, w, run);
     }
 }
--- a/packages/tasks/src/placement.cpp
+++ b/packages/tasks/src/placement.cpp
@@ -41,11 +41,12 @@
     return std::max<std::int64_t>(0, n);
 }
 
-/// Orders workers: no doubt first, then the preferred rack, then the tightest.
+/// Orders workers: no doubt first, then the preferred rack, then fast ones,
+/// then the tightest.
 auto tightness(worker_room const& w, unit_need const& need)
 {
     return std::tuple(w.doubt, !need.rack.empty() && w.rack != need.rack,
-                      w.free.accelerators, w.free.memory_mb,
+                      w.slower, w.free.accelerators, w.free.memory_mb,
                       std::string_view(w.id));
 }
 
@@ -75,13 +76,21 @@
     return racks;
 }
 
-int worst_doubt(std::vector<std::string> const& places, room_list const& rooms)
+/// \returns the worst doubt, and whether any is slower: a gang goes on at the
+/// speed of its slowest member.
+std::tuple<int, bool> worst_of(std::vector<std::string> const& places,
+                               room_list const& rooms)
 {
-    int worst = 0;
+    int doubt = 0;
+    bool slower = false;
     for (auto const* w : rooms)
-        if (std::find(places.begin(), places.end(), w->id) != places.end())
-            worst = std::max(worst, w->doubt);
-    return worst;
+    {
+        if (std::find(places.begin(), places.end(), w->id) == places.end())
+            continue;
+        doubt = std::max(doubt, w->doubt);
+        slower = slower || w->slower;
+    }
+    return {doubt, slower};
 }
 
 /// The rack that is left with the least free accelerators takes the unit.
@@ -89,7 +98,7 @@
                                                       unit_need const& need)
 {
     std::optional<std::vector<std::string>> best;
-    std::tuple<int, std::int64_t> best_rank{};
+    std::tuple<int, bool, std::int64_t> best_rank{};
     for (auto const& [rack, members] : by_rack(rooms))
     {
         auto places = fill(members, need);
@@ -98,7 +107,8 @@
         std::int64_t free = 0;
         for (auto const* w : members)
             free += w->free.accelerators;
-        std::tuple const rank{worst_doubt(*places, members), free};
+        auto const [doubt, slower] = worst_of(*places, members);
+        std::tuple const rank{doubt, slower, free};
         if (best && best_rank <= rank)
             continue;
         best = std::move(places);
--- a/packages/tasks/src/worker_view.cpp
+++ b/packages/tasks/src/worker_view.cpp
@@ -41,9 +41,13 @@
     return info.capacity - used_ - reserved;
 }
 
-resources worker_view::reachable_room() const noexcept
+resources worker_view::reachable_room(milliseconds since) const noexcept
 {
-    return info.capacity - used_ - reserved + ending_;
+    auto room = free_room();
+    for (auto const& [run, o] : occupants)
+        if (o.ending && o.ending_since > since)
+            room += o.held;
+    return room;
 }
 
 bool worker_view::answers_lately(milliseconds now) const noexcept
@@ -68,8 +72,6 @@
 {
     remove(run);
     used_ += o.held;
-    if (o.ending)
-        ending_ += o.held;
     occupants.emplace(run, std::move(o));
 }
 
@@ -79,18 +81,16 @@
     if (at == occupants.end())
         return;
     used_ -= at->second.held;
-    if (at->second.ending)
-        ending_ -= at->second.held;
     occupants.erase(at);
 }
 
-void worker_view::mark_ending(task_run const& run)
+void worker_view::mark_ending(milliseconds now, task_run const& run)
 {
     auto const at = occupants.find(run);
     if (at == occupants.end() || at->second.ending)
         return;
     at->second.ending = true;
-    ending_ += at->second.held;
+    at->second.ending_since = now;
 }
 
 void worker_view::begin_life(std::int64_t born_ms)
@@ -98,7 +98,6 @@
     info.born_ms = born_ms;
     occupants.clear();
     used_ = {};
-    ending_ = {};
     clock_ms_ = 0;
     clock_at_ = -1;
     lease_until_ = 0;
@@ -107,6 +106,7 @@
     taken_batch = 0;
     failures = 0;
     avoid_until = 0;
+    pace = {};
     fenced = false;
     foreign = false;
 }
