Urgent gangs may stop three times their own work; speed from all tasks

Cause: an urgent job that starts late loses four fifths of its worth to its caller; a stop of bulk tasks costs their owners a restart well inside objectives of three times the work. The bound "no more than its own work" made urgent gangs wait. The speed of a worker flipped with each task (one task differs by 0.15 from the next): a kind of machine now shows from four tasks on, a worker that crawls (twice as long or more) at once. Change: gain_least 3; late_loss; worker_pace keeps the mean of all tasks and the newest apart.

--- a/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -270,6 +270,8 @@
     [[nodiscard]] bool is_guaranteed(job_entry const& e) const;
     [[nodiscard]] double lost_work(milliseconds now, active_run const& a,
                                    step_spec const& s) const;
+    [[nodiscard]] double lost_by_delay(milliseconds now, job_entry const& e,
+                                       unit_ref const& ref) const;
     [[nodiscard]] queue_claim claim_of(job_entry const& e, unit_id const& id,
                                        milliseconds wall) const;
     [[nodiscard]] bool fits_now(milliseconds now, job_entry const& e,
--- a/packages/tasks/include/jasminetrack/tasks/worker_pace.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/worker_pace.hpp
@@ -49,7 +49,9 @@
     void note(milliseconds now, milliseconds took, milliseconds usual) noexcept;
 
 private:
-    double log_factor_ = 0;
+    double log_mean_ = 0;   ///< of all tasks: what kind of machine it is
+    double log_newest_ = 0; ///< of the last ones: how it does now
+    int tasks_ = 0;
     milliseconds noted_at_ = 0;
 };
 
--- a/packages/tasks/src/dispatcher_schedule.cpp
+++ b/packages/tasks/src/dispatcher_schedule.cpp
@@ -15,6 +15,8 @@
 constexpr milliseconds reservation_slack_ms = 300;
 /// A run that is stopped loses at least its start.
 constexpr milliseconds least_lost_ms = 500;
+/// Share of its worth that a job loses if it ends late.
+constexpr double late_loss = 0.7;
 constexpr int doubt_failing = 1;
 constexpr int doubt_crawling = 1;
 
@@ -267,7 +269,9 @@
         auto const& step = step_of(job->second, o.unit);
         if (!step.lasting)
             room.stoppable.push_back(
-                {at->second.number, o.held, lost_work(now, at->second, step)});
+                {at->second.number, o.held,
+                 lost_work(now, at->second, step) +
+                     lost_by_delay(now, job->second, o.unit)});
     }
     return room;
 }
@@ -282,6 +286,20 @@
            static_cast<double>(a.members.size());
 }
 
+/// A job that a stop makes late loses most of what it is worth.
+double dispatcher::lost_by_delay(milliseconds now, job_entry const& e,
+                                 unit_ref const& ref) const
+{
+    auto const& step = step_of(e, ref);
+    auto const age = now - e.known_at;
+    auto const chain = e.chains[static_cast<std::size_t>(ref.unit.step)];
+    bool const late_already = age > e.objective_ms;
+    if (late_already || age + chain <= e.objective_ms)
+        return 0;
+    return late_loss * core_seconds(step.need, step.estimate_ms) *
+           static_cast<double>(step.gang ? step.count : 1);
+}
+
 reclaim_terms dispatcher::terms_of(job_entry const& e,
                                    unit_ref const& ref) const
 {
--- a/packages/tasks/src/placement.cpp
+++ b/packages/tasks/src/placement.cpp
@@ -294,7 +294,7 @@
 constexpr double urgent_patience = 0.5;
 constexpr double patience = 4;
 /// A stop must save more work than it loses.
-constexpr double gain_least = 1;
+constexpr double gain_least = 3;
 
 std::optional<reclaim_plan> places_now(std::vector<worker_room> const& rooms,
                                        unit_need const& need,
--- a/packages/tasks/src/worker_pace.cpp
+++ b/packages/tasks/src/worker_pace.cpp
@@ -13,8 +13,11 @@
 constexpr std::size_t durations_least = 3;
 constexpr std::size_t durations_most = 64;
 /// Weight of the newest task; the one before it counts the rest of that.
-constexpr double newest_weight = 0.4;
-constexpr double slower_factor = 1.15;
+constexpr double newest_weight = 0.6;
+/// Tasks of one step differ; so many together tell the kind of machine.
+constexpr int tasks_least = 4;
+constexpr int tasks_most = 20;
+constexpr double slower_factor = 1.12;
 constexpr double crawling_factor = 2;
 /// One task can not tell more than this about its worker.
 constexpr double factor_most = 16;
@@ -49,16 +52,17 @@
 
 worker_speed worker_pace::speed(milliseconds now) const noexcept
 {
-    if (factor() >= crawling_factor)
-        return now - noted_at_ <= crawling_rest_ms ? worker_speed::crawling
-                                                   : worker_speed::usual;
-    return factor() >= slower_factor ? worker_speed::slower
-                                     : worker_speed::usual;
+    if (std::exp(log_newest_) >= crawling_factor &&
+        now - noted_at_ <= crawling_rest_ms)
+        return worker_speed::crawling;
+    return tasks_ >= tasks_least && factor() >= slower_factor
+               ? worker_speed::slower
+               : worker_speed::usual;
 }
 
 double worker_pace::factor() const noexcept
 {
-    return std::exp(log_factor_);
+    return std::exp(log_mean_);
 }
 
 void worker_pace::note(milliseconds now, milliseconds took,
@@ -68,7 +72,10 @@
         return;
     auto const ratio = static_cast<double>(took) / static_cast<double>(usual);
     auto const bounded = std::clamp(ratio, 1 / factor_most, factor_most);
-    log_factor_ += newest_weight * (std::log(bounded) - log_factor_);
+    auto const value = std::log(bounded);
+    tasks_ = std::min(tasks_ + 1, tasks_most);
+    log_mean_ += (value - log_mean_) / tasks_;
+    log_newest_ += newest_weight * (value - log_newest_);
     noted_at_ = now;
 }
 
--- /dev/null
+++ b/tests/support/by_hand.hpp
@@ -0,0 +1,119 @@
+#pragma once
+/// \file
+/// A dispatcher among workers that answer as a test says, reply by reply.
+
+#include "small_jobs.hpp"
+
+#include <set>
+
+namespace support
+{
+
+using namespace jasminetrack::tasks;
+
+/// A dispatcher whose orders are answered by hand; the log stores at once, and
+/// workers list what was started, but stop nothing.
+class by_hand
+{
+public:
+    static constexpr milliseconds step_ms = 50;
+
+    by_hand() : dispatcher_(7, {}, now, nullptr)
+    {
+        dispatcher_.set_configuration(two_queues());
+    }
+
+    void list(std::string const& id, std::int64_t born)
+    {
+        worker_info w;
+        w.id = id;
+        w.address = "10.0.0.1:1";
+        w.service = "service";
+        w.rack = "r1";
+        w.capacity = {8'000, 8'000, 8};
+        w.born_ms = born;
+        born_[id] = born;
+        began_[id] = now;
+        dispatcher_.put_worker(now, w);
+    }
+
+    void submit(std::string const& id, std::string const& queue)
+    {
+        accepted_job job;
+        job.id = id;
+        job.queue = queue;
+        job.team = "team";
+        job.spec.steps.resize(1);
+        job.spec.steps[0].need = {8'000, 8'000, 8};
+        job.spec.steps[0].estimate_ms = 60'000;
+        dispatcher_.put_job(now, job, fresh_progress(job.spec));
+    }
+
+    /// All holds are answered, but those of `mute`; starts too, unless that is
+    /// off.
+    void run_for(milliseconds ms)
+    {
+        for (auto const until = now + ms; now < until; now += step_ms)
+        {
+            dispatcher_.tick(now, now);
+            for (auto const& a : dispatcher_.take_actions())
+                take(a);
+        }
+    }
+
+    void take_start(start_order const& o)
+    {
+        starts.push_back(o);
+        if (!answers_starts)
+            return;
+        running[o.worker].insert(o.run);
+        dispatcher_.on_start(
+            now, {o.worker, o.run, call_result::done, clock_of(o.worker)});
+    }
+
+    milliseconds now = 100'000;
+    bool answers_starts = true;
+    std::set<std::string> mute;
+    std::vector<start_order> starts;
+    std::vector<stop_order> stops;
+    std::map<std::string, std::set<task_run>> running;
+
+private:
+    void take(action const& a)
+    {
+        if (auto const* hold = std::get_if<hold_order>(&a))
+            answer(*hold);
+        if (auto const* start = std::get_if<start_order>(&a))
+            take_start(*start);
+        if (auto const* stop = std::get_if<stop_order>(&a))
+            stops.push_back(*stop);
+        if (auto const* store = std::get_if<store_order>(&a))
+            dispatcher_.on_stored(now, store->batch);
+    }
+
+    void answer(hold_order const& o)
+    {
+        hold_reply r;
+        r.worker = o.worker;
+        if (mute.count(o.worker) == 0)
+        {
+            r.result = call_result::done;
+            r.born_ms = born_[o.worker];
+            r.clock_ms = clock_of(o.worker);
+            for (auto const& run : running[o.worker])
+                r.running.push_back({run, "", 1});
+        }
+        dispatcher_.on_hold(now, r);
+    }
+
+    [[nodiscard]] milliseconds clock_of(std::string const& id) const
+    {
+        return now - began_.at(id) + 1;
+    }
+
+    std::map<std::string, std::int64_t> born_;
+    std::map<std::string, milliseconds> began_;
+    dispatcher dispatcher_;
+};
+
+} // namespace support
--- a/tests/unit/test_dispatch.cpp
+++ b/tests/unit/test_dispatch.cpp
@@ -2,6 +2,7 @@
 /// The dispatcher among workers that fail, hang, leave and are cut off.
 
 #include "dispatch_world.hpp"
+#include "small_jobs.hpp"
 #include "story.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -14,44 +15,6 @@
 
 using namespace support;
 
-configuration two_queues()
-{
-    configuration c;
-    c.version = 1;
-    queue urgent{"urgent", "h", "/u/", "service", 0, 4, 1.5, 400};
-    queue batch{"batch", "h", "/b/", "service", 2, 3, 3, 3000};
-    c.queues = {urgent, batch};
-    c.teams = {{"team", {"key"}, 16}};
-    return c;
-}
-
-job_spec simple_job(std::int64_t count, std::int64_t accelerators)
-{
-    job_spec spec;
-    step_spec step;
-    step.count = count;
-    step.need = {1'000, 1'000, accelerators};
-    step.estimate_ms = 1'000;
-    spec.steps = {step};
-    return spec;
-}
-
-job_spec gang_job(std::int64_t count, std::int64_t accelerators)
-{
-    auto spec = simple_job(count, accelerators);
-    spec.steps[0].gang = true;
-    return spec;
-}
-
-/// Two racks of four workers with 8 accelerators each.
-void add_racks(dispatch_world& w)
-{
-    w.configure(two_queues());
-    for (int i = 0; i < 8; ++i)
-        w.add_worker("w" + std::to_string(i), i < 4 ? "r1" : "r2",
-                     {64'000, 128'000, 8});
-}
-
 void expect_clean(dispatch_world const& w)
 {
     auto const& v = w.violations();
--- /dev/null
+++ b/tests/unit/test_urgent_load.cpp
@@ -0,0 +1,104 @@
+/// \file
+/// What callers of urgent work get while everything is lent to other work.
+
+#include "by_hand.hpp"
+#include "dispatch_world.hpp"
+#include "small_jobs.hpp"
+#include "story.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace
+{
+
+using namespace support;
+
+constexpr milliseconds reclaim_ms = 3'400;
+
+class test_urgent_load : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(test_urgent_load);
+    CPPUNIT_TEST(a_stop_that_was_lost_is_not_waited_for);
+    CPPUNIT_TEST(a_worker_that_does_not_stop_is_not_waited_for);
+    CPPUNIT_TEST(what_saves_its_progress_is_stopped_first);
+    CPPUNIT_TEST(slow_workers_are_left_to_what_has_time);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void a_stop_that_was_lost_is_not_waited_for()
+    {
+        by_hand h;
+        h.list("w1", 1);
+        h.list("w2", 1);
+        h.run_for(500);
+        h.submit("a", "batch");
+        h.submit("b", "batch");
+        h.run_for(500);
+        expect(h.starts.size() == 2, "both workers are taken");
+        h.submit("urgent", "urgent");
+        h.run_for(reclaim_ms / 2);
+        std::set<std::string> stopped;
+        for (auto const& stop : h.stops)
+            stopped.insert(stop.worker);
+        expect(stopped.size() == 2, "the other worker is asked as well");
+    }
+
+    void a_worker_that_does_not_stop_is_not_waited_for()
+    {
+        dispatch_world w(21);
+        add_racks(w);
+        w.submit("batch", "batch", simple_job(64, 1), {60'000});
+        w.run_for(2'000);
+        auto const asked = w.now();
+        w.submit("urgent", "urgent", gang_job(2, 8));
+        w.run_for(60);
+        expect(w.running("batch") == 64, "stops are on their way");
+        for (int i = 0; i < 4; ++i)
+            w.cut_worker("w" + std::to_string(i), true);
+        w.run_for(reclaim_ms);
+        expect(w.begun_at("urgent") >= 0 &&
+                   w.begun_at("urgent") - asked <= reclaim_ms,
+               "begun elsewhere within the bound");
+        expect(w.violations().empty(), "nothing ran twice");
+    }
+
+    void what_saves_its_progress_is_stopped_first()
+    {
+        dispatch_world w(22);
+        add_racks(w);
+        auto saves = simple_job(32, 1);
+        saves.steps[0].checkpoints = true;
+        w.submit("saves", "batch", saves, {60'000});
+        w.run_for(7'000);
+        w.submit("plain", "batch", simple_job(32, 1), {60'000});
+        w.run_for(300);
+        expect(w.running("saves") == 32 && w.running("plain") == 32, "full");
+        w.submit("urgent", "urgent", simple_job(4, 8), {1'000});
+        w.run_for(reclaim_ms);
+        expect(w.starts("plain") == 32 && w.running("plain") == 32,
+               "the plain tasks go on, though they are younger");
+        expect(w.phase("urgent") == job_phase::completed, "done");
+    }
+
+    void slow_workers_are_left_to_what_has_time()
+    {
+        dispatch_world w(23);
+        add_racks(w);
+        for (auto const* id : {"w0", "w1", "w4", "w5"})
+            w.slow_worker(id, 1.6);
+        for (int i = 0; i < 8; ++i)
+        {
+            w.submit("batch" + std::to_string(i), "batch", simple_job(64, 1),
+                     {1'000});
+            w.run_for(2'500);
+        }
+        w.submit("urgent", "urgent", simple_job(4, 8), {2'000});
+        w.run_for(2'500);
+        expect(w.phase("urgent") == job_phase::completed,
+               "on workers of the usual speed");
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(test_urgent_load);
+
+} // namespace
