VMs not in line for the role read the log when a caller asks

And a dispatcher on a VM of 0.12 cores falls behind (0.18 to 0.27 cores were its peak on the grown site): claims were spread by a hash of the name alone. Ruled out: a shorter rest for fresher states (10 ms: the time until an end is shown did not change). Change: VMs announce their processor share; larger ones claim first, by rank.

--- a/packages/entry/include/jasminetrack/entry/dispatch_loop.hpp
+++ b/packages/entry/include/jasminetrack/entry/dispatch_loop.hpp
@@ -4,6 +4,7 @@
 /// the dispatcher decides. One thread; all events go through its queue.
 
 #include <jasminetrack/entry/job_table.hpp>
+#include <jasminetrack/entry/node_record.hpp>
 #include <jasminetrack/entry/settings.hpp>
 #include <jasminetrack/entry/topic_follower.hpp>
 #include <jasminetrack/runtime/timer_service.hpp>
@@ -27,6 +28,14 @@
     std::int64_t takeovers = 0;
 };
 
+/// Where a node stands in line for the dispatcher's role.
+enum class line_place : std::uint8_t
+{
+    holder,
+    next,
+    other,
+};
+
 class dispatch_loop
 {
 public:
@@ -36,6 +45,7 @@
     ~dispatch_loop();
 
     [[nodiscard]] dispatch_figures figures() const;
+    [[nodiscard]] line_place place_in_line() const;
 
     void start();
     /// Gives the role up; another node may claim it at once.
@@ -48,6 +58,7 @@
     void on_work(std::vector<log_entry> entries, std::int64_t next,
                  bool reloaded);
     void on_work_failed();
+    void on_peer(std::string const& node, node_record const& peer);
 
 private:
     using task = std::function<void()>;
@@ -86,11 +97,13 @@
     bool stopping_ = false;
     bool tick_queued_ = false;
     dispatch_figures figures_;
+    std::atomic<bool> next_in_line_{true};
     std::thread thread_;
 
     std::int64_t first_sequence_; ///< of an epoch's appends
 
     // Below: only the loop's thread.
+    tasks::claim_order claims_;
     tasks::leadership leadership_;
     std::unique_ptr<tasks::dispatcher> dispatcher_;
     std::shared_ptr<tasks::configuration const> config_;
--- a/packages/entry/include/jasminetrack/entry/entry_node.hpp
+++ b/packages/entry/include/jasminetrack/entry/entry_node.hpp
@@ -42,6 +42,8 @@
 private:
     void take_configuration(std::vector<log_entry> const& entries);
     void take_jobs(std::vector<log_entry> const& entries);
+    void pace_followers();
+    void take_peer(log_entry const& e);
     void announce();
 
     entry_settings settings_;
--- a/packages/entry/include/jasminetrack/entry/job_requests.hpp
+++ b/packages/entry/include/jasminetrack/entry/job_requests.hpp
@@ -5,6 +5,7 @@
 
 #include <jasminetrack/entry/job_table.hpp>
 #include <jasminetrack/entry/record_writer.hpp>
+#include <jasminetrack/entry/topic_follower.hpp>
 
 #include <atomic>
 
@@ -51,16 +52,15 @@
 class job_requests
 {
 public:
-    job_requests(job_table& table, record_writer& writer,
-                 view_age const& age) noexcept;
+    job_requests(job_table& table, record_writer& writer, view_age const& age,
+                 topic_follower& jobs, topic_follower& work) noexcept;
 
     [[nodiscard]] submit_result submit(caller const& who,
                                        std::string const& queue,
                                        std::string const& id,
                                        tasks::job_spec spec);
     /// \returns nothing if there is no such job.
-    [[nodiscard]] std::optional<tasks::job_phase>
-    look(std::string const& id) const;
+    [[nodiscard]] std::optional<tasks::job_phase> look(std::string const& id);
     [[nodiscard]] cancel_result cancel(caller const& who,
                                        std::string const& id);
     [[nodiscard]] std::int64_t pending(std::string const& queue) const;
@@ -68,12 +68,16 @@
     [[nodiscard]] bool is_current() const;
 
 private:
+    /// \returns the job as the log has it now, if the log can be reached.
+    [[nodiscard]] std::optional<job_view> newest_view(std::string const& id);
     [[nodiscard]] write_result store(caller const& who,
                                      tasks::log_record const& record);
 
     job_table& table_;
     record_writer& writer_;
     view_age const& age_;
+    topic_follower& jobs_;
+    topic_follower& work_;
 };
 
 } // namespace jasminetrack::entry
--- a/packages/entry/include/jasminetrack/entry/topic_follower.hpp
+++ b/packages/entry/include/jasminetrack/entry/topic_follower.hpp
@@ -39,6 +39,10 @@
 
     void start();
     void stop();
+    void set_rest(milliseconds rest_ms);
+    /// Ends a rest. \returns whether what was told is as new as this call,
+    /// but for the way of one answer; false if `limit_ms` did not suffice.
+    bool refresh(milliseconds limit_ms);
     /// A paused follower reads nothing; it reloads the topic when it resumes.
     void pause(bool paused);
 
@@ -46,7 +50,11 @@
     void run();
     [[nodiscard]] bool load();
     void read_once();
-    void rest(milliseconds ms);
+    void rest_after_failure();
+    void rest_after_entries();
+    /// \returns how long the next read may wait for entries.
+    [[nodiscard]] milliseconds begin_read();
+    void end_read(bool answered);
 
     log_port& log_;
     topic topic_;
@@ -57,6 +65,10 @@
     bool stopping_ = false;
     bool paused_ = false;
     bool loaded_ = false;
+    bool waiting_ = false;      ///< a read waits at the log
+    std::uint64_t asked_ = 0;   ///< refreshes
+    std::uint64_t reading_ = 0; ///< refreshes that the read under way answers
+    std::uint64_t answered_ = 0;
     std::int64_t next_ = 0;
     std::thread thread_;
 };
--- a/packages/entry/src/dispatch_loop.cpp
+++ b/packages/entry/src/dispatch_loop.cpp
@@ -15,16 +15,11 @@
 using runtime::monotonic_ms;
 using runtime::write_log;
 constexpr milliseconds tick_ms = 50;
-constexpr milliseconds claim_delay_step_ms = 15;
-constexpr std::size_t claim_delay_steps = 16;
+/// Nodes that are ready to take the role over at once.
+constexpr std::size_t nodes_next = 3;
 constexpr milliseconds workers_wait_ms = 1'000;
 constexpr milliseconds workers_rest_ms = 250;
-milliseconds claim_delay(std::string const& node)
-{
-    return static_cast<milliseconds>(std::hash<std::string>()(node) %
-                                     claim_delay_steps) *
-           claim_delay_step_ms;
-}
+
 /// Two nodes may claim one epoch at once. The log takes an append with the
 /// same sequence for a repeat and confirms it, so each starts at its own.
 std::int64_t first_sequence(std::string const& incarnation)
@@ -59,7 +54,8 @@
                          {{"reason", reason}});
            }}),
       first_sequence_(first_sequence(incarnation_)),
-      leadership_(incarnation_, claim_delay(settings.node))
+      claims_(settings.node, settings.processor_share),
+      leadership_(incarnation_, claims_.delay())
 {
 }
 
@@ -225,6 +221,25 @@
         dispatcher_->cancel_job(now, id);
 }
 
+void dispatch_loop::on_peer(std::string const& node, node_record const& peer)
+{
+    post(
+        [this, node, share = peer.processor_share]
+        {
+            claims_.put(node, share);
+            leadership_.set_delay(claims_.delay());
+            next_in_line_ = claims_.rank() < nodes_next;
+        });
+}
+
+line_place dispatch_loop::place_in_line() const
+{
+    std::lock_guard<std::mutex> const lock(mutex_);
+    if (figures_.leading)
+        return line_place::holder;
+    return next_in_line_ ? line_place::next : line_place::other;
+}
+
 void dispatch_loop::on_configuration(
     std::shared_ptr<tasks::configuration const> c)
 {
--- a/packages/entry/src/entry_node.cpp
+++ b/packages/entry/src/entry_node.cpp
@@ -19,8 +19,17 @@
 
 constexpr milliseconds follow_wait_ms = 1'000;
 constexpr milliseconds config_rest_ms = 50;
-constexpr milliseconds jobs_rest_ms = 20;
-constexpr milliseconds work_rest_ms = 100;
+/// Rests between reads of jobs and of their progress: of the dispatcher, of
+/// those next in line for its role, and of the others, which read at once
+/// when a caller asks.
+struct follow_rests
+{
+    milliseconds jobs;
+    milliseconds work;
+};
+constexpr follow_rests dispatcher_rests{20, 100};
+constexpr follow_rests next_rests{200, 100};
+constexpr follow_rests other_rests{1'000, 1'000};
 /// Without contact to the log for this long callers are better off elsewhere.
 constexpr milliseconds ready_age_ms = 4'000;
 
@@ -66,7 +75,7 @@
       log_(ports.log, client_, peers_),
       incarnation_(new_incarnation(settings.node)),
       writer_(log_, topic::jobs, incarnation_, timers_),
-      requests_(table_, writer_, jobs_age_),
+      requests_(table_, writer_, jobs_age_, jobs_follower_, work_follower_),
       dispatch_(settings, incarnation_, {log_, ports.workers, ports.decoder},
                 table_, timers_),
       config_follower_(
@@ -80,17 +89,18 @@
            },
            [contact = std::make_shared<contact_log>("configuration")](
                std::string const& reason) { contact->bad(reason); }}),
-      jobs_follower_(log_, topic::jobs, {follow_wait_ms, jobs_rest_ms},
+      jobs_follower_(log_, topic::jobs, {follow_wait_ms, next_rests.jobs},
                      {[this](std::vector<log_entry> const& entries,
                              std::int64_t, bool) { take_jobs(entries); },
                       [](std::string const&) {}}),
-      work_follower_(log_, topic::work, {follow_wait_ms, work_rest_ms},
+      work_follower_(log_, topic::work, {follow_wait_ms, next_rests.work},
                      {[this](std::vector<log_entry> const& entries,
                              std::int64_t next, bool reloaded)
                       {
                           for (auto const& e : entries)
                               (void)table_.apply_progress(e);
                           dispatch_.on_work(entries, next, reloaded);
+                          pace_followers();
                       },
                       [this](std::string const&)
                       { dispatch_.on_work_failed(); }})
@@ -146,7 +156,7 @@
     std::vector<std::string> ids;
     for (auto const& e : entries)
         if (e.key.starts_with(node_prefix))
-            peers_.put(e.key.substr(node_prefix.size()), e.value);
+            take_peer(e);
         else if (auto id = table_.apply_job(e))
             ids.push_back(std::move(*id));
     if (!ids.empty())
@@ -154,13 +164,37 @@
     announce();
 }
 
+void entry_node::pace_followers()
+{
+    auto const place = dispatch_.place_in_line();
+    auto const& rests = place == line_place::holder ? dispatcher_rests
+                        : place == line_place::next ? next_rests
+                                                    : other_rests;
+    jobs_follower_.set_rest(rests.jobs);
+    work_follower_.set_rest(rests.work);
+}
+
+void entry_node::take_peer(log_entry const& e)
+{
+    auto const peer = decode_node(e.value);
+    if (!peer)
+    {
+        write_log(log_level::warning, "peer.entry.skipped",
+                  {{"key", e.key}, {"reason", "unreadable"}});
+        return;
+    }
+    peers_.put(e.key.substr(node_prefix.size()), peer->address);
+    dispatch_.on_peer(e.key.substr(node_prefix.size()), *peer);
+}
+
 void entry_node::announce()
 {
     if (announced_.exchange(true))
         return;
-    auto const result = writer_.write(
-        {std::string(node_prefix) + settings_.node, settings_.mesh},
-        announce_wait_ms, announce_wait_ms);
+    node_record const self{settings_.mesh, settings_.processor_share};
+    auto const result =
+        writer_.write({std::string(node_prefix) + settings_.node, encode(self)},
+                      announce_wait_ms, announce_wait_ms);
     if (result != write_result::stored)
         announced_ = false;
 }
--- a/packages/entry/src/job_requests.cpp
+++ b/packages/entry/src/job_requests.cpp
@@ -15,8 +15,11 @@
 
 /// A view not older than this knows every job that callers can know of.
 constexpr milliseconds current_ms = 1'500;
-/// A job that was accepted elsewhere is known here within this time.
-constexpr milliseconds lag_ms = 400;
+/// What the log has is known here within this time, if it can be reached.
+constexpr milliseconds refresh_ms = 400;
+/// A read that waits at the log brings what was accepted elsewhere within
+/// this time.
+constexpr milliseconds lag_ms = 200;
 /// An append without answer is waited for during this part of the caller's
 /// time; the caller can then ask again, elsewhere and under the same id.
 constexpr milliseconds unknown_part = 2;
@@ -43,11 +46,26 @@
 }
 
 job_requests::job_requests(job_table& table, record_writer& writer,
-                           view_age const& age) noexcept
-    : table_(table), writer_(writer), age_(age)
+                           view_age const& age, topic_follower& jobs,
+                           topic_follower& work) noexcept
+    : table_(table), writer_(writer), age_(age), jobs_(jobs), work_(work)
 {
 }
 
+std::optional<job_view> job_requests::newest_view(std::string const& id)
+{
+    auto view = table_.find(id);
+    if (!view)
+    {
+        (void)jobs_.refresh(refresh_ms);
+        return table_.await(id, lag_ms);
+    }
+    if (tasks::is_final(view->phase()))
+        return view;
+    (void)work_.refresh(refresh_ms);
+    return table_.find(id);
+}
+
 bool job_requests::is_current() const
 {
     return age_.age(monotonic_ms()) <= current_ms;
@@ -91,9 +109,9 @@
                                            : submit_result::unknown;
 }
 
-std::optional<tasks::job_phase> job_requests::look(std::string const& id) const
+std::optional<tasks::job_phase> job_requests::look(std::string const& id)
 {
-    auto const view = table_.await(id, lag_ms);
+    auto const view = newest_view(id);
     if (!view)
         return std::nullopt;
     return view->phase();
@@ -101,7 +119,7 @@
 
 cancel_result job_requests::cancel(caller const& who, std::string const& id)
 {
-    auto const view = table_.await(id, lag_ms);
+    auto const view = newest_view(id);
     if (!view)
         return is_current() ? cancel_result::no_such_job
                             : cancel_result::refused;
--- a/packages/entry/src/log_keys.hpp
+++ b/packages/entry/src/log_keys.hpp
@@ -11,7 +11,7 @@
 inline constexpr char const* role_key = "role";
 /// Before a job's id, in the topic of jobs: the job is cancelled.
 inline constexpr std::string_view cancel_prefix = "cancel/";
-/// Before a node's name, in the topic of jobs: its internal address.
+/// Before a node's name, in the topic of jobs: its record.
 inline constexpr std::string_view node_prefix = "node/";
 
 } // namespace jasminetrack::entry
--- a/packages/entry/src/topic_follower.cpp
+++ b/packages/entry/src/topic_follower.cpp
@@ -49,13 +49,57 @@
     wake_.notify_all();
 }
 
-void topic_follower::rest(milliseconds ms)
+void topic_follower::set_rest(milliseconds rest_ms)
+{
+    std::lock_guard<std::mutex> const lock(mutex_);
+    pace_.rest_ms = rest_ms;
+}
+
+bool topic_follower::refresh(milliseconds limit_ms)
 {
     std::unique_lock<std::mutex> lock(mutex_);
-    wake_.wait_for(lock, std::chrono::milliseconds(ms),
+    if (waiting_)
+        return true;
+    auto const wanted = ++asked_;
+    wake_.notify_all();
+    return wake_.wait_for(lock, std::chrono::milliseconds(limit_ms),
+                          [&] { return stopping_ || answered_ >= wanted; }) &&
+           !stopping_;
+}
+
+void topic_follower::rest_after_failure()
+{
+    std::unique_lock<std::mutex> lock(mutex_);
+    wake_.wait_for(lock, std::chrono::milliseconds(failed_rest_ms),
                    [&] { return stopping_; });
 }
 
+void topic_follower::rest_after_entries()
+{
+    std::unique_lock<std::mutex> lock(mutex_);
+    wake_.wait_for(lock, std::chrono::milliseconds(pace_.rest_ms),
+                   [&] { return stopping_ || asked_ > answered_; });
+}
+
+milliseconds topic_follower::begin_read()
+{
+    std::lock_guard<std::mutex> const lock(mutex_);
+    reading_ = asked_;
+    waiting_ = asked_ == answered_;
+    return waiting_ ? pace_.wait_ms : 0;
+}
+
+void topic_follower::end_read(bool answered)
+{
+    {
+        std::lock_guard<std::mutex> const lock(mutex_);
+        waiting_ = false;
+        if (answered)
+            answered_ = reading_;
+    }
+    wake_.notify_all();
+}
+
 void topic_follower::run()
 {
     for (;;)
@@ -71,7 +115,7 @@
         if (loaded)
             read_once();
         else if (!load())
-            rest(failed_rest_ms);
+            rest_after_failure();
     }
 }
 
@@ -107,23 +151,26 @@
 
 void topic_follower::read_once()
 {
-    auto const answer = log_.read({topic_, next_, pace_.wait_ms});
+    auto const answer = log_.read({topic_, next_, begin_read()});
     if (answer.result == read_result::failed)
     {
+        end_read(false);
         listener_.failed(answer.reason);
-        rest(failed_rest_ms);
+        rest_after_failure();
         return;
     }
     if (answer.result == read_result::trimmed)
     {
+        end_read(false);
         std::lock_guard<std::mutex> const lock(mutex_);
         loaded_ = false;
         return;
     }
     next_ = std::max(next_, answer.next);
     listener_.entries(answer.entries, next_, false);
-    if (!answer.entries.empty() && pace_.rest_ms > 0)
-        rest(pace_.rest_ms);
+    end_read(answer.at_end);
+    if (!answer.entries.empty() && answer.at_end)
+        rest_after_entries();
 }
 
 } // namespace jasminetrack::entry
--- a/packages/tasks/include/jasminetrack/tasks/leadership.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/leadership.hpp
@@ -5,6 +5,8 @@
 
 #include <jasminetrack/tasks/model.hpp>
 
+#include <map>
+
 namespace jasminetrack::tasks
 {
 
@@ -22,6 +24,28 @@
 [[nodiscard]] std::string encode(role_record const& r);
 [[nodiscard]] std::optional<role_record> decode_role(std::string const& bytes);
 
+/// The order in which nodes claim the role. Answers deployments with VMs of
+/// several sizes: a dispatcher on a small one falls behind on a heavy day, so
+/// larger ones claim first.
+class claim_order
+{
+public:
+    /// \param share  of a processor, of this node's VM
+    claim_order(std::string self, double share);
+
+    /// \returns how many of the known nodes claim before this one.
+    [[nodiscard]] std::size_t rank() const;
+    /// \returns how long this node holds a claim back.
+    [[nodiscard]] milliseconds delay() const;
+
+    void put(std::string const& node, double share);
+
+private:
+    std::string self_;
+    double share_;
+    std::map<std::string, double> others_; ///< shares by name
+};
+
 /// Decides when a node claims the role, from what it reads in the log.
 class leadership
 {
@@ -49,6 +73,7 @@
     void on_claim_stored(milliseconds now, role_record const& r);
     /// The claim lost against another, or its outcome is not known.
     void on_claim_lost(milliseconds now) noexcept;
+    void set_delay(milliseconds delay) noexcept;
     void step_down() noexcept;
     void stop_claiming() noexcept;
 
--- a/packages/tasks/src/leadership.cpp
+++ b/packages/tasks/src/leadership.cpp
@@ -2,6 +2,10 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <functional>
+#include <tuple>
+
 namespace jasminetrack::tasks
 {
 namespace
@@ -11,11 +15,51 @@
 constexpr milliseconds silence_ms = 1'600;
 /// A claim that lost waits for the winner's first records.
 constexpr milliseconds lost_rest_ms = 400;
+/// Claims of nodes that differ in rank are this far apart, up to some rank.
+constexpr std::size_t rank_most = 16;
+constexpr milliseconds rank_step_ms = 15;
+/// With so much of a processor a VM claims at once while it knows no other.
+constexpr double ample_share = 0.5;
+constexpr double alone_delay_ms = 480;
 
 } // namespace
 
 using nlohmann::json;
 
+claim_order::claim_order(std::string self, double share)
+    : self_(std::move(self)), share_(share)
+{
+}
+
+std::size_t claim_order::rank() const
+{
+    auto const key = [](std::string const& node, double share)
+    { return std::tuple(-share, std::hash<std::string>()(node), node); };
+    auto const own = key(self_, share_);
+    return static_cast<std::size_t>(
+        std::count_if(others_.begin(), others_.end(),
+                      [&](auto const& other)
+                      { return key(other.first, other.second) < own; }));
+}
+
+milliseconds claim_order::delay() const
+{
+    auto const step = others_.empty() ? std::hash<std::string>()(self_)
+                                      : std::min(rank(), rank_most);
+    auto const spread =
+        static_cast<milliseconds>(step % (rank_most + 1)) * rank_step_ms;
+    if (!others_.empty())
+        return spread;
+    auto const missing = std::clamp(1 - share_ / ample_share, 0.0, 1.0);
+    return spread + static_cast<milliseconds>(alone_delay_ms * missing);
+}
+
+void claim_order::put(std::string const& node, double share)
+{
+    if (node != self_)
+        others_[node] = share;
+}
+
 std::string encode(role_record const& r)
 {
     auto const bytes =
@@ -98,6 +142,11 @@
     not_before_ = now + lost_rest_ms + delay_;
 }
 
+void leadership::set_delay(milliseconds delay) noexcept
+{
+    delay_ = delay;
+}
+
 void leadership::step_down() noexcept
 {
     leading_ = false;
--- a/tests/unit/test_task_policies.cpp
+++ b/tests/unit/test_task_policies.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST(the_objective_follows_the_longest_chain);
     CPPUNIT_TEST(room_is_left_for_urgent_work_that_comes_and_goes);
     CPPUNIT_TEST(a_silent_holder_is_succeeded);
+    CPPUNIT_TEST(larger_vms_claim_first);
     CPPUNIT_TEST(progress_is_read_as_it_was_written);
     CPPUNIT_TEST_SUITE_END();
 
@@ -77,6 +78,37 @@
                 });
     }
 
+    void larger_vms_claim_first()
+    {
+        section("one that knows no other goes by its own size",
+                [&]
+                {
+                    claim_order const large("a", 0.5);
+                    claim_order const small("a", 0.12);
+                    expect(large.delay() + 300 < small.delay(), "by far");
+                });
+        section("then by rank, however many there are",
+                [&]
+                {
+                    claim_order a("a", 0.25);
+                    for (int i = 0; i < 40; ++i)
+                        a.put("small" + std::to_string(i), 0.12);
+                    expect(a.rank() == 0 && a.delay() == 0, "the largest");
+                    a.put("large", 0.5);
+                    expect(a.rank() == 1 && a.delay() > 0, "after a larger");
+                });
+        section("VMs of one size differ",
+                [&]
+                {
+                    claim_order a("a", 0.25);
+                    claim_order b("b", 0.25);
+                    a.put("a", 0.25);
+                    a.put("b", 0.25);
+                    b.put("a", 0.25);
+                    expect(a.rank() + b.rank() == 1, "one before the other");
+                });
+    }
+
     void a_silent_holder_is_succeeded()
     {
         leadership l("b", 0);
