Last attempts go to workers that are surely sound; `why` and `losses`

Found with the table of causes, now a command. Ruled out: a longer rest for workers that failed: most attempts were lost at workers that had not failed before. Change: a unit that has failed prefers workers where a run ended done in the last 10 s and none failed since; its last attempt waits up to 6 s for such. `jasminetrack why ID LOGS` tells one job's story with its cause, `jasminetrack losses LOGS` counts causes by priority; job.final says the job's objective.

--- a/packages/cli/src/commands.hpp
+++ b/packages/cli/src/commands.hpp
@@ -51,4 +51,10 @@
 /// \param html file for the page; empty: text to standard output
 [[nodiscard]] int timeline(common_options const& c, std::string const& html);
 
+/// Tells from log files what became of a job. No file: standard input.
+[[nodiscard]] int why(std::string const& job,
+                      std::vector<std::string> const& files);
+/// Prints why the jobs in log files were late or lost, by priority.
+[[nodiscard]] int losses(std::vector<std::string> const& files);
+
 } // namespace jasminetrack::cli
--- /dev/null
+++ b/packages/cli/src/job_causes.cpp
@@ -0,0 +1,133 @@
+#include "job_causes.hpp"
+
+#include <algorithm>
+#include <sstream>
+
+namespace jasminetrack::cli
+{
+namespace
+{
+
+constexpr std::int64_t us_a_ms = 1'000;
+/// A part of a job's time below this is no cause by itself.
+constexpr std::int64_t cause_least_us = 300 * us_a_ms;
+
+void note_place(job_times& t, log_line const& l)
+{
+    auto const unit = l.field("step") + "/" + l.field("index");
+    t.priority = l.number("priority");
+    if (t.placed < 0)
+        t.placed = l.time_us;
+    t.placed_last = l.time_us;
+    t.spread =
+        t.spread || (l.number("same_rack") == 1 && l.number("racks") > 1);
+    auto const [at, fresh] = t.first_runs.emplace(unit, l.time_us);
+    t.lost_us = std::max(t.lost_us, l.time_us - at->second);
+}
+
+std::string without_ids(std::string const& why)
+{
+    auto const at = why.find(" job ");
+    return at == std::string::npos ? why : why.substr(0, at + 4);
+}
+
+std::string most_frequent(std::map<std::string, int> const& counts)
+{
+    auto const at = std::max_element(counts.begin(), counts.end(),
+                                     [](auto const& a, auto const& b)
+                                     { return a.second < b.second; });
+    return at == counts.end() ? "unknown" : at->first;
+}
+
+std::string cause_of_lateness(job_times const& t)
+{
+    std::map<std::int64_t, std::string> parts;
+    parts[t.accepted - t.first] = "late: waited to be stored";
+    parts[t.placed - t.accepted] = "late: waited for its first place";
+    parts[t.lost_us] = "late: ran again, " + most_frequent(t.reasons);
+    auto const& [most, cause] = *parts.rbegin();
+    if (t.spread)
+        return "late: ran over several racks";
+    return most < cause_least_us ? "late: ran longer than estimated" : cause;
+}
+
+} // namespace
+
+void note(job_times& t, log_line const& l)
+{
+    if (l.step == "job.submit")
+    {
+        if (t.first < 0)
+            t.first = l.time_us - l.number("took_ms") * us_a_ms;
+        if (l.field("result") == "stored" && t.accepted < 0)
+            t.accepted = l.time_us;
+        t.refused = t.accepted < 0 && l.field("result") == "refused";
+    }
+    else if (l.step == "unit.place")
+        note_place(t, l);
+    else if (l.step == "unit.end_run")
+        ++t.reasons[without_ids(l.field("why"))];
+    else if (l.step == "job.cancel_request")
+        t.cancelled = true;
+    else if (l.step == "job.final")
+    {
+        t.ended = l.time_us;
+        t.phase = l.field("phase");
+        t.objective_us = l.number("objective_ms") * us_a_ms;
+    }
+}
+
+std::string cause_of(job_times const& t)
+{
+    if (t.cancelled)
+        return "cancelled by its caller";
+    if (t.accepted < 0)
+        return t.refused ? "refused: the log did not answer"
+                         : "not known to be stored";
+    if (t.placed < 0)
+        return "never placed";
+    if (t.ended < 0)
+        return "not ended when the log ends";
+    if (t.phase != "completed")
+        return t.phase + ": " + most_frequent(t.reasons);
+    return t.ended - t.first <= t.objective_us ? "in time"
+                                               : cause_of_lateness(t);
+}
+
+loss_table losses_of(std::vector<log_line> const& lines)
+{
+    std::map<std::string, job_times> jobs;
+    for (auto const& l : lines)
+        if (auto const& id = l.field("job"); !id.empty())
+            note(jobs[id], l);
+    loss_table table;
+    for (auto const& [id, t] : jobs)
+    {
+        if (t.first < 0)
+            continue;
+        ++table.jobs;
+        ++table.causes[t.priority][cause_of(t)];
+    }
+    return table;
+}
+
+std::string to_text(loss_table const& t)
+{
+    std::ostringstream out;
+    out << t.jobs << " jobs\n";
+    for (auto const& [priority, causes] : t.causes)
+    {
+        out << (priority < 0 ? std::string("never placed")
+                             : "priority " + std::to_string(priority))
+            << "\n";
+        std::vector<std::pair<int, std::string>> rows;
+        for (auto const& [cause, count] : causes)
+            rows.emplace_back(count, cause);
+        std::sort(rows.rbegin(), rows.rend());
+        for (auto const& [count, cause] : rows)
+            out << "  " << count << "  " << cause << "\n";
+    }
+    return out.str();
+}
+
+} // namespace jasminetrack::cli
--- /dev/null
+++ b/packages/cli/src/job_story.cpp
@@ -0,0 +1,185 @@
+#include "job_story.hpp"
+
+#include "job_causes.hpp"
+
+#include <algorithm>
+#include <cstdio>
+#include <functional>
+#include <set>
+
+namespace jasminetrack::cli
+{
+namespace
+{
+
+constexpr std::int64_t us_a_second = 1'000'000;
+
+bool names(log_line const& l, std::string const& job)
+{
+    return std::any_of(l.fields.begin(), l.fields.end(),
+                       [&](auto const& f)
+                       { return f.second.find(job) != std::string::npos; });
+}
+
+std::string seconds_text(std::int64_t us)
+{
+    char text[32];
+    std::snprintf(text, sizeof text, "%.2f s",
+                  static_cast<double>(us) / us_a_second);
+    return text;
+}
+
+std::string unit_of(log_line const& l)
+{
+    return "step " + l.field("step") + ", task " + l.field("index") + ", run " +
+           l.field("run");
+}
+
+/// One sentence for a line, by its step.
+std::string sentence(log_line const& l, std::string const& job)
+{
+    using teller = std::function<std::string(log_line const&)>;
+    static std::map<std::string, teller> const tellers{
+        {"job.submit",
+         [](log_line const& e)
+         {
+             return "Node " + e.node + " took the job in for team " +
+                    e.field("team") + ": " + e.field("result") + " after " +
+                    e.field("took_ms") + " ms.";
+         }},
+        {"job.cancel_request",
+         [](log_line const& e)
+         {
+             return "Its caller cancelled it at node " + e.node + ": " +
+                    e.field("result") + ".";
+         }},
+        {"unit.place",
+         [](log_line const& e)
+         {
+             return "The dispatcher on " + e.node + " placed " + unit_of(e) +
+                    ": " + e.field("tasks") + " task(s) on " +
+                    e.field("racks") + " rack(s), first on " +
+                    e.field("first") + ", " + e.field("waited_ms") +
+                    " ms after it knew the job.";
+         }},
+        {"unit.reclaim",
+         [](log_line const& e)
+         {
+             return "There was no room; " + e.field("victims") +
+                    " run(s) of lower priority were stopped for it.";
+         }},
+        {"unit.reclaim_again", [](log_line const& e)
+         { return "That room did not come: " + e.field("why") + "."; }},
+        {"unit.end_run",
+         [](log_line const& e) {
+             return "The dispatcher ended " + unit_of(e) + ": " +
+                    e.field("why") + ".";
+         }},
+        {"start.failed",
+         [](log_line const& e)
+         {
+             return "Worker " + e.field("worker") +
+                    " did not take a start: " + e.field("result") + ".";
+         }},
+        {"run.ended",
+         [](log_line const& e)
+         {
+             return "On worker " + e.field("worker") + " " + unit_of(e) +
+                    " ended " + e.field("how") + ".";
+         }},
+        {"run.absent",
+         [](log_line const& e)
+         {
+             return "Worker " + e.field("worker") + " did not have run " +
+                    e.field("run") + " any more.";
+         }},
+        {"worker.doubted",
+         [](log_line const& e)
+         {
+             return "Worker " + e.field("worker") + " failed " +
+                    e.field("failures") + " run(s) in a row and rests for " +
+                    e.field("rest_ms") + " ms.";
+         }},
+        {"job.final",
+         [](log_line const& e)
+         {
+             return "The job is " + e.field("phase") + ", " +
+                    e.field("known_ms") + " ms after this dispatcher knew it.";
+         }},
+    };
+    if (l.step == "unit.end_run" && l.field("job") != job)
+        return "For this job, a run of job " + l.field("job") + " was stopped.";
+    auto const at = tellers.find(l.step);
+    if (at != tellers.end())
+        return at->second(l);
+    std::string text = "Node " + l.node + ": " + l.step;
+    for (auto const& [key, value] : l.fields)
+        text += " " + key + "=" + value;
+    return text;
+}
+
+/// Lines of no job that explain what happened to those that were there.
+bool is_context(log_line const& l)
+{
+    static std::set<std::string> const steps{
+        "role.taken",         "role.lost",     "log.append.failing",
+        "log.append.back",    "log.read.lost", "log.read.back",
+        "workers.read.failed"};
+    return steps.count(l.step) != 0;
+}
+
+bool is_of_workers(log_line const& l, std::set<std::string> const& workers)
+{
+    return l.step.starts_with("worker.") && l.step != "worker.listed" &&
+           workers.count(l.field("worker")) != 0;
+}
+
+} // namespace
+
+std::vector<std::string> story_of(std::vector<log_line> const& lines,
+                                  std::string const& job)
+{
+    std::set<std::string> workers;
+    std::string from;
+    std::string to;
+    job_times times;
+    for (auto const& l : lines)
+    {
+        if (!names(l, job))
+            continue;
+        from = from.empty() ? l.time : from;
+        to = l.time;
+        workers.insert(l.field("worker"));
+        workers.insert(l.field("first"));
+        if (l.field("job") == job)
+            note(times, l);
+    }
+    if (from.empty())
+        return {};
+    workers.erase("");
+    std::vector<std::string> story;
+    std::string last;
+    int repeats = 1;
+    for (auto const& l : lines)
+    {
+        if (!names(l, job) && (l.time < from || l.time > to ||
+                               !(is_context(l) || is_of_workers(l, workers))))
+            continue;
+        auto text = sentence(l, job);
+        repeats = text == last ? repeats + 1 : 1;
+        if (repeats == 1)
+            story.push_back(l.time + "  " + text);
+        else
+            story.back() = l.time + "  " + text + " (" +
+                           std::to_string(repeats) + " times)";
+        last = std::move(text);
+    }
+    auto const took =
+        times.ended < 0 || times.first < 0
+            ? std::string()
+            : ", after " + seconds_text(times.ended - times.first);
+    story.push_back("Outcome: " + cause_of(times) + took + ".");
+    return story;
+}
+
+} // namespace jasminetrack::cli
--- a/packages/cli/src/main.cpp
+++ b/packages/cli/src/main.cpp
@@ -19,7 +19,9 @@
     "  jasminetrack submit --team ledger --class sort-batch --key lot-7\n"
     "  jasminetrack result j12 --wait 60000\n"
     "  jasminetrack explain j12\n"
-    "  jasminetrack timeline --html timeline.html\n\n"
+    "  jasminetrack timeline --html timeline.html\n"
+    "  jasminetrack why 9f7c806f7735ca6d vm-*.log\n"
+    "  jasminetrack losses vm-*.log\n\n"
     "Exit codes: 0 done, 1 refused (not run), 2 usage, 3 outcome unknown,\n"
     "4 no entry VM reached.";
 
@@ -34,6 +36,7 @@
     std::string job;
     std::string file;
     std::string html;
+    std::vector<std::string> files;
     std::int64_t wait_ms = 0;
     int exit_code = exit_usage;
 
@@ -115,6 +118,19 @@
             app.add_subcommand("timeline", "what happened on all entry VMs");
         t->add_option("--html", html, "write a page to this file");
         t->callback([this] { exit_code = timeline(common, html); });
+        add_log_views();
+    }
+
+    void add_log_views()
+    {
+        auto* w = app.add_subcommand("why", "what became of a job, from logs");
+        w->add_option("job", job)->required();
+        w->add_option("files", files, "logs of all VMs; none: standard input");
+        w->callback([this] { exit_code = why(job, files); });
+        auto* l = app.add_subcommand(
+            "losses", "why jobs were late or lost, from logs, as a table");
+        l->add_option("files", files, "logs of all VMs; none: standard input");
+        l->callback([this] { exit_code = losses(files); });
     }
 };
 
--- a/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -142,6 +142,7 @@
         std::int64_t waiting = 0;         ///< units in phase waiting
         std::int64_t undone = 0;          ///< units not done
         std::map<unit_ref, std::set<std::string>> failed_on;
+        std::map<unit_ref, milliseconds> failed_at;       ///< newest failure
         std::map<std::int64_t, step_durations> durations; ///< by step
     };
 
@@ -220,8 +221,8 @@
                    run_end how);
     /// A run that counted as lost had ended done: the work is done.
     void take_earlier_done(milliseconds now, unit_ref const& ref);
-    void count_failure(job_entry& e, unit_ref const& ref, unit& u,
-                       active_run& a, std::string const& worker);
+    void count_failure(milliseconds now, job_entry& e, unit_ref const& ref,
+                       unit& u, active_run& a, std::string const& worker);
     void finish_run(milliseconds now, unit_ref const& ref);
     void set_unit_phase(job_entry& e, unit& u, unit_phase phase);
     void evaluate(milliseconds now, job_entry& e);
@@ -244,6 +245,8 @@
     void serve_reservations(milliseconds now);
     void drop_reservation(unit_ref const& ref);
     [[nodiscard]] std::vector<waiting_step> waiting_steps(milliseconds wall);
+    [[nodiscard]] static bool has_failed(waiting_step const& w,
+                                         std::int64_t index);
     /// \returns false if there is no room for units of this step now.
     bool start_unit(milliseconds now, waiting_step const& w,
                     std::int64_t index);
@@ -264,6 +267,8 @@
                          unit_need const& need) const;
     [[nodiscard]] unit_need need_of(milliseconds now, job_entry const& e,
                                     unit_ref const& ref) const;
+    [[nodiscard]] proof_wanted proof_for(milliseconds now, job_entry const& e,
+                                         unit_ref const& ref) const;
     [[nodiscard]] reclaim_terms terms_of(job_entry const& e,
                                          unit_ref const& ref) const;
     /// Whether all urgent jobs of the team fit into its guarantee.
--- a/packages/tasks/include/jasminetrack/tasks/placement.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/placement.hpp
@@ -33,10 +33,21 @@
     resources reachable; ///< room once stops under way are through
     std::vector<stoppable_run> stoppable;
     int doubt = 0;       ///< 0: none; placed only where nothing better is
+    bool proven = false; ///< a run ended done there lately, none failed since
     bool slower = false; ///< too slow for what is urgent, not for the rest
     std::int64_t same_step = 0; ///< tasks of the unit's step already here
 };
 
+/// Whether a unit wants workers where runs have ended done lately. Answers
+/// workers that fail what they start while they look healthy: attempts are
+/// few, and a job that used them up is lost to its caller.
+enum class proof_wanted : std::uint8_t
+{
+    none,
+    preferred, ///< an attempt has failed
+    required,  ///< the next attempt is the last
+};
+
 /// What a unit asks for.
 struct unit_need
 {
@@ -47,6 +58,7 @@
     std::string label;                ///< required; empty: any
     std::int64_t most_per_worker = 0; ///< 0: no bound
     std::set<std::string> avoid;      ///< workers on which it failed
+    proof_wanted proof = proof_wanted::none;
     milliseconds waited_ms = 0;
     milliseconds estimate_ms = 1; ///< of one task, on a sound worker
 };
--- a/packages/tasks/include/jasminetrack/tasks/worker_view.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/worker_view.hpp
@@ -82,6 +82,7 @@
     int failures = 0; ///< runs that failed there in a row, of any job
     std::string last_failed_job;
     milliseconds avoid_until = 0;
+    milliseconds done_at = -1; ///< newest end done, with no failure after it
     worker_pace pace;
     milliseconds unanswered_at = -1; ///< newest order without an answer
     milliseconds blocked_until = 0;  ///< nothing is started before
--- a/packages/tasks/src/dispatcher_runs.cpp
+++ b/packages/tasks/src/dispatcher_runs.cpp
@@ -104,7 +104,7 @@
                 w->second.mark_ending(now, run_of(ref, a.run, i, true));
     }
     if (how == run_end::failed && !a.counted)
-        count_failure(e, ref, u, a, worker);
+        count_failure(now, e, ref, u, a, worker);
     end_run(now, ref, to_text(how), index);
     if (active_.count(ref) != 0)
         member_off(now, ref, index);
@@ -126,14 +126,16 @@
     evaluate(now, e);
 }
 
-void dispatcher::count_failure(job_entry& e, unit_ref const& ref, unit& u,
-                               active_run& a, std::string const& worker)
+void dispatcher::count_failure(milliseconds now, job_entry& e,
+                               unit_ref const& ref, unit& u, active_run& a,
+                               std::string const& worker)
 {
     a.counted = true;
     ++u.failures;
     u.failed_run = a.run;
     mark_dirty(ref.job);
     e.failed_on[ref].insert(worker);
+    e.failed_at[ref] = now;
 }
 
 void dispatcher::finish_run(milliseconds now, unit_ref const& ref)
@@ -192,7 +194,8 @@
     final_batch_[id] = next_batch_;
     say("job.final", id,
         std::string("phase=") + to_text(phase) + " queue=" + e.job.queue +
-            " known_ms=" + std::to_string(now - e.known_at));
+            " known_ms=" + std::to_string(now - e.known_at) +
+            " objective_ms=" + std::to_string(e.objective_ms));
     std::vector<unit_ref> runs;
     for (auto at = active_.lower_bound({id, {}});
          at != active_.end() && at->first.job == id; ++at)
--- a/packages/tasks/src/dispatcher_schedule.cpp
+++ b/packages/tasks/src/dispatcher_schedule.cpp
@@ -17,6 +17,11 @@
 constexpr milliseconds least_lost_ms = 500;
 /// Share of its worth that a job loses if it ends late.
 constexpr double late_loss = 0.7;
+/// An end of a run shows for this long that its worker is sound.
+constexpr milliseconds proof_age_ms = 10'000;
+/// A last attempt waits this long for workers that are surely sound; workers
+/// that fail what they start show in less.
+constexpr milliseconds proof_wait_ms = 6'000;
 constexpr int doubt_failing = 1;
 constexpr int doubt_crawling = 1;
 
@@ -36,10 +41,16 @@
         headroom_[service].note(now, count.urgent);
     for (auto const& w : waiting_steps(wall))
         for (auto const index : w.indices)
-            if (!start_unit(now, w, index))
+            if (!start_unit(now, w, index) && !has_failed(w, index))
                 break; // the step's other units need the same
 }
 
+bool dispatcher::has_failed(waiting_step const& w, std::int64_t index)
+{
+    return w.entry->progress.units.at({w.occurrence, w.step, index}).failures >
+           0;
+}
+
 bool dispatcher::start_unit(milliseconds now, waiting_step const& w,
                             std::int64_t index)
 {
@@ -214,11 +225,26 @@
     need.most_per_worker = step.most_per_worker;
     if (auto const at = e.failed_on.find(ref); at != e.failed_on.end())
         need.avoid = at->second;
+    need.proof = proof_for(now, e, ref);
     need.waited_ms = now - e.known_at;
     need.estimate_ms = std::max<milliseconds>(step.estimate_ms, 1);
     return need;
 }
 
+proof_wanted dispatcher::proof_for(milliseconds now, job_entry const& e,
+                                   unit_ref const& ref) const
+{
+    auto const& u = e.progress.units.at(ref.unit);
+    if (u.failures == 0 || step_of(e, ref).lasting)
+        return proof_wanted::none;
+    auto const* q = queue_of(e);
+    auto const at = e.failed_at.find(ref);
+    bool const last = q && u.failures + 1 >= q->max_attempts;
+    bool const lately =
+        at != e.failed_at.end() && now - at->second <= proof_wait_ms;
+    return last && lately ? proof_wanted::required : proof_wanted::preferred;
+}
+
 std::vector<worker_room>& dispatcher::rooms_of(milliseconds now,
                                                std::string const& service,
                                                std::int64_t priority)
@@ -256,6 +282,7 @@
     auto const speed = w.pace.speed(now);
     if (speed == worker_speed::crawling)
         room.doubt += doubt_crawling;
+    room.proven = w.done_at >= 0 && now - w.done_at <= proof_age_ms;
     room.slower = priority == 0 && speed == worker_speed::slower;
     if (priority != 0)
         return room;
--- a/packages/tasks/src/dispatcher_workers.cpp
+++ b/packages/tasks/src/dispatcher_workers.cpp
@@ -116,7 +116,10 @@
         w.failures = 0;
         w.last_failed_job.clear();
         w.avoid_until = 0;
+        w.done_at = now;
     }
+    if (how == run_end::failed)
+        w.done_at = -1;
     if (how != run_end::failed || w.last_failed_job == job)
         return;
     w.last_failed_job = job;
--- a/packages/tasks/src/placement.cpp
+++ b/packages/tasks/src/placement.cpp
@@ -17,6 +17,8 @@
 {
     if (need.avoid.count(w.id) != 0)
         return false;
+    if (need.proof == proof_wanted::required && !w.proven)
+        return false;
     return need.label.empty() || std::find(w.labels.begin(), w.labels.end(),
                                            need.label) != w.labels.end();
 }
@@ -41,12 +43,18 @@
     return std::max<std::int64_t>(0, n);
 }
 
-/// Orders workers: no doubt first, then the preferred rack, then fast ones,
-/// then the tightest.
+bool is_unproven(worker_room const& w, unit_need const& need)
+{
+    return need.proof != proof_wanted::none && !w.proven;
+}
+
+/// Orders workers: no doubt first, then proven ones, then the preferred rack,
+/// then fast ones, then the tightest.
 auto tightness(worker_room const& w, unit_need const& need)
 {
-    return std::tuple(w.doubt, !need.rack.empty() && w.rack != need.rack,
-                      w.slower, w.free.accelerators, w.free.memory_mb,
+    return std::tuple(w.doubt, is_unproven(w, need),
+                      !need.rack.empty() && w.rack != need.rack, w.slower,
+                      w.free.accelerators, w.free.memory_mb,
                       std::string_view(w.id));
 }
 
@@ -78,19 +86,22 @@
 
 /// \returns the worst doubt, and whether any is slower: a gang goes on at the
 /// speed of its slowest member.
-std::tuple<int, bool> worst_of(std::vector<std::string> const& places,
-                               room_list const& rooms)
+std::tuple<int, bool, bool> worst_of(std::vector<std::string> const& places,
+                                     room_list const& rooms,
+                                     unit_need const& need)
 {
     int doubt = 0;
+    bool unproven = false;
     bool slower = false;
     for (auto const* w : rooms)
     {
         if (std::find(places.begin(), places.end(), w->id) == places.end())
             continue;
         doubt = std::max(doubt, w->doubt);
+        unproven = unproven || is_unproven(*w, need);
         slower = slower || w->slower;
     }
-    return {doubt, slower};
+    return {doubt, unproven, slower};
 }
 
 /// The rack that is left with the least free accelerators takes the unit.
@@ -98,7 +109,7 @@
                                                       unit_need const& need)
 {
     std::optional<std::vector<std::string>> best;
-    std::tuple<int, bool, std::int64_t> best_rank{};
+    std::tuple<int, bool, bool, std::int64_t> best_rank{};
     for (auto const& [rack, members] : by_rack(rooms))
     {
         auto places = fill(members, need);
@@ -107,8 +118,8 @@
         std::int64_t free = 0;
         for (auto const* w : members)
             free += w->free.accelerators;
-        auto const [doubt, slower] = worst_of(*places, members);
-        std::tuple const rank{doubt, slower, free};
+        auto const [doubt, unproven, slower] = worst_of(*places, members, need);
+        std::tuple const rank{doubt, unproven, slower, free};
         if (best && best_rank <= rank)
             continue;
         best = std::move(places);
@@ -201,10 +212,10 @@
             auto offer = best_offer(*rooms[i], need, open, plan.victims);
             if (!offer)
                 continue;
-            auto const rank = [](worker_offer const& o)
+            auto const rank = [&](worker_offer const& o)
             {
-                return std::tuple(o.worker->doubt, o.price(),
-                                  o.worker->reachable.accelerators);
+                return std::tuple(o.worker->doubt, is_unproven(*o.worker, need),
+                                  o.price(), o.worker->reachable.accelerators);
             };
             if (best && rank(*best) <= rank(*offer))
                 continue;
--- a/packages/tasks/src/worker_view.cpp
+++ b/packages/tasks/src/worker_view.cpp
@@ -106,6 +106,7 @@
     taken_batch = 0;
     failures = 0;
     avoid_until = 0;
+    done_at = -1;
     pace = {};
     fenced = false;
     foreign = false;
--- /dev/null
+++ b/tests/unit/test_job_story.cpp
@@ -0,0 +1,102 @@
+/// \file
+/// The story of a job, and the causes of lateness, from log lines.
+
+#include "job_causes.hpp"
+#include "job_story.hpp"
+#include "story.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <sstream>
+
+namespace
+{
+
+using namespace jasminetrack::cli;
+using support::expect;
+using support::section;
+
+/// Lines as two VMs write them; one of them behind a prefix of a collector.
+constexpr char const* played = R"(
+no log line at all
+ 2.9 vm-2 2026-12-04T08:00:01.050000Z level=info node=vm-2 step=unit.reclaim job=aa victims=1 lost_core_s=4.0
+2026-12-04T08:00:01.000000Z level=info node=vm-1 step=job.submit job=aa queue=q team=t steps=1 result=stored took_ms=40
+2026-12-04T08:00:01.060000Z level=info node=vm-2 step=unit.end_run job=bb step=0 index=3 run=1 why="stopped for job aa"
+2026-12-04T08:00:01.060001Z level=info node=vm-2 step=unit.end_run job=bb step=0 index=4 run=1 why="stopped for job aa"
+2026-12-04T08:00:01.200000Z level=warning node=vm-2 step=worker.silent job="" worker=w1 result=no_answer
+2026-12-04T08:00:01.300000Z level=info node=vm-2 step=worker.silent job="" worker=w9 result=no_answer
+2026-12-04T08:00:03.050000Z level=info node=vm-2 step=unit.place job=aa step=0 index=0 run=1 tasks=2 first=w1 racks=1 same_rack=1 estimate_ms=900 priority=0 waited_ms=2000
+2026-12-04T08:00:05.050000Z level=info node=vm-2 step=run.ended job=aa worker=w1 step=0 index=0 run=1 how=done number=7
+2026-12-04T08:00:05.050001Z level=info node=vm-2 step=job.final job=aa phase=completed queue=q known_ms=4000 objective_ms=3400
+2026-12-04T08:00:06.000000Z level=info node=vm-1 step=job.submit job=cc queue=q team=t steps=1 result=refused took_ms=3
+)";
+
+std::vector<log_line> lines()
+{
+    std::istringstream in(played);
+    return read_log(in);
+}
+
+bool has(std::vector<std::string> const& story, std::string const& text)
+{
+    for (auto const& s : story)
+        if (s.find(text) != std::string::npos)
+            return true;
+    return false;
+}
+
+class test_job_story : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(test_job_story);
+    CPPUNIT_TEST(lines_are_read_in_order_of_time);
+    CPPUNIT_TEST(a_job_is_told_up_to_its_cause);
+    CPPUNIT_TEST(losses_are_counted_by_priority);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void lines_are_read_in_order_of_time()
+    {
+        auto const all = lines();
+        expect(all.size() == 10, "other text is left out");
+        expect(all[0].step == "job.submit" && all[0].node == "vm-1", "first");
+        expect(all[2].field("why") == "stopped for job aa", "quoted");
+        expect(all[2].field("step") == "0", "the step's number");
+        expect(all[1].number("victims") == 1, "number");
+    }
+
+    void a_job_is_told_up_to_its_cause()
+    {
+        auto const story = story_of(lines(), "aa");
+        section("what others did for it",
+                [&]
+                {
+                    expect(has(story, "run of job bb was stopped"), "victim");
+                    expect(has(story, "(2 times)"), "repeats in one");
+                });
+        section("what happened to its workers, and to no others",
+                [&]
+                {
+                    expect(has(story, "worker=w1"), "its own");
+                    expect(!has(story, "worker=w9"), "not another");
+                });
+        expect(story.back() == "Outcome: late: waited for its first place, "
+                               "after 4.09 s.",
+               story.back());
+        expect(story_of(lines(), "zz").empty(), "an unknown id has none");
+    }
+
+    void losses_are_counted_by_priority()
+    {
+        auto const table = losses_of(lines());
+        expect(table.jobs == 2, "two were asked for");
+        expect(table.causes.at(0).at("late: waited for its first place") == 1,
+               "late");
+        expect(table.causes.at(-1).at("refused: the log did not answer") == 1,
+               "refused");
+        expect(to_text(table).find("priority 0") != std::string::npos, "text");
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(test_job_story);
+
+} // namespace
--- a/tests/unit/test_urgent_load.cpp
+++ b/tests/unit/test_urgent_load.cpp
@@ -21,6 +21,7 @@
     CPPUNIT_TEST(a_stop_that_was_lost_is_not_waited_for);
     CPPUNIT_TEST(a_worker_that_does_not_stop_is_not_waited_for);
     CPPUNIT_TEST(what_saves_its_progress_is_stopped_first);
+    CPPUNIT_TEST(a_last_attempt_goes_where_runs_end_done);
     CPPUNIT_TEST(slow_workers_are_left_to_what_has_time);
     CPPUNIT_TEST_SUITE_END();
 
@@ -80,6 +81,30 @@
         expect(w.phase("urgent") == job_phase::completed, "done");
     }
 
+    /// Half of the workers fail all that they start; nothing shows it.
+    void a_last_attempt_goes_where_runs_end_done()
+    {
+        int failed = 0;
+        for (unsigned seed = 1; seed <= 20; ++seed)
+        {
+            dispatch_world w(seed);
+            add_racks(w);
+            for (auto const* id : {"w1", "w3", "w5", "w7"})
+                w.fail_worker(id, true);
+            for (int i = 0; i < 6; ++i)
+            {
+                w.submit("gang" + std::to_string(i), "batch", gang_job(3, 4));
+                w.run_for(300);
+            }
+            w.run_for(20'000);
+            for (int i = 0; i < 6; ++i)
+                failed +=
+                    w.phase("gang" + std::to_string(i)) == job_phase::failed;
+        }
+        // Three attempts in a row at a worker that fails would be most jobs.
+        expect(failed == 0, std::to_string(failed) + " of 120 jobs lost");
+    }
+
     void slow_workers_are_left_to_what_has_time()
     {
         dispatch_world w(23);
