Latency histograms on the metrics address

Change: requests by kind, the dispatcher's appends, orders to workers, and jobs from acceptance to first start and to their end; job.begun is logged. Test: the one node that dispatched six jobs says so in its metrics.

--- a/packages/entry/include/jasminetrack/entry/dispatch_loop.hpp
+++ b/packages/entry/include/jasminetrack/entry/dispatch_loop.hpp
@@ -4,6 +4,7 @@
 /// the dispatcher decides. One thread; all events go through its queue.
 
 #include <jasminetrack/entry/job_table.hpp>
+#include <jasminetrack/entry/latencies.hpp>
 #include <jasminetrack/entry/node_record.hpp>
 #include <jasminetrack/entry/settings.hpp>
 #include <jasminetrack/entry/topic_follower.hpp>
@@ -41,7 +42,7 @@
 public:
     dispatch_loop(entry_settings const& settings, std::string incarnation,
                   platform_ports ports, job_table& table,
-                  runtime::timer_service& timers);
+                  runtime::timer_service& timers, latencies& l);
     ~dispatch_loop();
 
     [[nodiscard]] dispatch_figures figures() const;
@@ -64,6 +65,7 @@
     using task = std::function<void()>;
 
     void post(task work);
+    void note(tasks::decision const& d);
     void count(std::int64_t dispatch_figures::*which);
     void run();
     void tick();
@@ -89,6 +91,7 @@
     platform_ports ports_;
     job_table& table_;
     runtime::timer_service& timers_;
+    latencies& latencies_;
     topic_follower workers_follower_;
 
     mutable std::mutex mutex_;
@@ -115,6 +118,7 @@
     bool append_waits_ = false;         ///< to be sent again
     std::deque<tasks::store_order> to_store_;
     milliseconds appended_at_ = 0;
+    milliseconds append_begun_ = 0;
     milliseconds log_failing_since_ = -1;
     std::set<std::string> listed_;
     bool resigning_ = false;
--- a/packages/entry/include/jasminetrack/entry/entry_node.hpp
+++ b/packages/entry/include/jasminetrack/entry/entry_node.hpp
@@ -58,6 +58,7 @@
     view_age config_age_;
     std::atomic<bool> draining_{false};
     std::atomic<bool> announced_{false};
+    latencies latencies_;
     job_table table_;
     runtime::timer_service timers_;
     record_writer writer_;
--- a/packages/entry/include/jasminetrack/entry/job_requests.hpp
+++ b/packages/entry/include/jasminetrack/entry/job_requests.hpp
@@ -4,6 +4,7 @@
 /// and given as soon as they are known.
 
 #include <jasminetrack/entry/job_table.hpp>
+#include <jasminetrack/entry/latencies.hpp>
 #include <jasminetrack/entry/record_writer.hpp>
 #include <jasminetrack/entry/topic_follower.hpp>
 
@@ -53,7 +54,8 @@
 {
 public:
     job_requests(job_table& table, record_writer& writer, view_age const& age,
-                 topic_follower& jobs, topic_follower& work) noexcept;
+                 topic_follower& jobs, topic_follower& work,
+                 latencies& l) noexcept;
 
     [[nodiscard]] submit_result submit(caller const& who,
                                        std::string const& queue,
@@ -78,6 +80,7 @@
     view_age const& age_;
     topic_follower& jobs_;
     topic_follower& work_;
+    latencies& latencies_;
 };
 
 } // namespace jasminetrack::entry
--- a/packages/entry/src/dispatch_loop.cpp
+++ b/packages/entry/src/dispatch_loop.cpp
@@ -29,18 +29,14 @@
         std::hash<std::string>()(incarnation) % numbers + 1);
 }
 
-void log_decision(tasks::decision const& d)
-{
-    write_log(log_level::info, d.step, {{"job", d.job}, {"", d.text}});
-}
-
 } // namespace
 
 dispatch_loop::dispatch_loop(entry_settings const& settings,
                              std::string incarnation, platform_ports ports,
-                             job_table& table, runtime::timer_service& timers)
+                             job_table& table, runtime::timer_service& timers,
+                             latencies& l)
     : settings_(settings), incarnation_(std::move(incarnation)), ports_(ports),
-      table_(table), timers_(timers),
+      table_(table), timers_(timers), latencies_(l),
       workers_follower_(
           ports.log, topic::workers, {workers_wait_ms, workers_rest_ms},
           {[this](std::vector<log_entry> const& entries, std::int64_t,
@@ -166,8 +162,9 @@
     to_store_.clear();
     appended_at_ = now;
     listed_.clear();
-    dispatcher_ = std::make_unique<tasks::dispatcher>(term_, settings_.bounds,
-                                                      now, log_decision);
+    dispatcher_ = std::make_unique<tasks::dispatcher>(
+        term_, settings_.bounds, now,
+        [this](tasks::decision const& d) { note(d); });
     if (config_)
         dispatcher_->set_configuration(*config_);
     auto const ids = table_.unfinished();
@@ -180,6 +177,16 @@
                {"jobs", std::to_string(ids.size())}});
 }
 
+void dispatch_loop::note(tasks::decision const& d)
+{
+    write_log(log_level::info, d.step, {{"job", d.job}, {"", d.text}});
+    if (d.accepted_ms == 0)
+        return;
+    latencies_.note(d.step == "job.begun" ? latency::job_begun
+                                          : latency::job_ended,
+                    runtime::wall_ms() - d.accepted_ms);
+}
+
 void dispatch_loop::step_down(std::string const& why)
 {
     if (!dispatcher_)
@@ -360,35 +367,37 @@
 {
     count(&dispatch_figures::starts);
     auto const term = term_;
-    ports_.workers.start(o,
-                         [this, term](tasks::start_reply const& r)
-                         {
-                             post(
-                                 [this, term, r]
-                                 {
-                                     if (dispatcher_ && term == term_)
-                                         dispatcher_->on_start(monotonic_ms(),
-                                                               r);
-                                 });
-                         });
+    ports_.workers.start(
+        o,
+        [this, term, sent = monotonic_ms()](tasks::start_reply const& r)
+        {
+            latencies_.note(latency::start, monotonic_ms() - sent);
+            post(
+                [this, term, r]
+                {
+                    if (dispatcher_ && term == term_)
+                        dispatcher_->on_start(monotonic_ms(), r);
+                });
+        });
 }
 
 void dispatch_loop::perform(tasks::stop_order const& o)
 {
     count(&dispatch_figures::stops);
     auto const term = term_;
-    ports_.workers.stop(o,
-                        [this, term, o](tasks::call_result result)
-                        {
-                            post(
-                                [this, term, o, result]
-                                {
-                                    if (dispatcher_ && term == term_)
-                                        dispatcher_->on_stop(
-                                            monotonic_ms(),
-                                            {o.worker, o.run, result});
-                                });
-                        });
+    ports_.workers.stop(
+        o,
+        [this, term, o, sent = monotonic_ms()](tasks::call_result result)
+        {
+            latencies_.note(latency::stop, monotonic_ms() - sent);
+            post(
+                [this, term, o, result]
+                {
+                    if (dispatcher_ && term == term_)
+                        dispatcher_->on_stop(monotonic_ms(),
+                                             {o.worker, o.run, result});
+                });
+        });
 }
 
 void dispatch_loop::perform(tasks::store_order const& o)
--- a/packages/entry/src/dispatch_loop_log.cpp
+++ b/packages/entry/src/dispatch_loop_log.cpp
@@ -77,6 +77,7 @@
         records.push_back(sign_of_life());
     call.records = std::move(records);
     append_ = std::move(call);
+    append_begun_ = monotonic_ms();
     append_again();
 }
 
@@ -121,6 +122,7 @@
         write_log(log_level::info, "log.append.back",
                   {{"failing_ms", std::to_string(now - log_failing_since_)}});
     log_failing_since_ = -1;
+    latencies_.note(latency::append, now - append_begun_);
     appended_at_ = now;
     auto const batch = append_batch_;
     append_.reset();
--- a/packages/entry/src/entry_node.cpp
+++ b/packages/entry/src/entry_node.cpp
@@ -75,9 +75,10 @@
       log_(ports.log, client_, peers_),
       incarnation_(new_incarnation(settings.node)),
       writer_(log_, topic::jobs, incarnation_, timers_),
-      requests_(table_, writer_, jobs_age_, jobs_follower_, work_follower_),
+      requests_(table_, writer_, jobs_age_, jobs_follower_, work_follower_,
+                latencies_),
       dispatch_(settings, incarnation_, {log_, ports.workers, ports.decoder},
-                table_, timers_),
+                table_, timers_, latencies_),
       config_follower_(
           log_, topic::configuration, {follow_wait_ms, config_rest_ms},
           {[this, contact = std::make_shared<contact_log>("configuration")](
@@ -259,7 +260,8 @@
     gauge("jasminetrack_log_age_ms", "Time since jobs were read",
           static_cast<double>(std::min<milliseconds>(
               jobs_age_.age(monotonic_ms()), 1'000'000'000)));
-    return prometheus::TextSerializer().Serialize(registry.Collect());
+    return prometheus::TextSerializer().Serialize(registry.Collect()) +
+           latencies_.to_text();
 }
 
 } // namespace jasminetrack::entry
--- a/packages/entry/src/job_requests.cpp
+++ b/packages/entry/src/job_requests.cpp
@@ -13,6 +13,25 @@
 using runtime::monotonic_ms;
 using runtime::write_log;
 
+/// Notes how long the scope took.
+class timed
+{
+public:
+    timed(latencies& all, latency what) noexcept
+        : all_(all), what_(what), begun_(monotonic_ms())
+    {
+    }
+    ~timed()
+    {
+        all_.note(what_, monotonic_ms() - begun_);
+    }
+
+private:
+    latencies& all_;
+    latency what_;
+    milliseconds begun_;
+};
+
 /// A view not older than this knows every job that callers can know of.
 constexpr milliseconds current_ms = 1'500;
 /// What the log has is known here within this time, if it can be reached.
@@ -47,8 +66,9 @@
 
 job_requests::job_requests(job_table& table, record_writer& writer,
                            view_age const& age, topic_follower& jobs,
-                           topic_follower& work) noexcept
-    : table_(table), writer_(writer), age_(age), jobs_(jobs), work_(work)
+                           topic_follower& work, latencies& l) noexcept
+    : table_(table), writer_(writer), age_(age), jobs_(jobs), work_(work),
+      latencies_(l)
 {
 }
 
@@ -84,6 +104,7 @@
 submit_result job_requests::submit(caller const& who, std::string const& queue,
                                    std::string const& id, tasks::job_spec spec)
 {
+    timed const clock(latencies_, latency::submit);
     auto const begun = monotonic_ms();
     if (table_.find(id))
         return submit_result::accepted;
@@ -111,6 +132,7 @@
 
 std::optional<tasks::job_phase> job_requests::look(std::string const& id)
 {
+    timed const clock(latencies_, latency::look);
     auto const view = newest_view(id);
     if (!view)
         return std::nullopt;
@@ -119,6 +141,7 @@
 
 cancel_result job_requests::cancel(caller const& who, std::string const& id)
 {
+    timed const clock(latencies_, latency::cancel);
     auto const view = newest_view(id);
     if (!view)
         return is_current() ? cancel_result::no_such_job
--- a/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -32,9 +32,10 @@
 /// A decision, for the log: what was decided on which job or worker, and why.
 struct decision
 {
-    std::string step; ///< such as "unit.place"
-    std::string job;  ///< id, may be empty
-    std::string text; ///< "key=value" fields
+    std::string step;             ///< such as "unit.place"
+    std::string job;              ///< id, may be empty
+    std::string text;             ///< "key=value" fields
+    milliseconds accepted_ms = 0; ///< time of day; of a job that began or ended
 };
 
 /// \code
@@ -176,6 +177,8 @@
     [[nodiscard]] bool is_ready(job_entry const& e, unit_id const& id,
                                 milliseconds wall) const;
     void say(std::string step, std::string job, std::string text) const;
+    void say_of_job(std::string step, job_entry const& e,
+                    std::string text) const;
     void mark_dirty(std::string const& job);
 
     // dispatcher_workers.cpp, dispatcher_holds.cpp
--- a/packages/tasks/src/dispatcher.cpp
+++ b/packages/tasks/src/dispatcher.cpp
@@ -108,6 +108,14 @@
         listen_({std::move(step), std::move(job), std::move(text)});
 }
 
+void dispatcher::say_of_job(std::string step, job_entry const& e,
+                            std::string text) const
+{
+    if (listen_)
+        listen_(
+            {std::move(step), e.job.id, std::move(text), e.job.accepted_ms});
+}
+
 void dispatcher::mark_dirty(std::string const& job)
 {
     dirty_.insert(job);
--- a/packages/tasks/src/dispatcher_runs.cpp
+++ b/packages/tasks/src/dispatcher_runs.cpp
@@ -192,10 +192,11 @@
     auto const id = e.job.id;
     mark_dirty(id);
     final_batch_[id] = next_batch_;
-    say("job.final", id,
-        std::string("phase=") + to_text(phase) + " queue=" + e.job.queue +
-            " known_ms=" + std::to_string(now - e.known_at) +
-            " objective_ms=" + std::to_string(e.objective_ms));
+    say_of_job("job.final", e,
+               std::string("phase=") + to_text(phase) +
+                   " queue=" + e.job.queue +
+                   " known_ms=" + std::to_string(now - e.known_at) +
+                   " objective_ms=" + std::to_string(e.objective_ms));
     std::vector<unit_ref> runs;
     for (auto at = active_.lower_bound({id, {}});
          at != active_.end() && at->first.job == id; ++at)
--- a/packages/tasks/src/dispatcher_starts.cpp
+++ b/packages/tasks/src/dispatcher_starts.cpp
@@ -152,6 +152,9 @@
     if (e.progress.begun)
         return;
     e.progress.begun = true;
+    say_of_job("job.begun", e,
+               "worker=" + m.worker +
+                   " known_ms=" + std::to_string(now - e.known_at));
     evaluate(now, e);
     mark_dirty(ref.job);
 }
--- a/tests/unit/test_entry.cpp
+++ b/tests/unit/test_entry.cpp
@@ -123,6 +123,17 @@
                     for (auto const& [task, count] : starts)
                         expect(count == 1, "once");
                 });
+        section("and the dispatcher's metrics tell how long they took",
+                [&]
+                {
+                    int told = 0;
+                    for (auto const& node : site.all)
+                        if (node->metrics().find(
+                                "jasminetrack_job_seconds_count{kind="
+                                "\"ended\"} 6") != std::string::npos)
+                            ++told;
+                    expect(told == 1, "by one node");
+                });
         section("and a dispatcher's sequences had no gap",
                 [&]
                 {
