Advice: tickets for queues whose policy names their workers; more room

Cause: the contract "advice" is in force on these deployments and nothing spoke it: every start on such a queue would have been refused (409, ticket). And the split of late jobs named the wait for stops as the most frequent cause among urgent ones. Change: placement_advice keeps what the service said of a step (good workers with tickets, refused ones), dispatcher_advice asks for up to 30 workers with the most room, one call at a time, again 0.3 s after a call that failed. The adapter speaks the call.

--- a/packages/entry/include/jasminetrack/entry/dispatch_loop.hpp
+++ b/packages/entry/include/jasminetrack/entry/dispatch_loop.hpp
@@ -79,6 +79,7 @@
     void perform(tasks::start_order const& o);
     void perform(tasks::stop_order const& o);
     void perform(tasks::store_order const& o);
+    void perform(tasks::advice_order const& o);
     void append(std::vector<tasks::log_record> records);
     void append_again();
     void appended(std::int64_t term, append_answer const& a);
--- a/packages/entry/include/jasminetrack/entry/ports.hpp
+++ b/packages/entry/include/jasminetrack/entry/ports.hpp
@@ -129,6 +129,8 @@
                        std::function<void(tasks::start_reply)> done) = 0;
     virtual void stop(tasks::stop_order const& order,
                       std::function<void(tasks::call_result)> done) = 0;
+    virtual void advise(tasks::advice_order const& order,
+                        std::function<void(tasks::advice_reply)> done) = 0;
 };
 
 /// Decodes what others write into the log. Nothing for an entry that cannot
--- a/packages/entry/src/dispatch_loop.cpp
+++ b/packages/entry/src/dispatch_loop.cpp
@@ -407,4 +407,20 @@
         append({});
 }
 
+void dispatch_loop::perform(tasks::advice_order const& o)
+{
+    auto const term = term_;
+    ports_.workers.advise(o,
+                          [this, term](tasks::advice_reply const& r)
+                          {
+                              post(
+                                  [this, term, r]
+                                  {
+                                      if (dispatcher_ && term == term_)
+                                          dispatcher_->on_advice(monotonic_ms(),
+                                                                 r);
+                                  });
+                          });
+}
+
 } // namespace jasminetrack::entry
--- a/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -5,6 +5,7 @@
 
 #include <jasminetrack/tasks/headroom.hpp>
 #include <jasminetrack/tasks/placement.hpp>
+#include <jasminetrack/tasks/placement_advice.hpp>
 #include <jasminetrack/tasks/queue_order.hpp>
 #include <jasminetrack/tasks/worker_view.hpp>
 
@@ -83,6 +84,7 @@
     void on_hold(milliseconds now, hold_reply const& reply);
     void on_start(milliseconds now, start_reply const& reply);
     void on_stop(milliseconds now, stop_reply const& reply);
+    void on_advice(milliseconds now, advice_reply const& reply);
     /// The batch, and all before it, are in the log.
     void on_stored(milliseconds now, std::int64_t batch);
     /// \param wall time of day
@@ -215,7 +217,8 @@
                         std::size_t index, milliseconds clock_ms);
     void start_failed(milliseconds now, unit_ref const& ref, std::size_t index,
                       call_result result);
-    [[nodiscard]] bool can_start(milliseconds now, active_run const& a) const;
+    [[nodiscard]] bool can_start(milliseconds now, unit_ref const& ref,
+                                 active_run const& a) const;
     void member_off(milliseconds now, unit_ref const& ref, std::size_t index);
     /// Stops what is left of a run; `ended` is already off its worker.
     void end_run(milliseconds now, unit_ref const& ref, std::string const& why,
@@ -296,6 +299,15 @@
     [[nodiscard]] bool leaves_headroom(milliseconds now,
                                        std::string const& service,
                                        unit_need const& need);
+    // dispatcher_advice.cpp
+    /// Adds to what the unit avoids the workers that hold no ticket for it.
+    void avoid_unadvised(milliseconds now, unit_ref const& ref,
+                         std::string const& service, unit_need& need) const;
+    void ask_for_advice(milliseconds now, unit_ref const& ref, queue const& q,
+                        unit_need const& need);
+    [[nodiscard]] std::string const* ticket_of(milliseconds now,
+                                               unit_ref const& ref,
+                                               std::string const& worker) const;
     void emit_batch();
 
     std::int64_t token_;
@@ -313,6 +325,7 @@
     std::map<std::string, worker_view> workers_;
     std::map<unit_ref, active_run> active_;
     std::map<unit_ref, reservation> reservations_;
+    placement_advice advice_;
     std::map<std::string, urgent_headroom> headroom_; ///< by service
     std::map<std::string, room_count> counts_; ///< of this pass, by service
     /// Of this pass, by service and priority.
--- a/packages/tasks/include/jasminetrack/tasks/model.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/model.hpp
@@ -130,6 +130,8 @@
     milliseconds latency_ms = 0;
     bool open = false;    ///< needs no key
     bool advised = false; ///< its policy names the workers that may run it
+    milliseconds advice_ms = 0;      ///< a call for advice takes this,
+    milliseconds advice_each_ms = 0; ///< and this for each worker named
 
     friend bool operator==(queue const&, queue const&) = default;
 };
--- a/packages/tasks/include/jasminetrack/tasks/orders.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/orders.hpp
@@ -4,6 +4,7 @@
 
 #include <jasminetrack/tasks/model.hpp>
 
+#include <map>
 #include <variant>
 
 namespace jasminetrack::tasks
@@ -63,6 +64,26 @@
     friend bool operator==(stop_order const&, stop_order const&) = default;
 };
 
+/// Names a step of one occurrence of a job.
+struct step_ref
+{
+    std::string job;
+    std::int64_t occurrence = 0;
+    std::int64_t step = 0;
+
+    friend auto operator<=>(step_ref const&, step_ref const&) = default;
+};
+
+/// Asks which of some workers may run a step.
+struct advice_order
+{
+    step_ref step;
+    std::vector<std::string> workers;
+    milliseconds takes_ms = 0; ///< what the service needs for its answer
+
+    friend bool operator==(advice_order const&, advice_order const&) = default;
+};
+
 /// A record of a keyed topic; an empty value drops the key.
 struct log_record
 {
@@ -81,7 +102,8 @@
     friend bool operator==(store_order const&, store_order const&) = default;
 };
 
-using action = std::variant<hold_order, start_order, stop_order, store_order>;
+using action = std::variant<hold_order, start_order, stop_order, store_order,
+                            advice_order>;
 using actions = std::vector<action>;
 
 /// What came of a call to a worker.
@@ -137,6 +159,14 @@
     call_result result = call_result::no_answer;
 };
 
+struct advice_reply
+{
+    step_ref step;
+    call_result result = call_result::no_answer;
+    std::map<std::string, std::string> good; ///< tickets by worker
+    milliseconds valid_ms = 0;               ///< of the tickets
+};
+
 struct start_reply
 {
     std::string worker;
--- a/packages/tasks/include/jasminetrack/tasks/placement.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/placement.hpp
@@ -57,7 +57,7 @@
     std::string rack;                 ///< preferred; empty: any
     std::string label;                ///< required; empty: any
     std::int64_t most_per_worker = 0; ///< 0: no bound
-    std::set<std::string> avoid;      ///< workers on which it failed
+    std::set<std::string> avoid;      ///< workers that must not run it
     proof_wanted proof = proof_wanted::none;
     milliseconds waited_ms = 0;
     milliseconds estimate_ms = 1; ///< of one task, on a sound worker
--- a/packages/tasks/src/dispatcher.cpp
+++ b/packages/tasks/src/dispatcher.cpp
@@ -196,6 +196,7 @@
             ++at;
             continue;
         }
+        advice_.forget(at->first);
         jobs_.erase(at->first);
         at = final_batch_.erase(at);
     }
--- /dev/null
+++ b/packages/tasks/src/dispatcher_advice.cpp
@@ -0,0 +1,87 @@
+#include <jasminetrack/tasks/dispatcher.hpp>
+
+#include <algorithm>
+
+namespace jasminetrack::tasks
+{
+namespace
+{
+
+/// Workers named in one call; the service takes time for each.
+constexpr std::size_t workers_a_call = 30;
+
+step_ref step_of_unit(unit_ref const& ref)
+{
+    return {ref.job, ref.unit.occurrence, ref.unit.step};
+}
+
+} // namespace
+
+std::string const* dispatcher::ticket_of(milliseconds now, unit_ref const& ref,
+                                         std::string const& worker) const
+{
+    auto const at = workers_.find(worker);
+    return at == workers_.end() ? nullptr
+                                : advice_.ticket(now, step_of_unit(ref), worker,
+                                                 at->second.info.born_ms);
+}
+
+void dispatcher::avoid_unadvised(milliseconds now, unit_ref const& ref,
+                                 std::string const& service,
+                                 unit_need& need) const
+{
+    for (auto const& [id, w] : workers_)
+        if (w.info.service == service && !ticket_of(now, ref, id))
+            need.avoid.insert(id);
+}
+
+/// Asks for the workers with the most room first.
+void dispatcher::ask_for_advice(milliseconds now, unit_ref const& ref,
+                                queue const& q, unit_need const& need)
+{
+    if (!advice_.may_ask(now))
+        return;
+    auto const step = step_of_unit(ref);
+    auto const& failed = jobs_.at(ref.job).failed_on;
+    auto const failed_at = failed.find(ref);
+    std::vector<worker_view const*> candidates;
+    for (auto const& [id, w] : workers_)
+        if (w.info.service == q.service && may_start_on(now, w) &&
+            !ticket_of(now, ref, id) && !advice_.is_refused(step, id) &&
+            (failed_at == failed.end() || failed_at->second.count(id) == 0) &&
+            fits(need.each, w.info.capacity))
+            candidates.push_back(&w);
+    if (candidates.empty())
+        return;
+    std::stable_sort(
+        candidates.begin(), candidates.end(),
+        [](worker_view const* a, worker_view const* b)
+        { return a->free_room().accelerators > b->free_room().accelerators; });
+    candidates.resize(std::min(candidates.size(), workers_a_call));
+    advice_order order;
+    order.step = step;
+    std::map<std::string, std::int64_t> lives;
+    for (auto const* w : candidates)
+    {
+        order.workers.push_back(w->info.id);
+        lives[w->info.id] = w->info.born_ms;
+    }
+    order.takes_ms = q.advice_ms + q.advice_each_ms * std::ssize(order.workers);
+    advice_.on_asked(order, std::move(lives));
+    say("advice.ask", ref.job,
+        "step=" + std::to_string(step.step) +
+            " workers=" + std::to_string(order.workers.size()));
+    out_.push_back(std::move(order));
+}
+
+void dispatcher::on_advice(milliseconds now, advice_reply const& r)
+{
+    advice_.on_reply(now, r);
+    changed_ = true;
+    say("advice.answer", r.step.job,
+        "step=" + std::to_string(r.step.step) + " result=" + to_text(r.result) +
+            " good=" + std::to_string(r.good.size()) +
+            " valid_ms=" + std::to_string(r.valid_ms));
+}
+
+} // namespace jasminetrack::tasks
--- a/packages/tasks/src/dispatcher_schedule.cpp
+++ b/packages/tasks/src/dispatcher_schedule.cpp
@@ -61,12 +61,16 @@
     auto const* q = queue_of(e);
     if (!q)
         return false;
-    auto const need = need_of(now, e, ref);
+    auto need = need_of(now, e, ref);
     if (e.priority != 0 && !leaves_headroom(now, q->service, need))
         return false;
+    if (q->advised)
+        avoid_unadvised(now, ref, q->service, need);
     auto& rooms = rooms_of(now, q->service, e.priority);
     count_same_step(rooms, ref, need);
     auto const choice = choose(rooms, need, terms_of(e, ref));
+    if (!choice && q->advised)
+        ask_for_advice(now, ref, *q, need);
     if (!choice)
         return false;
     if (choice->fits_now)
--- a/packages/tasks/src/dispatcher_starts.cpp
+++ b/packages/tasks/src/dispatcher_starts.cpp
@@ -61,15 +61,19 @@
     return racks.size();
 }
 
-bool dispatcher::can_start(milliseconds now, active_run const& a) const
+bool dispatcher::can_start(milliseconds now, unit_ref const& ref,
+                           active_run const& a) const
 {
+    auto const* q = queue_of(jobs_.at(ref.job));
+    bool const advised = q && q->advised;
     return std::all_of(a.members.begin(), a.members.end(),
                        [&](member const& m)
                        {
                            auto const at = workers_.find(m.worker);
                            return at != workers_.end() && at->second.listed &&
                                   !at->second.info.draining &&
-                                  at->second.answers_lately(now);
+                                  at->second.answers_lately(now) &&
+                                  (!advised || ticket_of(now, ref, m.worker));
                        });
 }
 
@@ -78,7 +82,7 @@
     auto const at = active_.find(ref);
     if (at == active_.end() || at->second.over || at->second.first_sent != 0)
         return;
-    if (!can_start(now, at->second))
+    if (!can_start(now, ref, at->second))
     {
         end_run(now, ref, "a worker became unfit before the start");
         return;
@@ -111,6 +115,8 @@
     order.run = run_of(ref, a.run, index, step_of(e, ref).gang);
     order.payload = e.job.spec.payload;
     order.until_ms = m.until_ms;
+    if (auto const* ticket = ticket_of(now, ref, m.worker))
+        order.ticket = *ticket;
     order.checkpoint = e.progress.units.at(ref.unit).checkpoint;
     out_.push_back(std::move(order));
 }
--- a/packages/tasks/src/headroom.cpp
+++ b/packages/tasks/src/headroom.cpp
@@ -9,6 +9,9 @@
 
 /// Urgent demand of this time back is expected to come again.
 constexpr milliseconds window_ms = 3'000;
+/// A burst goes beyond the last peak by about this, in percent of it.
+constexpr std::int64_t growth_percent = 125;
+constexpr std::int64_t hundred = 100;
 
 } // namespace
 
@@ -16,7 +19,8 @@
 {
     for (auto const& s : samples_)
         if (now - s.at <= window_ms)
-            return std::max<std::int64_t>(0, s.in_use - in_use_);
+            return std::max<std::int64_t>(
+                0, s.in_use * growth_percent / hundred - in_use_);
     return 0;
 }
 
--- a/tests/support/dispatch_world.cpp
+++ b/tests/support/dispatch_world.cpp
@@ -11,6 +11,7 @@
 constexpr milliseconds stop_takes_ms = 300;
 constexpr milliseconds gang_wait_ms = 3'000;
 constexpr milliseconds checkpoint_ms = 2'000;
+constexpr milliseconds ticket_valid_ms = 3'000;
 constexpr milliseconds call_timeout_ms = 700;
 constexpr milliseconds lease_most_ms = 10'000;
 
@@ -191,6 +192,11 @@
             n->put_worker(now_, w.info);
 }
 
+void dispatch_world::forbid_worker(std::string const& id)
+{
+    forbidden_.insert(id);
+}
+
 void dispatch_world::remove_worker(std::string const& id)
 {
     auto& w = workers_.at(id);
@@ -360,6 +366,41 @@
         answer, [answer] { answer(call_result::no_answer); });
 }
 
+void dispatch_world::send(std::size_t node, advice_order const& o)
+{
+    later(std::max<milliseconds>(1, o.takes_ms),
+          [this, node, o]
+          {
+              advice_reply r;
+              r.step = o.step;
+              r.result = call_result::done;
+              r.valid_ms = ticket_valid_ms;
+              for (auto const& id : o.workers)
+                  if (forbidden_.count(id) == 0)
+                      r.good[id] = std::to_string(workers_.at(id).born) + "/" +
+                                   std::to_string(now_ + ticket_valid_ms);
+              if (chance(faults_.lost_answers))
+                  r = {o.step, call_result::no_answer, {}, 0};
+              if (nodes_[node])
+                  nodes_[node]->on_advice(now_, r);
+          });
+}
+
+/// A ticket is "LIFE/EXPIRY".
+bool dispatch_world::has_ticket(sim_worker const& w, start_order const& o) const
+{
+    auto const& job = jobs_.at(o.run.task.job).job;
+    bool const advised = std::any_of(
+        config_.queues.begin(), config_.queues.end(),
+        [&](queue const& q) { return q.name == job.queue && q.advised; });
+    if (!advised)
+        return true;
+    auto const slash = o.ticket.find('/');
+    return slash != std::string::npos &&
+           o.ticket.substr(0, slash) == std::to_string(w.born) &&
+           std::stoll(o.ticket.substr(slash + 1)) > now_;
+}
+
 void dispatch_world::send(std::size_t node, store_order const& o)
 {
     constexpr milliseconds append_ms = 8;
@@ -495,6 +536,8 @@
         return call_result::old_run;
     if (o.until_ms <= clock_of(w))
         return call_result::late;
+    if (!has_ticket(w, o))
+        return call_result::no_ticket;
     w.lease = std::max(w.lease, o.until_ms);
     if (meant)
         check_start(w, o);
--- a/tests/support/dispatch_world.hpp
+++ b/tests/support/dispatch_world.hpp
@@ -76,6 +76,8 @@
     void fail_worker(std::string const& id, bool fails);
     void drain_worker(std::string const& id);
     void remove_worker(std::string const& id);
+    /// The advice service names the others only, for queues that are advised.
+    void forbid_worker(std::string const& id);
     void log_down(bool down);
     void run_for(milliseconds ms);
 
@@ -133,6 +135,7 @@
     void send(std::size_t node, start_order const& o);
     void send(std::size_t node, stop_order const& o);
     void send(std::size_t node, store_order const& o);
+    void send(std::size_t node, advice_order const& o);
     hold_reply take_hold(sim_worker& w, hold_order const& o);
     /// \param meant whether the order was sent to this life of the worker
     call_result take_start(sim_worker& w, start_order const& o, bool meant);
@@ -141,6 +144,8 @@
     void work_gangs();
     void end_run(sim_worker& w, task_run const& run, run_end how);
     void check_start(sim_worker const& w, start_order const& o);
+    [[nodiscard]] bool has_ticket(sim_worker const& w,
+                                  start_order const& o) const;
     void note(sim_worker& w, std::int64_t upto);
     [[nodiscard]] milliseconds clock_of(sim_worker const& w) const;
     [[nodiscard]] step_spec const* step_of(task_run const& run) const;
@@ -167,6 +172,7 @@
     std::map<std::string, std::string> log_; ///< newest record of each key
     configuration config_;
     std::map<run_end, int> ended_;
+    std::set<std::string> forbidden_;
     std::set<task_run> strays_; ///< late starts at a later life
     std::vector<std::string> violations_;
 };
--- a/tests/support/memory_platform.cpp
+++ b/tests/support/memory_platform.cpp
@@ -220,6 +220,18 @@
     done(call_result::done);
 }
 
+void memory_workers::advise(tasks::advice_order const& order,
+                            std::function<void(tasks::advice_reply)> done)
+{
+    tasks::advice_reply reply;
+    reply.step = order.step;
+    reply.result = call_result::done;
+    reply.valid_ms = 1'000;
+    for (auto const& worker : order.workers)
+        reply.good[worker] = "ticket";
+    done(reply);
+}
+
 std::map<tasks::task_id, int> memory_workers::starts() const
 {
     std::lock_guard<std::mutex> const lock(mutex_);
--- a/tests/support/memory_platform.hpp
+++ b/tests/support/memory_platform.hpp
@@ -70,6 +70,8 @@
                std::function<void(tasks::start_reply)> done) override;
     void stop(tasks::stop_order const& order,
               std::function<void(tasks::call_result)> done) override;
+    void advise(tasks::advice_order const& order,
+                std::function<void(tasks::advice_reply)> done) override;
 
     /// \returns how often each task was started.
     [[nodiscard]] std::map<tasks::task_id, int> starts() const;
--- a/tests/unit/test_urgent_load.cpp
+++ b/tests/unit/test_urgent_load.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(a_worker_that_does_not_stop_is_not_waited_for);
     CPPUNIT_TEST(what_saves_its_progress_is_stopped_first);
     CPPUNIT_TEST(a_last_attempt_goes_where_runs_end_done);
+    CPPUNIT_TEST(a_burst_that_grows_finds_room);
     CPPUNIT_TEST(slow_workers_are_left_to_what_has_time);
     CPPUNIT_TEST_SUITE_END();
 
@@ -105,6 +106,22 @@
         expect(failed == 0, std::to_string(failed) + " of 120 jobs lost");
     }
 
+    void a_burst_that_grows_finds_room()
+    {
+        dispatch_world w(24);
+        add_racks(w);
+        w.submit("batch", "batch", simple_job(200, 1), {3'000});
+        w.run_for(2'000);
+        w.submit("first", "urgent", simple_job(16, 1), {1'000});
+        w.run_for(2'500);
+        expect(w.phase("first") == job_phase::completed, "by stops");
+        auto const stops = w.ended(run_end::stopped);
+        w.submit("second", "urgent", simple_job(20, 1), {1'000});
+        w.run_for(2'000);
+        expect(w.phase("second") == job_phase::completed, "at once");
+        expect(w.ended(run_end::stopped) == stops, "and nothing was stopped");
+    }
+
     void slow_workers_are_left_to_what_has_time()
     {
         dispatch_world w(23);
