--- a/packages/cli/src/commands.cpp
+++ b/packages/cli/src/commands.cpp
@@ -1,6 +1,4 @@
 #include "commands.hpp"
-#include "job_causes.hpp"
-#include "job_story.hpp"
 #include "timeline_view.hpp"
 
 #include <jasminetrack/protocol/ticket_file.hpp>
@@ -363,54 +361,4 @@
     return exit_done;
 }
 
-namespace
-{
-
-/// \returns the lines of all files together, or nothing if one can't be read.
-std::optional<std::vector<log_line>>
-read_files(std::vector<std::string> const& files)
-{
-    if (files.empty())
-        return read_log(std::cin);
-    std::stringstream all;
-    for (auto const& name : files)
-    {
-        std::ifstream in(name);
-        if (!in)
-        {
-            std::cerr << name << ": can't be read; name a log file, or none "
-                      << "for standard input\n";
-            return std::nullopt;
-        }
-        all << in.rdbuf();
-        all.clear(); // an empty file is no error
-    }
-    return read_log(all);
-}
-
-} // namespace
-
-int why(std::string const& job, std::vector<std::string> const& files)
-{
-    auto const lines = read_files(files);
-    if (!lines)
-        return exit_usage;
-    auto const story = story_of(*lines, job);
-    for (auto const& sentence : story)
-        std::cout << sentence << '\n';
-    if (!story.empty())
-        return exit_done;
-    std::cerr << "no line names " << job << "; pass the logs of all VMs\n";
-    return exit_refused;
-}
-
-int losses(std::vector<std::string> const& files)
-{
-    auto const lines = read_files(files);
-    if (!lines)
-        return exit_usage;
-    std::cout << to_text(losses_of(*lines));
-    return exit_done;
-}
-
 } // namespace jasminetrack::cli
--- a/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -130,7 +130,6 @@
         std::int64_t batch = 0; ///< that records its places
         milliseconds placed_at = 0;
         milliseconds first_sent = 0;
-        milliseconds saved_at = 0; ///< when its checkpoint last changed
         std::size_t number = 0;
     };
 
--- a/packages/tasks/src/dispatcher_holds.cpp
+++ b/packages/tasks/src/dispatcher_holds.cpp
@@ -205,11 +205,8 @@
             m.moved_at = now;
         }
         auto* u = find_unit(o.unit);
-        if (u && !t.checkpoint.empty() && t.checkpoint != u->checkpoint)
-        {
+        if (u && !t.checkpoint.empty())
             u->checkpoint = t.checkpoint;
-            a.saved_at = now;
-        }
         if (o.ending && now - o.stop_sent > bounds_.stop_ms)
             send_stop(now, w, t.run);
     }
--- /dev/null
+++ b/packages/tasks/src/dispatcher_rooms.cpp
@@ -0,0 +1,143 @@
+#include <jasminetrack/tasks/dispatcher.hpp>
+
+#include <algorithm>
+
+namespace jasminetrack::tasks
+{
+namespace
+{
+
+/// A run that is stopped loses at least its start.
+constexpr milliseconds least_lost_ms = 500;
+/// Share of its worth that a job loses if it ends late.
+constexpr double late_loss = 0.7;
+/// An end of a run shows for this long that its worker is sound.
+constexpr milliseconds proof_age_ms = 10'000;
+constexpr int doubt_failing = 1;
+constexpr int doubt_crawling = 1;
+
+} // namespace
+
+void dispatcher::take_room(std::string const& service,
+                           std::vector<std::string> const& places,
+                           resources const& each)
+{
+    for (auto& [key, rooms] : rooms_)
+    {
+        if (key.first != service)
+            continue;
+        for (auto const& id : places)
+        {
+            auto const at = std::lower_bound(
+                rooms.begin(), rooms.end(), id,
+                [](worker_room const& r, std::string const& other)
+                { return r.id < other; });
+            if (at == rooms.end() || at->id != id)
+                continue;
+            at->free -= each;
+            at->reachable -= each;
+        }
+    }
+    counts_[service].free -=
+        each.accelerators * static_cast<std::int64_t>(places.size());
+}
+
+void dispatcher::count_same_step(std::vector<worker_room>& rooms,
+                                 unit_ref const& ref,
+                                 unit_need const& need) const
+{
+    if (need.most_per_worker == 0)
+        return;
+    for (auto& room : rooms)
+    {
+        room.same_step = 0;
+        for (auto const& [run, o] : workers_.at(room.id).occupants)
+            if (o.unit.job == ref.job && o.unit.unit.step == ref.unit.step &&
+                o.unit.unit.occurrence == ref.unit.occurrence)
+                ++room.same_step;
+    }
+}
+
+std::vector<worker_room>& dispatcher::rooms_of(milliseconds now,
+                                               std::string const& service,
+                                               std::int64_t priority)
+{
+    auto const key = std::pair(service, priority);
+    auto const at = rooms_.find(key);
+    if (at != rooms_.end())
+        return at->second;
+    auto& rooms = rooms_[key];
+    for (auto const& [id, w] : workers_)
+        if (w.info.service == service && may_start_on(now, w))
+            rooms.push_back(room_of(now, w, priority));
+    return rooms;
+}
+
+bool dispatcher::may_start_on(milliseconds now, worker_view const& w)
+{
+    return w.listed && !w.info.draining && !w.foreign &&
+           now >= w.blocked_until && w.silent_since < 0 &&
+           w.answers_lately(now);
+}
+
+worker_room dispatcher::room_of(milliseconds now, worker_view const& w,
+                                std::int64_t priority) const
+{
+    worker_room room;
+    room.id = w.info.id;
+    room.rack = w.info.rack;
+    room.labels = w.info.labels;
+    room.free = w.free_room();
+    room.capacity = w.info.capacity;
+    room.reachable = w.reachable_room(now - longest_stop());
+    if (now < w.avoid_until)
+        room.doubt = doubt_failing + w.failures;
+    auto const speed = w.pace.speed(now);
+    if (speed == worker_speed::crawling)
+        room.doubt += doubt_crawling;
+    room.proven = w.done_at >= 0 && now - w.done_at <= proof_age_ms;
+    room.slower = priority == 0 && speed == worker_speed::slower;
+    if (priority != 0)
+        return room;
+    for (auto const& [run, o] : w.occupants)
+    {
+        auto const at = active_.find(o.unit);
+        auto const job = jobs_.find(o.unit.job);
+        if (o.ending || at == active_.end() || at->second.over ||
+            job == jobs_.end() || job->second.priority <= priority)
+            continue;
+        auto const& step = step_of(job->second, o.unit);
+        if (!step.lasting)
+            room.stoppable.push_back(
+                {at->second.number, o.held,
+                 lost_work(now, at->second, step) +
+                     lost_by_delay(now, job->second, o.unit)});
+    }
+    return room;
+}
+
+double dispatcher::lost_work(milliseconds now, active_run const& a,
+                             step_spec const& s) const
+{
+    // A stop saves what a task has done, if it saves anything.
+    auto const ran =
+        a.first_sent == 0 || s.checkpoints ? 0 : now - a.first_sent;
+    return core_seconds(s.need, ran + least_lost_ms) *
+           static_cast<double>(a.members.size());
+}
+
+/// A job that a stop makes late loses most of what it is worth.
+double dispatcher::lost_by_delay(milliseconds now, job_entry const& e,
+                                 unit_ref const& ref) const
+{
+    auto const& step = step_of(e, ref);
+    auto const age = now - e.known_at;
+    auto const chain = e.chains[static_cast<std::size_t>(ref.unit.step)];
+    bool const late_already = age > e.objective_ms;
+    if (late_already || age + chain <= e.objective_ms)
+        return 0;
+    return late_loss * core_seconds(step.need, step.estimate_ms) *
+           static_cast<double>(step.gang ? step.count : 1);
+}
+
+} // namespace jasminetrack::tasks
--- a/packages/tasks/src/dispatcher_runs.cpp
+++ b/packages/tasks/src/dispatcher_runs.cpp
@@ -225,7 +225,7 @@
         a.run = u.run;
         a.over = u.phase == unit_phase::ending;
         a.counted = u.failed_run == u.run;
-        a.first_sent = a.saved_at = a.placed_at = now;
+        a.first_sent = a.placed_at = now;
         a.number = next_number_++;
         for (std::size_t i = 0; i < u.places.size(); ++i)
         {
--- a/packages/tasks/src/dispatcher_starts.cpp
+++ b/packages/tasks/src/dispatcher_starts.cpp
@@ -89,7 +89,6 @@
     }
     auto* e = find_job(ref.job);
     at->second.first_sent = now;
-    at->second.saved_at = now;
     for (std::size_t i = 0; i < at->second.members.size(); ++i)
         send_start(now, *e, ref, i);
 }
--- /dev/null
+++ b/tests/support/dispatch_world_workers.cpp
@@ -0,0 +1,270 @@
+/// \file
+/// What the workers of the small world do, and what they check.
+
+#include "dispatch_world.hpp"
+
+#include <algorithm>
+
+namespace support
+{
+namespace
+{
+
+constexpr milliseconds step_ms = 10;
+constexpr milliseconds stop_takes_ms = 300;
+constexpr milliseconds gang_wait_ms = 3'000;
+constexpr milliseconds checkpoint_ms = 2'000;
+constexpr milliseconds lease_most_ms = 10'000;
+
+} // namespace
+
+/// A ticket is "LIFE/EXPIRY".
+bool dispatch_world::has_ticket(sim_worker const& w, start_order const& o) const
+{
+    auto const& job = jobs_.at(o.run.task.job).job;
+    bool const advised = std::any_of(
+        config_.queues.begin(), config_.queues.end(),
+        [&](queue const& q) { return q.name == job.queue && q.advised; });
+    if (!advised)
+        return true;
+    auto const slash = o.ticket.find('/');
+    return slash != std::string::npos &&
+           o.ticket.substr(0, slash) == std::to_string(w.born) &&
+           std::stoll(o.ticket.substr(slash + 1)) > now_;
+}
+
+hold_reply dispatch_world::take_hold(sim_worker& w, hold_order const& o)
+{
+    hold_reply r;
+    r.worker = w.info.id;
+    r.born_ms = w.born;
+    r.clock_ms = clock_of(w);
+    if (o.token < w.token)
+    {
+        r.result = call_result::fenced;
+        return r;
+    }
+    w.token = o.token;
+    r.result = call_result::done;
+    if (o.until_ms > 0)
+        w.lease = std::max(w.lease,
+                           std::min(o.until_ms, clock_of(w) + lease_most_ms));
+    note(w, o.last_seen);
+    for (auto const& [run, s] : w.runs)
+        r.running.push_back(
+            {run,
+             step_of(run)->checkpoints && s.checkpoint_base > 0
+                 ? std::to_string(s.checkpoint_base)
+                 : "",
+             static_cast<std::int64_t>(100 * s.done_ms /
+                                       static_cast<double>(s.total_ms))});
+    r.ended = w.ends;
+    return r;
+}
+
+void dispatch_world::note(sim_worker& w, std::int64_t upto)
+{
+    for (auto const& e : w.ends)
+    {
+        if (e.number > upto || e.number <= w.expired_ends)
+            continue;
+        auto& j = jobs_.at(e.run.task.job);
+        if (e.how == run_end::failed)
+            ++j.noted_failures[e.run.task];
+        if (e.how == run_end::done)
+            j.noted_done.insert(e.run.task);
+    }
+    std::erase_if(w.ends,
+                  [&](ended_task const& e) { return e.number <= upto; });
+}
+
+void dispatch_world::check_start(sim_worker const& w, start_order const& o)
+{
+    auto const name = o.run.task.job + "." + std::to_string(o.run.task.step) +
+                      "." + std::to_string(o.run.task.index) + " run " +
+                      std::to_string(o.run.run) + " on " + w.info.id;
+    auto const& step = *step_of(o.run);
+    auto const& j = jobs_.at(o.run.task.job);
+    for (auto const& [id, other] : workers_)
+        for (auto const& [run, s] : other.runs)
+            if (run.task == o.run.task && !step.copies &&
+                strays_.count(run) == 0)
+                violate("TWICE " + name + " while run " +
+                        std::to_string(run.run) + " is on " + id);
+    if (j.noted_done.count(o.run.task) != 0)
+        violate("TWICE " + name + " after its end was noted");
+    auto held = step.need;
+    for (auto const& [run, s] : w.runs)
+        held += s.held;
+    if (!fits(held, w.info.capacity))
+        violate("LIMIT " + name);
+    for (int const before : step.after)
+    {
+        auto const& earlier =
+            j.job.spec.steps[static_cast<std::size_t>(before)];
+        auto const units = earlier.gang ? 1 : earlier.count;
+        for (std::int64_t i = 0; i < units; ++i)
+            if (j.done_units.count({o.run.task.occurrence, before, i}) == 0)
+                violate("ORDER " + name);
+    }
+    auto const* q = find_queue(config_, j.job.queue);
+    auto const failures = j.noted_failures.find(o.run.task);
+    if (q && failures != j.noted_failures.end() &&
+        failures->second >= q->max_attempts)
+        violate("BUDGET " + name);
+    if (j.cancelled && now_ - j.submitted > 60'000)
+        violate("UNASKED " + name);
+}
+
+call_result dispatch_world::take_start(sim_worker& w, start_order const& o,
+                                       bool meant)
+{
+    if (o.token < w.token)
+        return call_result::fenced;
+    w.token = o.token;
+    if (w.runs.count(o.run) != 0)
+        return call_result::done;
+    auto const highest = w.highest.find(o.run.task);
+    if (highest != w.highest.end() && o.run.run <= highest->second)
+        return call_result::old_run;
+    if (o.until_ms <= clock_of(w))
+        return call_result::late;
+    if (!has_ticket(w, o))
+        return call_result::no_ticket;
+    w.lease = std::max(w.lease, o.until_ms);
+    if (meant)
+        check_start(w, o);
+    else
+        strays_.insert(o.run);
+    auto& j = jobs_.at(o.run.task.job);
+    auto const& step = *step_of(o.run);
+    sim_run s;
+    s.run = o.run;
+    s.held = step.need;
+    s.arrived = now_;
+    s.begun = step.gang ? -1 : now_;
+    s.total_ms = j.work.duration_ms;
+    s.checkpoint_base = o.checkpoint.empty() ? 0 : std::stoll(o.checkpoint);
+    s.done_ms = static_cast<double>(s.checkpoint_base);
+    s.will_fail = j.work.always_fails || chance(faults_.failing);
+    w.runs[o.run] = s;
+    ++j.starts;
+    j.begun.insert(o.run.task);
+    if (j.begun_at < 0 && std::count_if(j.begun.begin(), j.begun.end(),
+                                        [](task_id const& t) {
+                                            return t.step == 0;
+                                        }) == j.job.spec.steps[0].count)
+        j.begun_at = now_;
+    return call_result::done;
+}
+
+call_result dispatch_world::take_stop(sim_worker& w, stop_order const& o)
+{
+    if (o.token < w.token)
+        return call_result::fenced;
+    w.token = o.token;
+    auto& highest = w.highest[o.run.task];
+    highest = std::max(highest, o.run.run);
+    auto const at = w.runs.find(o.run);
+    if (at != w.runs.end() && at->second.stop_at < 0)
+        at->second.stop_at = now_ + stop_takes_ms;
+    return call_result::done;
+}
+
+void dispatch_world::end_run(sim_worker& w, task_run const& run, run_end how)
+{
+    auto const s = w.runs.at(run);
+    w.runs.erase(run);
+    auto& highest = w.highest[run.task];
+    highest = std::max(highest, run.run);
+    ++ended_[how];
+    auto const checkpoint =
+        step_of(run)->checkpoints && s.done_ms > 0
+            ? std::to_string(static_cast<std::int64_t>(s.done_ms))
+            : "";
+    w.ends.push_back({w.next_end++, run, how, checkpoint});
+    if (how == run_end::done)
+        jobs_.at(run.task.job)
+            .done_units.insert({run.task.occurrence, run.task.step,
+                                step_of(run)->gang ? 0 : run.task.index});
+}
+
+void dispatch_world::work(sim_worker& w)
+{
+    std::vector<std::pair<task_run, run_end>> over;
+    bool const lapsed = clock_of(w) > w.lease;
+    if (lapsed)
+        w.expired_ends = w.next_end - 1;
+    for (auto& [run, s] : w.runs)
+    {
+        if (lapsed)
+            over.emplace_back(run, run_end::lapsed);
+        else if (s.stop_at >= 0 && now_ >= s.stop_at)
+            over.emplace_back(run, run_end::stopped);
+        else if (s.begun < 0)
+        {
+            if (now_ - s.arrived > gang_wait_ms)
+                over.emplace_back(run, run_end::alone);
+        }
+        else if (!w.hangs)
+        {
+            s.done_ms += static_cast<double>(step_ms) / w.slow;
+            auto const saved = static_cast<std::int64_t>(s.done_ms) /
+                               checkpoint_ms * checkpoint_ms;
+            s.checkpoint_base = std::max(s.checkpoint_base, saved);
+            bool const fails = s.will_fail || w.fails;
+            if (fails && s.done_ms * 2 >= static_cast<double>(s.total_ms))
+                over.emplace_back(run, run_end::failed);
+            else if (!step_of(run)->gang &&
+                     s.done_ms >= static_cast<double>(s.total_ms))
+                over.emplace_back(run, run_end::done);
+        }
+    }
+    for (auto const& [run, how] : over)
+        end_run(w, run, how);
+}
+
+void dispatch_world::work_gangs()
+{
+    std::map<std::pair<task_run, std::int64_t>, std::vector<sim_worker*>> all;
+    for (auto& [id, w] : workers_)
+        for (auto const& [run, s] : w.runs)
+            if (step_of(run)->gang)
+            {
+                auto key = run;
+                key.task.index = 0;
+                all[{key, run.run}].push_back(&w);
+            }
+    for (auto const& [key, members] : all)
+    {
+        auto const& step = *step_of(key.first);
+        bool const whole = std::ssize(members) == step.count;
+        bool ready = whole;
+        std::vector<std::pair<sim_worker*, task_run>> runs;
+        for (auto* w : members)
+            for (auto& [run, s] : w->runs)
+            {
+                auto same = run;
+                same.task.index = 0;
+                if (same != key.first)
+                    continue;
+                if (std::find(runs.begin(), runs.end(), std::pair(w, run)) !=
+                    runs.end())
+                    continue;
+                runs.emplace_back(w, run);
+                if (whole && s.begun < 0)
+                    s.begun = now_;
+                ready = ready && s.done_ms >= static_cast<double>(s.total_ms);
+            }
+        for (auto const& [w, run] : runs)
+        {
+            auto const& s = w->runs.at(run);
+            if (ready)
+                end_run(*w, run, run_end::done);
+            else if (!whole && s.begun >= 0 && !w->cut)
+                end_run(*w, run, run_end::broken);
+        }
+    }
+}
+
+} // namespace support
