--- a/packages/entry/src/topic_follower.cpp
+++ b/packages/entry/src/topic_follower.cpp
@@ -7,6 +7,7 @@
 namespace
 {
 
+/// After a read that failed; no caller can end this rest.
 constexpr milliseconds failed_rest_ms = 200;
 
 } // namespace
--- a/packages/tasks/src/dispatcher_rooms.cpp
+++ b/packages/tasks/src/dispatcher_rooms.cpp
@@ -13,6 +13,7 @@
 constexpr double late_loss = 0.7;
 /// An end of a run shows for this long that its worker is sound.
 constexpr milliseconds proof_age_ms = 10'000;
+/// What a reason adds to the doubt in a worker; doubtful ones come last.
 constexpr int doubt_failing = 1;
 constexpr int doubt_crawling = 1;
 
--- a/packages/tasks/src/leadership.cpp
+++ b/packages/tasks/src/leadership.cpp
@@ -20,6 +20,8 @@
 constexpr milliseconds rank_step_ms = 15;
 /// With so much of a processor a VM claims at once while it knows no other.
 constexpr double ample_share = 0.5;
+/// Longest that a VM with less holds its first claim back: the largest ones
+/// have read the log by then.
 constexpr double alone_delay_ms = 480;
 
 } // namespace
--- a/packages/tasks/src/placement_advice.cpp
+++ b/packages/tasks/src/placement_advice.cpp
@@ -7,7 +7,7 @@
 
 /// A ticket must still be valid when the start that carries it arrives.
 constexpr milliseconds ticket_margin_ms = 300;
-/// After a call that failed or was turned away.
+/// Between a call that failed or was turned away and the next.
 constexpr milliseconds failed_rest_ms = 300;
 
 } // namespace
--- a/packages/tasks/src/worker_pace.cpp
+++ b/packages/tasks/src/worker_pace.cpp
@@ -17,6 +17,7 @@
 /// Tasks of one step differ; so many together tell the kind of machine.
 constexpr int tasks_least = 4;
 constexpr int tasks_most = 20;
+/// Within the slack that an urgent task has after its stops and its start.
 constexpr double slower_factor = 1.12;
 constexpr double crawling_factor = 2;
 /// One task can not tell more than this about its worker.
