A gang's member that has done its part does not hang

Members on fast workers had reached 100 percent and waited for the slow ones (speeds 0.8 to 1.25, wide gangs over many racks) for over 3.5 s. Change: members at 100 percent count as standing still only when all are. Test: test_urgent_load::a_fast_member_waits_for_the_slow_ones, seen failing first; one that stands still below 100 still ends its gang.

--- a/packages/tasks/src/dispatcher_watch.cpp
+++ b/packages/tasks/src/dispatcher_watch.cpp
@@ -30,8 +30,13 @@
             continue;
         auto const patience =
             std::max(hang_ms, step.estimate_ms * hang_points / hundred);
+        // Members of a gang end together: one that has done its part waits.
+        bool const all_did_theirs =
+            std::all_of(a.members.begin(), a.members.end(),
+                        [](member const& m) { return m.percent >= hundred; });
         for (auto const& m : a.members)
             if (m.phase == member_phase::running &&
+                (m.percent < hundred || all_did_theirs) &&
                 now - m.moved_at > patience &&
                 workers_.at(m.worker).answered_at > m.moved_at + hang_ms)
             {
--- a/tests/unit/test_urgent_load.cpp
+++ b/tests/unit/test_urgent_load.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(a_worker_that_does_not_stop_is_not_waited_for);
     CPPUNIT_TEST(what_saves_its_progress_is_stopped_first);
     CPPUNIT_TEST(a_last_attempt_goes_where_runs_end_done);
+    CPPUNIT_TEST(a_fast_member_waits_for_the_slow_ones);
     CPPUNIT_TEST(a_burst_that_grows_finds_room);
     CPPUNIT_TEST(slow_workers_are_left_to_what_has_time);
     CPPUNIT_TEST_SUITE_END();
@@ -106,6 +107,34 @@
         expect(failed == 0, std::to_string(failed) + " of 120 jobs lost");
     }
 
+    void a_fast_member_waits_for_the_slow_ones()
+    {
+        by_hand h;
+        h.list("w1", 1);
+        h.list("w2", 1);
+        h.run_for(500);
+        h.submit("gang", "batch", 2);
+        h.run_for(500);
+        expect(h.starts.size() == 2, "both run");
+        section("one that has done its part does not hang",
+                [&]
+                {
+                    h.percents["w1"] = 100;
+                    for (int i = 2; i < 60; ++i)
+                    {
+                        h.percents["w2"] = i;
+                        h.run_for(200);
+                    }
+                    expect(h.stops.empty(), "the gang goes on");
+                });
+        section("one that stands still before does",
+                [&]
+                {
+                    h.run_for(10'000);
+                    expect(!h.stops.empty(), "the gang is stopped");
+                });
+    }
+
     void a_burst_that_grows_finds_room()
     {
         dispatch_world w(24);
