A peer that was not reached has stored nothing

It depends on whether the peer's record was read before the outage, which is why it passes mostly; the relay could not tell an unreached peer on a kept connection. Ruled out: load as a cause by itself: the trace shows "Failed to connect" and result=unknown 1.5 s later; the new test shows it without load. Change: a relayed append has a connection of its own and says refused if nothing was sent. Test: a_peer_that_was_not_reached_has_not_stored, seen failing first.

--- a/packages/entry/src/relay.cpp
+++ b/packages/entry/src/relay.cpp
@@ -56,8 +56,11 @@
 
 http_call make_call(std::string const& address, append_call const& call)
 {
-    return make_call(address, encode_call(call),
-                     call.timeout_ms + peer_slack_ms);
+    auto request =
+        make_call(address, encode_call(call), call.timeout_ms + peer_slack_ms);
+    // Only a connection of its own tells that nothing reached the peer.
+    request.fresh_connection = true;
+    return request;
 }
 
 std::optional<append_answer> answer_in(http_answer const& a)
@@ -223,9 +226,12 @@
                 peers_.put_last(address);
                 health_.peers_bad(monotonic_ms());
             }
-            // A peer that gave no word may have passed the call on.
+            // A peer that was reached and gave no word may have passed it on.
             if (!answer)
-                answer = append_answer{append_result::unknown, 0, a.reason};
+                answer = append_answer{a.result == delivery::not_sent
+                                           ? append_result::refused
+                                           : append_result::unknown,
+                                       0, a.reason};
             if (direct.result == append_result::unknown &&
                 answer->result == append_result::refused)
                 answer->result = append_result::unknown;
--- a/tests/unit/test_entry.cpp
+++ b/tests/unit/test_entry.cpp
@@ -8,6 +8,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <future>
 #include <thread>
 
 namespace
@@ -97,6 +98,7 @@
     CPPUNIT_TEST(one_of_several_nodes_dispatches);
     CPPUNIT_TEST(a_successor_takes_over_a_drained_node);
     CPPUNIT_TEST(jobs_survive_an_outage_of_the_log);
+    CPPUNIT_TEST(a_peer_that_was_not_reached_has_not_stored);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -182,6 +184,25 @@
         expect(site.completed("a"), "what was accepted completes");
         expect(!site.all[0]->requests().look("b"), "what was refused is not");
     }
+
+    void a_peer_that_was_not_reached_has_not_stored()
+    {
+        support::memory_log log;
+        log.set_down(true);
+        runtime::http_client client;
+        peer_directory peers("self");
+        peers.put("other", "127.0.0.1:1");
+        relayed_log relayed(log, client, peers);
+        append_call call;
+        call.topic = topic::jobs;
+        call.records.push_back({"key", "value"});
+        call.timeout_ms = most_wait_ms;
+        std::promise<append_answer> answer;
+        relayed.append(call,
+                       [&](append_answer const& a) { answer.set_value(a); });
+        expect(answer.get_future().get().result == append_result::refused,
+               "nothing reached the log on either way");
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(test_entry);
