A census of a service's room in the log and on the metrics address

On call, nobody could tell why work waits: the log named what was placed, not what was passed over nor what the accelerators were used for. service.room says it, at most once a second and only if it changed; the same figures are gauges. unit.place says what each task holds. No decision reads the census.

--- a/packages/entry/include/jasminetrack/entry/dispatch_loop.hpp
+++ b/packages/entry/include/jasminetrack/entry/dispatch_loop.hpp
@@ -3,6 +3,7 @@
 /// Claims the dispatcher's role when nobody holds it, and carries out what
 /// the dispatcher decides. One thread; all events go through its queue.
 
+#include <jasminetrack/entry/gauges.hpp>
 #include <jasminetrack/entry/job_table.hpp>
 #include <jasminetrack/entry/latencies.hpp>
 #include <jasminetrack/entry/node_record.hpp>
@@ -16,19 +17,6 @@
 namespace jasminetrack::entry
 {
 
-/// Figures for the metrics.
-struct dispatch_figures
-{
-    std::int64_t epoch = 0;
-    bool leading = false;
-    std::int64_t open_jobs = 0;
-    std::int64_t holds = 0;
-    std::int64_t starts = 0;
-    std::int64_t stops = 0;
-    std::int64_t batches = 0;
-    std::int64_t takeovers = 0;
-};
-
 /// Where a node stands in line for the dispatcher's role.
 enum class line_place : std::uint8_t
 {
--- /dev/null
+++ b/packages/entry/include/jasminetrack/entry/gauges.hpp
@@ -0,0 +1,31 @@
+#pragma once
+/// \file
+/// Current figures of a process, as gauges for the metrics address.
+
+#include <jasminetrack/tasks/room_census.hpp>
+
+#include <string>
+
+namespace jasminetrack::entry
+{
+
+/// What the dispatch loop counts.
+struct dispatch_figures
+{
+    std::int64_t leading = 0; ///< 1: this process dispatches
+    std::int64_t epoch = 0;
+    std::int64_t open_jobs = 0;
+    std::int64_t holds = 0;
+    std::int64_t starts = 0;
+    std::int64_t stops = 0;
+    std::int64_t batches = 0;
+    std::int64_t takeovers = 0;
+    std::map<std::string, tasks::room_census> rooms; ///< by service
+};
+
+/// \param log_age  since jobs were read from the log
+/// \returns the text form that Prometheus reads.
+[[nodiscard]] std::string gauges_text(dispatch_figures const& f,
+                                      tasks::milliseconds log_age);
+
+} // namespace jasminetrack::entry
--- a/packages/entry/src/dispatch_loop.cpp
+++ b/packages/entry/src/dispatch_loop.cpp
@@ -137,8 +137,11 @@
     {
         std::lock_guard<std::mutex> const lock(mutex_);
         tick_queued_ = false;
-        figures_.leading = dispatcher_ != nullptr;
+        figures_.leading = dispatcher_ ? 1 : 0;
         figures_.epoch = leadership_.newest().epoch;
+        figures_.rooms = dispatcher_
+                             ? dispatcher_->census()
+                             : std::map<std::string, tasks::room_census>();
         figures_.open_jobs =
             dispatcher_ ? static_cast<std::int64_t>(dispatcher_->open_jobs())
                         : 0;
@@ -242,7 +245,7 @@
 line_place dispatch_loop::place_in_line() const
 {
     std::lock_guard<std::mutex> const lock(mutex_);
-    if (figures_.leading)
+    if (figures_.leading != 0)
         return line_place::holder;
     return next_in_line_ ? line_place::next : line_place::other;
 }
--- a/packages/entry/src/entry_node.cpp
+++ b/packages/entry/src/entry_node.cpp
@@ -4,10 +4,6 @@
 
 #include <jasminetrack/runtime/logging.hpp>
 
-#include <prometheus/gauge.h>
-#include <prometheus/registry.h>
-#include <prometheus/text_serializer.h>
-
 namespace jasminetrack::entry
 {
 namespace
@@ -230,37 +226,7 @@
 
 std::string entry_node::metrics() const
 {
-    prometheus::Registry registry;
-    auto const gauge = [&](char const* name, char const* help, double value)
-    {
-        prometheus::BuildGauge()
-            .Name(name)
-            .Help(help)
-            .Register(registry)
-            .Add({})
-            .Set(value);
-    };
-    auto const f = dispatch_.figures();
-    gauge("jasminetrack_dispatcher", "1 if this process dispatches",
-          f.leading ? 1 : 0);
-    gauge("jasminetrack_epoch", "Epoch of the dispatcher's role",
-          static_cast<double>(f.epoch));
-    gauge("jasminetrack_open_jobs", "Jobs without an end, at the dispatcher",
-          static_cast<double>(f.open_jobs));
-    gauge("jasminetrack_holds_total", "Lease renewals sent",
-          static_cast<double>(f.holds));
-    gauge("jasminetrack_starts_total", "Starts sent",
-          static_cast<double>(f.starts));
-    gauge("jasminetrack_stops_total", "Stops sent",
-          static_cast<double>(f.stops));
-    gauge("jasminetrack_batches_total", "Appends of the dispatcher",
-          static_cast<double>(f.batches));
-    gauge("jasminetrack_takeovers_total", "Times the role was taken here",
-          static_cast<double>(f.takeovers));
-    gauge("jasminetrack_log_age_ms", "Time since jobs were read",
-          static_cast<double>(std::min<milliseconds>(
-              jobs_age_.age(monotonic_ms()), 1'000'000'000)));
-    return prometheus::TextSerializer().Serialize(registry.Collect()) +
+    return gauges_text(dispatch_.figures(), jobs_age_.age(monotonic_ms())) +
            latencies_.to_text();
 }
 
--- /dev/null
+++ b/packages/entry/src/gauges.cpp
@@ -0,0 +1,117 @@
+#include <jasminetrack/entry/gauges.hpp>
+
+#include <prometheus/gauge.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+#include <algorithm>
+#include <array>
+
+namespace jasminetrack::entry
+{
+namespace
+{
+
+using tasks::priority_census;
+using tasks::room_census;
+
+/// The log was never read.
+constexpr tasks::milliseconds age_most_ms = 1'000'000'000;
+
+template <typename Figures> struct gauge
+{
+    char const* name;
+    char const* help;
+    std::int64_t Figures::*value;
+};
+
+constexpr std::array process_gauges{
+    gauge<dispatch_figures>{"jasminetrack_dispatcher",
+                            "1 if this process dispatches",
+                            &dispatch_figures::leading},
+    gauge<dispatch_figures>{"jasminetrack_epoch",
+                            "Epoch of the dispatcher's role",
+                            &dispatch_figures::epoch},
+    gauge<dispatch_figures>{"jasminetrack_open_jobs",
+                            "Jobs without an end, at the dispatcher",
+                            &dispatch_figures::open_jobs},
+    gauge<dispatch_figures>{"jasminetrack_holds_total", "Lease renewals sent",
+                            &dispatch_figures::holds},
+    gauge<dispatch_figures>{"jasminetrack_starts_total", "Starts sent",
+                            &dispatch_figures::starts},
+    gauge<dispatch_figures>{"jasminetrack_stops_total", "Stops sent",
+                            &dispatch_figures::stops},
+    gauge<dispatch_figures>{"jasminetrack_batches_total",
+                            "Appends of the dispatcher",
+                            &dispatch_figures::batches},
+    gauge<dispatch_figures>{"jasminetrack_takeovers_total",
+                            "Times the role was taken here",
+                            &dispatch_figures::takeovers}};
+
+struct room_gauge
+{
+    char const* state;
+    std::int64_t room_census::*value;
+};
+
+constexpr std::array room_gauges{room_gauge{"capacity", &room_census::capacity},
+                                 room_gauge{"free", &room_census::free},
+                                 room_gauge{"unfit", &room_census::unfit},
+                                 room_gauge{"reserved", &room_census::reserved},
+                                 room_gauge{"headroom", &room_census::headroom},
+                                 room_gauge{"spread", &room_census::spread}};
+
+constexpr std::array priority_gauges{
+    gauge<priority_census>{"jasminetrack_held_accelerators",
+                           "Accelerators in use, by priority",
+                           &priority_census::held},
+    gauge<priority_census>{"jasminetrack_waiting_steps",
+                           "Steps that could start if there were room",
+                           &priority_census::waiting},
+    gauge<priority_census>{"jasminetrack_kept_out_steps",
+                           "Of these, kept out by the room for urgent work",
+                           &priority_census::kept_out},
+    gauge<priority_census>{"jasminetrack_no_room_steps",
+                           "Of these, without workers to take them",
+                           &priority_census::no_room}};
+
+void add(prometheus::Registry& registry, char const* name, char const* help,
+         prometheus::Labels const& labels, std::int64_t value)
+{
+    prometheus::BuildGauge()
+        .Name(name)
+        .Help(help)
+        .Register(registry)
+        .Add(labels)
+        .Set(static_cast<double>(value));
+}
+
+void add_room(prometheus::Registry& registry, std::string const& service,
+              room_census const& room)
+{
+    for (auto const& g : room_gauges)
+        add(registry, "jasminetrack_accelerators",
+            "Accelerators of a service, by state",
+            {{"service", service}, {"state", g.state}}, room.*(g.value));
+    for (auto const& [priority, p] : room.priorities)
+        for (auto const& g : priority_gauges)
+            add(registry, g.name, g.help,
+                {{"service", service}, {"priority", std::to_string(priority)}},
+                p.*(g.value));
+}
+
+} // namespace
+
+std::string gauges_text(dispatch_figures const& f, tasks::milliseconds log_age)
+{
+    prometheus::Registry registry;
+    for (auto const& g : process_gauges)
+        add(registry, g.name, g.help, {}, f.*(g.value));
+    for (auto const& [service, room] : f.rooms)
+        add_room(registry, service, room);
+    add(registry, "jasminetrack_log_age_ms", "Time since jobs were read", {},
+        std::min(log_age, age_most_ms));
+    return prometheus::TextSerializer().Serialize(registry.Collect());
+}
+
+} // namespace jasminetrack::entry
--- a/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -7,6 +7,7 @@
 #include <jasminetrack/tasks/placement.hpp>
 #include <jasminetrack/tasks/placement_advice.hpp>
 #include <jasminetrack/tasks/queue_order.hpp>
+#include <jasminetrack/tasks/room_census.hpp>
 #include <jasminetrack/tasks/worker_view.hpp>
 
 #include <deque>
@@ -73,6 +74,14 @@
         return reservations_.size();
     }
 
+    /// \returns the newest census of each service; at most a second old while
+    /// something changes.
+    [[nodiscard]] std::map<std::string, room_census> const&
+    census() const noexcept
+    {
+        return census_;
+    }
+
     void set_configuration(configuration const& c);
     /// Takes a job over; `progress` is as it stands in the log.
     void put_job(milliseconds now, accepted_job const& job,
@@ -298,6 +307,13 @@
     [[nodiscard]] bool leaves_headroom(milliseconds now,
                                        std::string const& service,
                                        unit_need const& need);
+    // dispatcher_census.cpp
+    void take_census(milliseconds now);
+    void count_worker(milliseconds now, worker_view const& w,
+                      room_census& c) const;
+    [[nodiscard]] std::optional<std::string>
+    spread_in(unit_ref const& ref, active_run const& a) const;
+    void count_step(job_entry const& e, std::int64_t priority_census::*as);
     // dispatcher_advice.cpp
     /// Adds to what the unit avoids the workers that hold no ticket for it.
     void avoid_unadvised(milliseconds now, unit_ref const& ref,
@@ -330,6 +346,9 @@
     /// Of this pass, by service and priority.
     std::map<std::pair<std::string, std::int64_t>, std::vector<worker_room>>
         rooms_;
+    milliseconds census_at_ = 0;
+    std::map<std::string, room_census> census_;      ///< newest, by service
+    std::map<std::string, room_census> pass_census_; ///< of what waits
     std::deque<unit_ref> unsent_; ///< runs whose starts wait for the log
     std::set<std::string> dirty_;
     std::map<std::string, std::int64_t> final_batch_;
--- /dev/null
+++ b/packages/tasks/src/dispatcher_census.cpp
@@ -0,0 +1,78 @@
+#include <jasminetrack/tasks/dispatcher.hpp>
+
+#include <utility>
+
+namespace jasminetrack::tasks
+{
+namespace
+{
+
+/// Bounds the log's volume; a pass that starts nothing new says nothing new.
+constexpr milliseconds census_every_ms = 1'000;
+
+} // namespace
+
+/// Takes the census of this pass, if one is due; the pass has counted what
+/// waits.
+void dispatcher::take_census(milliseconds now)
+{
+    if (now - census_at_ < census_every_ms)
+        return;
+    census_at_ = now;
+    auto census = std::exchange(pass_census_, {});
+    for (auto const& [id, w] : workers_)
+        count_worker(now, w, census[w.info.service]);
+    for (auto const& [ref, a] : active_)
+        if (auto const service = spread_in(ref, a))
+            census[*service].spread +=
+                std::ssize(a.members) *
+                step_of(jobs_.at(ref.job), ref).need.accelerators;
+    for (auto& [service, c] : census)
+    {
+        c.headroom = headroom_[service].wanted(now);
+        if (census_[service] != c)
+            say("service.room", "", "service=" + service + " " + to_text(c));
+    }
+    census_ = std::move(census);
+}
+
+void dispatcher::count_worker(milliseconds now, worker_view const& w,
+                              room_census& c) const
+{
+    if (w.listed)
+        c.capacity += w.info.capacity.accelerators;
+    auto const free = std::max<std::int64_t>(0, w.free_room().accelerators);
+    (may_start_on(now, w) ? c.free : c.unfit) += w.listed ? free : 0;
+    c.reserved += w.reserved.accelerators;
+    for (auto const& [run, o] : w.occupants)
+        if (auto const job = jobs_.find(o.unit.job); job != jobs_.end())
+            c.priorities[job->second.priority].held += o.held.accelerators;
+}
+
+/// \returns the service of a gang that wants one rack and is on several.
+std::optional<std::string> dispatcher::spread_in(unit_ref const& ref,
+                                                 active_run const& a) const
+{
+    if (a.over || !step_of(jobs_.at(ref.job), ref).same_rack)
+        return std::nullopt;
+    std::set<std::string> racks;
+    std::string service;
+    for (auto const& m : a.members)
+    {
+        auto const w = workers_.find(m.worker);
+        if (w == workers_.end())
+            continue;
+        racks.insert(w->second.info.rack);
+        service = w->second.info.service;
+    }
+    return racks.size() > 1 ? std::optional(service) : std::nullopt;
+}
+
+void dispatcher::count_step(job_entry const& e,
+                            std::int64_t priority_census::*as)
+{
+    if (auto const* q = queue_of(e))
+        ++(pass_census_[q->service].priorities[e.priority].*as);
+}
+
+} // namespace jasminetrack::tasks
--- a/packages/tasks/src/dispatcher_schedule.cpp
+++ b/packages/tasks/src/dispatcher_schedule.cpp
@@ -15,6 +15,11 @@
 /// that fail what they start show in less.
 constexpr milliseconds proof_wait_ms = 6'000;
 
+std::int64_t accelerators_of(unit_need const& need) noexcept
+{
+    return need.each.accelerators * need.count;
+}
+
 } // namespace
 
 void dispatcher::schedule(milliseconds now, milliseconds wall)
@@ -29,10 +34,15 @@
     counts_ = count_rooms();
     for (auto const& [service, count] : counts_)
         headroom_[service].note(now, count.urgent);
+    pass_census_.clear();
     for (auto const& w : waiting_steps(wall))
+    {
+        count_step(*w.entry, &priority_census::waiting);
         for (auto const index : w.indices)
             if (!start_unit(now, w, index) && !has_failed(w, index))
                 break; // the step's other units need the same
+    }
+    take_census(now);
 }
 
 bool dispatcher::has_failed(waiting_step const& w, std::int64_t index)
@@ -53,7 +63,12 @@
         return false;
     auto need = need_of(now, e, ref);
     if (e.priority != 0 && !leaves_headroom(now, q->service, need))
+    {
+        bool const is_room = counts_[q->service].free >= accelerators_of(need);
+        count_step(e, is_room ? &priority_census::kept_out
+                              : &priority_census::no_room);
         return false;
+    }
     if (q->advised)
         avoid_unadvised(now, ref, q->service, need);
     auto& rooms = rooms_of(now, q->service, e.priority);
@@ -62,7 +77,10 @@
     if (!choice && q->advised)
         ask_for_advice(now, ref, *q, need);
     if (!choice)
+    {
+        count_step(e, &priority_census::no_room);
         return false;
+    }
     if (choice->fits_now)
     {
         place(now, e, ref, choice->places);
@@ -143,8 +161,7 @@
 bool dispatcher::leaves_headroom(milliseconds now, std::string const& service,
                                  unit_need const& need)
 {
-    auto const left =
-        counts_[service].free - need.each.accelerators * need.count;
+    auto const left = counts_[service].free - accelerators_of(need);
     return left >= headroom_[service].wanted(now);
 }
 
--- a/packages/tasks/src/dispatcher_starts.cpp
+++ b/packages/tasks/src/dispatcher_starts.cpp
@@ -44,7 +44,8 @@
     say("unit.place", ref.job,
         "step=" + std::to_string(ref.unit.step) + " index=" +
             std::to_string(ref.unit.index) + " run=" + std::to_string(u.run) +
-            " tasks=" + std::to_string(places.size()) + " first=" + places[0] +
+            " tasks=" + std::to_string(places.size()) + " each=" +
+            std::to_string(step.need.accelerators) + " first=" + places[0] +
             " racks=" + std::to_string(count_racks(places)) +
             " wants_rack=" + (step.same_rack ? "1" : "0") +
             " estimate_ms=" + std::to_string(step.estimate_ms) +
--- /dev/null
+++ b/packages/tasks/src/room_census.cpp
@@ -0,0 +1,34 @@
+#include <jasminetrack/tasks/room_census.hpp>
+
+namespace jasminetrack::tasks
+{
+namespace
+{
+
+std::string by_priority(room_census const& c,
+                        std::int64_t priority_census::*which)
+{
+    std::string text;
+    for (auto const& [priority, p] : c.priorities)
+        text += (text.empty() ? "" : ",") + std::to_string(priority) + ":" +
+                std::to_string(p.*which);
+    return text;
+}
+
+} // namespace
+
+std::string to_text(room_census const& c)
+{
+    return "capacity=" + std::to_string(c.capacity) +
+           " free=" + std::to_string(c.free) +
+           " unfit=" + std::to_string(c.unfit) +
+           " reserved=" + std::to_string(c.reserved) +
+           " headroom=" + std::to_string(c.headroom) +
+           " spread=" + std::to_string(c.spread) +
+           " held=" + by_priority(c, &priority_census::held) +
+           " waiting=" + by_priority(c, &priority_census::waiting) +
+           " kept_out=" + by_priority(c, &priority_census::kept_out) +
+           " no_room=" + by_priority(c, &priority_census::no_room);
+}
+
+} // namespace jasminetrack::tasks
