--- a/tests/support/dispatch_world.hpp
+++ b/tests/support/dispatch_world.hpp
@@ -89,6 +89,7 @@
         milliseconds begun = 0; ///< -1: waits for its gang
         milliseconds arrived = 0;
         double done_ms = 0; ///< work done, checkpointed part included
+        double far = 1;     ///< times slower, as its gang is on several racks
         milliseconds total_ms = 0;
         milliseconds stop_at = -1;
         std::int64_t checkpoint_base = 0;
--- a/tests/support/dispatch_world_workers.cpp
+++ b/tests/support/dispatch_world_workers.cpp
@@ -15,6 +15,8 @@
 constexpr milliseconds gang_wait_ms = 3'000;
 constexpr milliseconds checkpoint_ms = 2'000;
 constexpr milliseconds lease_most_ms = 10'000;
+/// As dispatch_bounds has it.
+constexpr double far_factor = 3;
 
 } // namespace
 
@@ -208,7 +210,7 @@
         }
         else if (!w.hangs)
         {
-            s.done_ms += static_cast<double>(step_ms) / w.slow;
+            s.done_ms += static_cast<double>(step_ms) / w.slow / s.far;
             auto const saved = static_cast<std::int64_t>(s.done_ms) /
                                checkpoint_ms * checkpoint_ms;
             s.checkpoint_base = std::max(s.checkpoint_base, saved);
@@ -240,6 +242,10 @@
         auto const& step = *step_of(key.first);
         bool const whole = std::ssize(members) == step.count;
         bool ready = whole;
+        std::set<std::string> racks;
+        for (auto const* w : members)
+            racks.insert(w->info.rack);
+        bool const is_far = step.same_rack && racks.size() > 1;
         std::vector<std::pair<sim_worker*, task_run>> runs;
         for (auto* w : members)
             for (auto& [run, s] : w->runs)
@@ -254,6 +260,7 @@
                 runs.emplace_back(w, run);
                 if (whole && s.begun < 0)
                     s.begun = now_;
+                s.far = is_far ? far_factor : 1;
                 ready = ready && s.done_ms >= static_cast<double>(s.total_ms);
             }
         for (auto const& [w, run] : runs)
