A completed job does not run again for a repeated request

A repeat of the caller's request, taken in by another VM at 1.05 s, was read at 2.59 s, before the VM had read the job's end in the log: its view still had run 1 on workers. The dispatcher took the job over again, found run 1 absent (run.absent at 2.75 and 4.14 s), and started run 2 at 4.65 s.

Ruled out: a second dispatcher (all claims of epoch 2 answered 412), an end that was not stored (job.final and the later batches were).

Why it works: what the dispatcher decided is newer than any read of it; ends are read in the log's order, so no older record of that job follows.

Test: test_late_reads::a_completed_job_does_not_run_again_for_a_repeated_request, seen failing first ('each member once, 1 records behind').

--- a/packages/entry/include/jasminetrack/entry/dispatch_loop.hpp
+++ b/packages/entry/include/jasminetrack/entry/dispatch_loop.hpp
@@ -62,6 +62,7 @@
     void take_over();
     void step_down(std::string const& why);
     void offer_job(std::string const& id);
+    void note_progress(log_entry const& e);
     void drain_actions();
     void perform(tasks::hold_order const& o);
     void perform(tasks::start_order const& o);
--- a/packages/entry/src/dispatch_loop.cpp
+++ b/packages/entry/src/dispatch_loop.cpp
@@ -284,7 +284,10 @@
             for (auto const& e : entries)
             {
                 if (e.key != role_key)
+                {
+                    note_progress(e);
                     continue;
+                }
                 auto const role = tasks::decode_role(e.value);
                 if (!role)
                     continue;
@@ -296,6 +299,14 @@
         });
 }
 
+/// Ends are read in the log's order: none that is older comes after.
+void dispatch_loop::note_progress(log_entry const& e)
+{
+    auto const summary = tasks::decode_summary(e.value);
+    if (dispatcher_ && summary && tasks::is_final(summary->phase))
+        dispatcher_->on_end_read(e.key);
+}
+
 void dispatch_loop::on_work_failed()
 {
     post([this] { leadership_.on_read_failed(monotonic_ms()); });
--- a/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -69,6 +69,11 @@
     {
         return jobs_.size();
     }
+    /// \returns jobs whose ends the node has not read yet.
+    [[nodiscard]] std::size_t unread_ends() const noexcept
+    {
+        return unread_ends_.size();
+    }
     [[nodiscard]] std::size_t reservations() const noexcept
     {
         return reservations_.size();
@@ -83,10 +88,13 @@
     }
 
     void set_configuration(configuration const& c);
-    /// Takes a job over; `progress` is as it stands in the log.
+    /// Takes a job over; `progress` is as the node has read it in the log. A
+    /// job whose end was decided here is not taken again.
     void put_job(milliseconds now, accepted_job const& job,
                  job_progress progress);
     void cancel_job(milliseconds now, std::string const& id);
+    /// The node has read the job's end in the log: it offers the job no more.
+    void on_end_read(std::string const& id);
     void put_worker(milliseconds now, worker_info const& info);
     /// The list no longer has the worker.
     void unlist_worker(milliseconds now, std::string const& id);
@@ -352,6 +360,7 @@
     std::deque<unit_ref> unsent_; ///< runs whose starts wait for the log
     std::set<std::string> dirty_;
     std::map<std::string, std::int64_t> final_batch_;
+    std::set<std::string> unread_ends_; ///< of jobs that ended here
     std::size_t next_number_ = 1;
     actions out_;
 };
--- a/packages/tasks/src/dispatcher.cpp
+++ b/packages/tasks/src/dispatcher.cpp
@@ -136,6 +136,12 @@
 {
     if (jobs_.count(job.id) != 0 || is_final(progress.phase))
         return;
+    if (unread_ends_.count(job.id) != 0)
+    {
+        say("job.ended_before", job.id,
+            "why=\"what was read of its progress is older than its end\"");
+        return;
+    }
     job_entry e;
     e.job = job;
     e.progress = std::move(progress);
@@ -171,6 +177,11 @@
     finish_job(now, *e, job_phase::cancelled);
 }
 
+void dispatcher::on_end_read(std::string const& id)
+{
+    unread_ends_.erase(id);
+}
+
 void dispatcher::on_stored(milliseconds now, std::int64_t batch)
 {
     stored_batch_ = std::max(stored_batch_, batch);
--- a/tests/support/dispatch_world.cpp
+++ b/tests/support/dispatch_world.cpp
@@ -115,6 +115,14 @@
             n->cancel_job(now_, id);
 }
 
+void dispatch_world::repeat(std::string const& id, std::size_t records_behind)
+{
+    auto const& job = jobs_.at(id).job;
+    auto const& records = history_.at(id);
+    auto const at = records.size() - 1 - records_behind;
+    leader().put_job(now_, job, *decode_progress(records.at(at), job.spec));
+}
+
 void dispatch_world::take_over()
 {
     ++epoch_;
@@ -401,7 +409,10 @@
                   return;
               }
               for (auto const& r : o.records)
+              {
                   log_[r.key] = r.value;
+                  history_[r.key].push_back(r.value);
+              }
               nodes_[node]->on_stored(now_, o.batch);
           });
 }
--- a/tests/support/dispatch_world.hpp
+++ b/tests/support/dispatch_world.hpp
@@ -65,6 +65,9 @@
     void submit(std::string const& id, std::string const& queue, job_spec spec,
                 true_work work = {});
     void cancel(std::string const& id);
+    /// A repeat of the request reaches the dispatcher while what it has read
+    /// of the job's progress is `records_behind` records old.
+    void repeat(std::string const& id, std::size_t records_behind);
     /// A new dispatcher takes the role over; the old one goes on until it
     /// finds out.
     void take_over();
@@ -171,6 +174,7 @@
     std::int64_t epoch_ = 0;
     bool log_down_ = false;
     std::map<std::string, std::string> log_; ///< newest record of each key
+    std::map<std::string, std::vector<std::string>> history_; ///< of log_
     configuration config_;
     std::map<run_end, int> ended_;
     std::set<std::string> forbidden_;
--- /dev/null
+++ b/tests/unit/test_late_reads.cpp
@@ -0,0 +1,52 @@
+/// \file
+/// The dispatcher while its node's reads of the log are behind what it wrote.
+
+#include "dispatch_world.hpp"
+#include "small_jobs.hpp"
+#include "story.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace
+{
+
+using namespace support;
+
+class test_late_reads : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(test_late_reads);
+    CPPUNIT_TEST(a_completed_job_does_not_run_again_for_a_repeated_request);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void a_completed_job_does_not_run_again_for_a_repeated_request()
+    {
+        for (std::size_t behind = 1; behind <= 2; ++behind)
+        {
+            dispatch_world w(41);
+            add_racks(w);
+            w.submit("gang", "urgent", gang_job(4, 8));
+            w.run_for(3'000);
+            expect(w.phase("gang") == job_phase::completed, "completed");
+            w.submit("next", "urgent", simple_job(1, 1));
+            w.run_for(2'000);
+            w.repeat("gang", behind);
+            w.run_for(5'000);
+            auto const records = std::to_string(behind) + " records behind";
+            expect(w.starts("gang") == 4, "each member once, " + records);
+            expect(w.violations().empty(), "no violation, " + records);
+            section("and nothing is remembered once its end was read",
+                    [&]
+                    {
+                        expect(w.leader().unread_ends() == 2, "both jobs");
+                        w.leader().on_end_read("gang");
+                        w.leader().on_end_read("next");
+                        expect(w.leader().unread_ends() == 0, "none");
+                    });
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(test_late_reads);
+
+} // namespace
