An earlier state of the log does not undo a job's end

Change: a record before the newest known one of its job changes nothing.

Test: test_late_reads::an_earlier_state_of_the_log_does_not_undo_an_end, seen failing first ('completed').

--- a/packages/entry/include/jasminetrack/entry/job_table.hpp
+++ b/packages/entry/include/jasminetrack/entry/job_table.hpp
@@ -21,7 +21,8 @@
     std::shared_ptr<tasks::accepted_job const> job; ///< null: not seen yet
     bool cancelled = false;
     tasks::progress_summary summary;
-    std::string progress; ///< newest progress record; empty: none
+    std::string progress;              ///< newest progress record; empty: none
+    std::int64_t progress_offset = -1; ///< of that record; -1: none
 
     [[nodiscard]] tasks::job_phase phase() const noexcept;
 };
@@ -41,6 +42,8 @@
     /// The key's form tells a job from its cancellation.
     /// \returns the job's id if its state may have changed.
     std::optional<std::string> apply_job(log_entry const& e);
+    /// A record before the newest one that is known changes nothing: loading a
+    /// topic again may show an earlier state of it.
     std::optional<std::string> apply_progress(log_entry const& e);
 
 private:
--- a/packages/entry/src/job_table.cpp
+++ b/packages/entry/src/job_table.cpp
@@ -97,6 +97,9 @@
         return std::nullopt;
     std::lock_guard<std::mutex> const lock(mutex_);
     auto& view = jobs_[e.key];
+    if (e.offset < view.progress_offset)
+        return std::nullopt;
+    view.progress_offset = e.offset;
     view.summary = *summary;
     view.progress = e.value;
     return e.key;
--- a/tests/unit/test_late_reads.cpp
+++ b/tests/unit/test_late_reads.cpp
@@ -5,6 +5,8 @@
 #include "small_jobs.hpp"
 #include "story.hpp"
 
+#include <jasminetrack/entry/job_table.hpp>
+
 #include <cppunit/extensions/HelperMacros.h>
 
 namespace
@@ -16,6 +18,7 @@
 {
     CPPUNIT_TEST_SUITE(test_late_reads);
     CPPUNIT_TEST(a_completed_job_does_not_run_again_for_a_repeated_request);
+    CPPUNIT_TEST(an_earlier_state_of_the_log_does_not_undo_an_end);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -45,6 +48,20 @@
                     });
         }
     }
+
+    void an_earlier_state_of_the_log_does_not_undo_an_end()
+    {
+        jasminetrack::entry::job_table table;
+        auto const spec = simple_job(1, 1);
+        auto progress = fresh_progress(spec);
+        auto const queued = encode(progress);
+        progress.phase = job_phase::completed;
+        table.apply_job({0, "a", encode(accepted_job{"a", "q", "t", 0, spec})});
+        table.apply_progress({7, "a", encode(progress)});
+        table.apply_progress({5, "a", queued});
+        expect(table.find("a")->phase() == job_phase::completed, "completed");
+        expect(table.unfinished().empty(), "and no dispatcher takes it over");
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(test_late_reads);
