A gang waits for its rack as long as spreading would cost it

Cause: a gang that wants one rack and finds none was spread over several, at once if it was guaranteed, after half its estimate otherwise, or even sooner by stopping other work on several racks. Spread, it takes far_factor (3) times as long and leaves fewer racks to the next gang, which is spread in turn. Class: a retry under load that costs more than waiting keeps the load up (metastable overload).

Ruled out: slow workers (pace lines before second 52 name two workers, both at 1.2 times); the estimates (alike for both kinds of gangs).

Change: a gang waits (far_factor - 1) estimates for its rack, the time after which it ends no later than if spread at once, and does not stop work on several racks meanwhile. Guaranteed gangs keep the time for two rounds of stops within the bound to reclaim. Lower priorities wait as long as before.

Tests: test_urgent_load::a_gang_waits_for_a_rack_that_is_soon_free, seen failing first ('waits'); test_placement passes the patience in and checks that no work is stopped for a spread meanwhile.

--- a/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -293,6 +293,8 @@
                                          unit_ref const& ref) const;
     [[nodiscard]] reclaim_terms terms_of(job_entry const& e,
                                          unit_ref const& ref) const;
+    [[nodiscard]] milliseconds rack_patience(reclaim_terms const& terms,
+                                             milliseconds estimate) const;
     /// Whether all urgent jobs of the team fit into its guarantee.
     [[nodiscard]] bool is_guaranteed(job_entry const& e) const;
     [[nodiscard]] double lost_work(milliseconds now, active_run const& a,
--- a/packages/tasks/include/jasminetrack/tasks/placement.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/placement.hpp
@@ -61,6 +61,12 @@
     proof_wanted proof = proof_wanted::none;
     milliseconds waited_ms = 0;
     milliseconds estimate_ms = 1; ///< of one task, on a sound worker
+
+    /// \returns those of all its tasks.
+    [[nodiscard]] std::int64_t accelerators() const noexcept
+    {
+        return each.accelerators * count;
+    }
 };
 
 /// Whether a gang that wants one rack may take several.
@@ -96,17 +102,20 @@
 /// What a unit may stop, and what it is worth.
 struct reclaim_terms
 {
-    bool may_stop = false;   ///< work of lower priority
-    bool guaranteed = false; ///< it must start, whatever is lost
-    double own_work = 0;     ///< core seconds
-    double far_factor = 1;   ///< slower when spread over racks
+    bool may_stop = false;             ///< work of lower priority
+    bool guaranteed = false;           ///< it must start, whatever is lost
+    double own_work = 0;               ///< core seconds
+    double far_factor = 1;             ///< slower when spread over racks
+    milliseconds rack_patience_ms = 0; ///< waits this long for one rack
 };
 
 /// Chooses between the room there is and what could be stopped. Answers
 /// bursts of urgent gangs that want one rack while lower priorities have
 /// borrowed it: a gang that is spread takes `far_factor` times as long and
 /// comes late, so stopping a little of other work is better for callers, and
-/// so is a short wait.
+/// so is a wait. A gang that is spread also holds its room `far_factor` times
+/// as long and leaves less racks to the next one: where gangs come faster than
+/// that, all of them end up spread.
 /// \returns nothing if the unit should wait.
 [[nodiscard]] std::optional<reclaim_plan>
 choose(std::vector<worker_room> const& rooms, unit_need const& need,
--- a/packages/tasks/src/dispatcher_reclaim.cpp
+++ b/packages/tasks/src/dispatcher_reclaim.cpp
@@ -9,6 +9,10 @@
 
 /// Room that was stopped for is planned anew after stops took this long.
 constexpr milliseconds reservation_slack_ms = 300;
+/// Of the time to reclaim, for the record and the starts.
+constexpr milliseconds reclaim_start_ms = 500;
+/// Estimates that a gang of lower priority waits for its rack.
+constexpr milliseconds lower_patience = 4;
 
 } // namespace
 
@@ -40,9 +44,27 @@
     terms.own_work = core_seconds(step.need, step.estimate_ms) *
                      static_cast<double>(step.gang ? step.count : 1);
     terms.far_factor = static_cast<double>(bounds_.far_factor);
+    terms.rack_patience_ms = rack_patience(terms, step.estimate_ms);
     return terms;
 }
 
+/// A gang that waits no longer than this for its rack ends no later than if it
+/// had been spread at once. Guaranteed work keeps the time for two rounds of
+/// stops; other work has longer objectives.
+milliseconds dispatcher::rack_patience(reclaim_terms const& terms,
+                                       milliseconds estimate) const
+{
+    if (!terms.may_stop)
+        return lower_patience * estimate;
+    auto const no_later = (bounds_.far_factor - 1) * estimate;
+    if (!terms.guaranteed)
+        return no_later;
+    auto const spare =
+        bounds_.reclaim_ms - 2 * longest_stop() - reclaim_start_ms;
+    return std::clamp<milliseconds>(no_later, 0,
+                                    std::max<milliseconds>(0, spare));
+}
+
 bool dispatcher::is_guaranteed(job_entry const& e) const
 {
     std::int64_t guaranteed = 0;
--- a/packages/tasks/src/placement.cpp
+++ b/packages/tasks/src/placement.cpp
@@ -300,10 +300,6 @@
 namespace
 {
 
-/// A unit whose objective is a small multiple of its estimate may wait this
-/// share of the estimate for its rack and still be in time.
-constexpr double urgent_patience = 0.5;
-constexpr double patience = 4;
 /// A stop must save more work than it loses.
 constexpr double gain_least = 3;
 
@@ -336,11 +332,22 @@
         if (plan && is_worth(*plan, spread_loss))
             return plan;
     }
-    auto const share = terms.may_stop ? urgent_patience : patience;
-    auto const limit = share * static_cast<double>(need.estimate_ms);
-    if (!terms.guaranteed && static_cast<double>(need.waited_ms) < limit)
+    return std::nullopt;
+}
+
+/// Over several racks, if it has to be.
+std::optional<reclaim_plan> choose_any(std::vector<worker_room> const& rooms,
+                                       unit_need const& need,
+                                       reclaim_terms const& terms)
+{
+    if (auto now = places_now(rooms, need, racks::several))
+        return now;
+    if (!terms.may_stop)
         return std::nullopt;
-    return places_now(rooms, need, racks::several);
+    auto plan = plan_reclaim(rooms, need, racks::several);
+    if (plan && (terms.guaranteed || is_worth(*plan, terms.own_work)))
+        return plan;
+    return std::nullopt;
 }
 
 } // namespace
@@ -351,14 +358,12 @@
 {
     bool const wants_rack =
         need.same_rack && need.count > 1 && one_rack_holds(rooms, need);
-    auto choice = wants_rack ? choose_rack(rooms, need, terms)
-                             : places_now(rooms, need, racks::several);
-    if (choice || !terms.may_stop)
+    if (!wants_rack)
+        return choose_any(rooms, need, terms);
+    auto choice = choose_rack(rooms, need, terms);
+    if (choice || need.waited_ms < terms.rack_patience_ms)
         return choice;
-    auto plan = plan_reclaim(rooms, need, racks::several);
-    if (plan && (terms.guaranteed || is_worth(*plan, terms.own_work)))
-        return plan;
-    return std::nullopt;
+    return choose_any(rooms, need, terms);
 }
 
 } // namespace jasminetrack::tasks
--- a/tests/unit/test_placement.cpp
+++ b/tests/unit/test_placement.cpp
@@ -111,10 +111,26 @@
                 {
                     auto busy = rooms;
                     busy[1].free.accelerators = 0;
-                    expect(!choose(busy, need, {}), "not yet");
-                    need.waited_ms = 60'000;
-                    expect(choose(busy, need, {}).has_value(),
+                    reclaim_terms patient;
+                    patient.rack_patience_ms = 4'000;
+                    need.waited_ms = 3'999;
+                    expect(!choose(busy, need, patient), "not yet");
+                    need.waited_ms = 4'000;
+                    expect(choose(busy, need, patient).has_value(),
                            "but not for ever");
+                    section("nor does it stop work to run far apart",
+                            [&]
+                            {
+                                patient.may_stop = true;
+                                patient.own_work = 1'000;
+                                patient.far_factor = 3;
+                                busy[0].free = busy[0].reachable = {};
+                                busy[1].reachable = {};
+                                add_run(busy[0], 1, 8, 1);
+                                add_run(busy[2], 2, 8, 1);
+                                need.waited_ms = 3'999;
+                                expect(!choose(busy, need, patient), "yet");
+                            });
                 });
     }
 
--- a/tests/unit/test_urgent_load.cpp
+++ b/tests/unit/test_urgent_load.cpp
@@ -25,6 +25,7 @@
     CPPUNIT_TEST(a_fast_member_waits_for_the_slow_ones);
     CPPUNIT_TEST(a_burst_that_grows_finds_room);
     CPPUNIT_TEST(slow_workers_are_left_to_what_has_time);
+    CPPUNIT_TEST(a_gang_waits_for_a_rack_that_is_soon_free);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -168,6 +169,28 @@
         expect(w.phase("urgent") == job_phase::completed,
                "on workers of the usual speed");
     }
+
+    /// Spread over two racks it would take three times as long.
+    void a_gang_waits_for_a_rack_that_is_soon_free()
+    {
+        dispatch_world w(25);
+        add_racks(w);
+        w.run_for(500);
+        auto rack_gang = gang_job(3, 8);
+        rack_gang.steps[0].same_rack = true;
+        w.submit("first", "urgent", rack_gang, {1'200});
+        w.submit("second", "urgent", rack_gang, {1'200});
+        w.run_for(100);
+        expect(w.running("first") + w.running("second") == 6,
+               "one worker is free in each rack");
+        rack_gang.steps[0].count = 2;
+        w.submit("third", "urgent", rack_gang, {1'000});
+        w.run_for(600);
+        expect(w.running("third") == 0, "waits");
+        w.run_for(2'400);
+        expect(w.phase("third") == job_phase::completed,
+               "before it could be if spread at once");
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(test_urgent_load);
