Lower priorities keep a least share beside urgent bursts

Cause: the room kept for urgent work is its newest peak and a quarter, without a bound. What it left went to priority 1 as long as any of it waited. Class: a reserve for one class without a bound on what it takes from the others, and strict priorities under lasting overload.

Ruled out: reservations that are not given back (reserved is 0 between reclaims), unfit workers (0 to 24), full workers (no_room is 0 while work is kept out).

Change: the priorities below urgent may hold a quarter of a service's accelerators together, in equal parts for those that have unfinished jobs, whatever is kept for urgent work. A priority below its part comes right after urgent work. Stops spare what a priority holds within its part: it costs three times as much in a plan; guaranteed work may still stop it. Work that may be stopped counts as able to be in time only if half of its chain could be done again, so that a share is not spent on what comes late anyway.

Why it works: a priority that waits always gets its part, however the urgent load moves; the rest of the room is given as before.

--- a/packages/entry/src/gauges.cpp
+++ b/packages/entry/src/gauges.cpp
@@ -54,12 +54,14 @@
     std::int64_t room_census::*value;
 };
 
-constexpr std::array room_gauges{room_gauge{"capacity", &room_census::capacity},
-                                 room_gauge{"free", &room_census::free},
-                                 room_gauge{"unfit", &room_census::unfit},
-                                 room_gauge{"reserved", &room_census::reserved},
-                                 room_gauge{"headroom", &room_census::headroom},
-                                 room_gauge{"spread", &room_census::spread}};
+constexpr std::array room_gauges{
+    room_gauge{"capacity", &room_census::capacity},
+    room_gauge{"free", &room_census::free},
+    room_gauge{"unfit", &room_census::unfit},
+    room_gauge{"reserved", &room_census::reserved},
+    room_gauge{"headroom", &room_census::headroom},
+    room_gauge{"least_share", &room_census::least_share},
+    room_gauge{"spread", &room_census::spread}};
 
 constexpr std::array priority_gauges{
     gauge<priority_census>{"jasminetrack_held_accelerators",
--- a/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -155,6 +155,7 @@
         accepted_job job;
         job_progress progress;
         std::int64_t priority = 0;
+        std::string service; ///< of its queue
         milliseconds known_at = 0;
         milliseconds objective_ms = 0;
         std::vector<milliseconds> chains; ///< of work, from each step on
@@ -306,13 +307,28 @@
     [[nodiscard]] bool fits_now(milliseconds now, job_entry const& e,
                                 unit_ref const& ref,
                                 std::vector<std::string> const& places) const;
-    /// Accelerators of a service that urgent work has, and that are free.
+    /// Accelerators of a service, as a pass of the schedule counts them.
     struct room_count
     {
-        std::int64_t urgent = 0;
+        std::int64_t capacity = 0;
         std::int64_t free = 0;
+        std::int64_t urgent = 0;                   ///< held or reserved
+        std::int64_t least_share = 0;              ///< of each lower priority
+        std::map<std::int64_t, std::int64_t> held; ///< by priority
     };
     [[nodiscard]] std::map<std::string, room_count> count_rooms() const;
+    [[nodiscard]] std::map<std::string, std::set<std::int64_t>>
+    lower_priorities() const;
+    /// Whether a lower priority would hold less than its least share with
+    /// `less` accelerators less.
+    [[nodiscard]] bool is_below_share(std::string const& service,
+                                      std::int64_t priority,
+                                      std::int64_t less = 0) const;
+    /// Whether work of a lower priority may take `need`: within its least
+    /// share, or from what urgent work leaves.
+    [[nodiscard]] bool may_take(milliseconds now, job_entry const& e,
+                                std::string const& service,
+                                unit_need const& need);
     /// Whether lower priorities may take `need` and leave enough.
     [[nodiscard]] bool leaves_headroom(milliseconds now,
                                        std::string const& service,
--- a/packages/tasks/include/jasminetrack/tasks/queue_order.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/queue_order.hpp
@@ -2,7 +2,8 @@
 /// \file
 /// In which order waiting units get room. Answers days on which more work
 /// waits than fits: what can still be in time goes before what is late
-/// already, and what can no longer be of use to its caller goes last.
+/// already, and what can no longer be of use to its caller goes last. A
+/// priority below its least share comes right after urgent work.
 
 #include <jasminetrack/tasks/model.hpp>
 
@@ -24,6 +25,7 @@
     milliseconds age_ms = 0;       ///< since the job was accepted
     milliseconds remaining_ms = 0; ///< longest chain of work left
     milliseconds objective_ms = 0; ///< from acceptance to the end
+    bool below_share = false; ///< its priority holds less than its least share
 
     friend bool operator==(queue_claim const&, queue_claim const&) = default;
 };
--- a/packages/tasks/include/jasminetrack/tasks/room_census.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/room_census.hpp
@@ -25,12 +25,13 @@
 /// Accelerators of one service.
 struct room_census
 {
-    std::int64_t capacity = 0; ///< of listed workers
-    std::int64_t free = 0;     ///< on workers that may start something
-    std::int64_t unfit = 0;    ///< free on workers that may not
-    std::int64_t reserved = 0; ///< for units that wait for stops
-    std::int64_t headroom = 0; ///< kept free for urgent work
-    std::int64_t spread = 0;   ///< held by gangs that want one rack, on several
+    std::int64_t capacity = 0;    ///< of listed workers
+    std::int64_t free = 0;        ///< on workers that may start something
+    std::int64_t unfit = 0;       ///< free on workers that may not
+    std::int64_t reserved = 0;    ///< for units that wait for stops
+    std::int64_t headroom = 0;    ///< kept free for urgent work
+    std::int64_t least_share = 0; ///< of each lower priority
+    std::int64_t spread = 0; ///< held by gangs that want one rack, on several
     std::map<std::int64_t, priority_census> priorities;
 
     friend bool operator==(room_census const&, room_census const&) = default;
--- a/packages/tasks/src/dispatcher.cpp
+++ b/packages/tasks/src/dispatcher.cpp
@@ -165,6 +165,7 @@
     if (!q)
         return;
     e.priority = q->priority;
+    e.service = q->service;
     e.objective_ms = objective_of(*q, e.job.spec);
 }
 
--- a/packages/tasks/src/dispatcher_census.cpp
+++ b/packages/tasks/src/dispatcher_census.cpp
@@ -30,6 +30,7 @@
     for (auto& [service, c] : census)
     {
         c.headroom = headroom_[service].wanted(now);
+        c.least_share = counts_[service].least_share;
         if (census_[service] != c)
             say("service.room", "", "service=" + service + " " + to_text(c));
     }
@@ -71,8 +72,7 @@
 void dispatcher::count_step(job_entry const& e,
                             std::int64_t priority_census::*as)
 {
-    if (auto const* q = queue_of(e))
-        ++(pass_census_[q->service].priorities[e.priority].*as);
+    ++(pass_census_[e.service].priorities[e.priority].*as);
 }
 
 } // namespace jasminetrack::tasks
--- a/packages/tasks/src/dispatcher_rooms.cpp
+++ b/packages/tasks/src/dispatcher_rooms.cpp
@@ -11,6 +11,8 @@
 constexpr milliseconds least_lost_ms = 500;
 /// Share of its worth that a job loses if it ends late.
 constexpr double late_loss = 0.7;
+/// Stopping work that is within its priority's least share costs as much more.
+constexpr double share_weight = 3;
 /// An end of a run shows for this long that its worker is sound.
 constexpr milliseconds proof_age_ms = 10'000;
 /// What a reason adds to the doubt in a worker; doubtful ones come last.
@@ -108,11 +110,15 @@
             job == jobs_.end() || job->second.priority <= priority)
             continue;
         auto const& step = step_of(job->second, o.unit);
-        if (!step.lasting)
-            room.stoppable.push_back(
-                {at->second.number, o.held,
-                 lost_work(now, at->second, step) +
-                     lost_by_delay(now, job->second, o.unit)});
+        if (step.lasting)
+            continue;
+        auto const lost = lost_work(now, at->second, step) +
+                          lost_by_delay(now, job->second, o.unit);
+        // What a stop would bring below the least share of its priority.
+        bool const in_share = is_below_share(
+            w.info.service, job->second.priority, o.held.accelerators);
+        room.stoppable.push_back(
+            {at->second.number, o.held, in_share ? share_weight * lost : lost});
     }
     return room;
 }
--- a/packages/tasks/src/dispatcher_schedule.cpp
+++ b/packages/tasks/src/dispatcher_schedule.cpp
@@ -15,11 +15,6 @@
 /// that fail what they start show in less.
 constexpr milliseconds proof_wait_ms = 6'000;
 
-std::int64_t accelerators_of(unit_need const& need) noexcept
-{
-    return need.each.accelerators * need.count;
-}
-
 } // namespace
 
 void dispatcher::schedule(milliseconds now, milliseconds wall)
@@ -62,9 +57,9 @@
     if (!q)
         return false;
     auto need = need_of(now, e, ref);
-    if (e.priority != 0 && !leaves_headroom(now, q->service, need))
+    if (!may_take(now, e, q->service, need))
     {
-        bool const is_room = counts_[q->service].free >= accelerators_of(need);
+        bool const is_room = counts_[q->service].free >= need.accelerators();
         count_step(e, is_room ? &priority_census::kept_out
                               : &priority_census::no_room);
         return false;
@@ -85,6 +80,7 @@
     {
         place(now, e, ref, choice->places);
         take_room(q->service, choice->places, need.each);
+        counts_[q->service].held[e.priority] += need.accelerators();
     }
     else
     {
@@ -138,33 +134,10 @@
     claim.age_ms = std::max<milliseconds>(0, wall - due);
     claim.remaining_ms = e.chains[static_cast<std::size_t>(id.step)];
     claim.objective_ms = e.objective_ms;
+    claim.below_share = is_below_share(e.service, e.priority);
     return claim;
 }
 
-std::map<std::string, dispatcher::room_count> dispatcher::count_rooms() const
-{
-    std::map<std::string, room_count> counts;
-    for (auto const& [id, w] : workers_)
-    {
-        auto& count = counts[w.info.service];
-        if (w.listed && !w.info.draining)
-            count.free += std::max<std::int64_t>(0, w.free_room().accelerators);
-        count.urgent += w.reserved.accelerators;
-        for (auto const& [run, o] : w.occupants)
-            if (auto const job = jobs_.find(o.unit.job);
-                job != jobs_.end() && job->second.priority == 0 && !o.ending)
-                count.urgent += o.held.accelerators;
-    }
-    return counts;
-}
-
-bool dispatcher::leaves_headroom(milliseconds now, std::string const& service,
-                                 unit_need const& need)
-{
-    auto const left = counts_[service].free - accelerators_of(need);
-    return left >= headroom_[service].wanted(now);
-}
-
 unit_need dispatcher::need_of(milliseconds now, job_entry const& e,
                               unit_ref const& ref) const
 {
--- /dev/null
+++ b/packages/tasks/src/dispatcher_shares.cpp
@@ -0,0 +1,72 @@
+#include <jasminetrack/tasks/dispatcher.hpp>
+
+#include <jasminetrack/tasks/least_share.hpp>
+
+namespace jasminetrack::tasks
+{
+
+std::map<std::string, dispatcher::room_count> dispatcher::count_rooms() const
+{
+    std::map<std::string, room_count> counts;
+    for (auto const& [id, w] : workers_)
+    {
+        auto& count = counts[w.info.service];
+        if (w.listed && !w.info.draining)
+        {
+            count.capacity += w.info.capacity.accelerators;
+            count.free += std::max<std::int64_t>(0, w.free_room().accelerators);
+        }
+        for (auto const& [run, o] : w.occupants)
+            if (auto const job = jobs_.find(o.unit.job);
+                job != jobs_.end() && !o.ending)
+                count.held[job->second.priority] += o.held.accelerators;
+        count.urgent += w.reserved.accelerators;
+    }
+    auto const lower = lower_priorities();
+    for (auto& [service, count] : counts)
+    {
+        count.urgent += count.held[0];
+        if (auto const at = lower.find(service); at != lower.end())
+            count.least_share =
+                least_share(count.capacity, std::ssize(at->second));
+    }
+    return counts;
+}
+
+/// \returns those that have unfinished jobs, by service.
+std::map<std::string, std::set<std::int64_t>>
+dispatcher::lower_priorities() const
+{
+    std::map<std::string, std::set<std::int64_t>> lower;
+    for (auto const& [id, e] : jobs_)
+        if (e.priority != 0 && !is_final(e.progress.phase))
+            lower[e.service].insert(e.priority);
+    return lower;
+}
+
+bool dispatcher::is_below_share(std::string const& service,
+                                std::int64_t priority, std::int64_t less) const
+{
+    auto const count = counts_.find(service);
+    if (priority == 0 || count == counts_.end())
+        return false;
+    auto const held = count->second.held.find(priority);
+    return (held == count->second.held.end() ? 0 : held->second) - less <
+           count->second.least_share;
+}
+
+bool dispatcher::may_take(milliseconds now, job_entry const& e,
+                          std::string const& service, unit_need const& need)
+{
+    return e.priority == 0 || is_below_share(service, e.priority) ||
+           leaves_headroom(now, service, need);
+}
+
+bool dispatcher::leaves_headroom(milliseconds now, std::string const& service,
+                                 unit_need const& need)
+{
+    auto const left = counts_[service].free - need.accelerators();
+    return left >= headroom_[service].wanted(now);
+}
+
+} // namespace jasminetrack::tasks
--- a/packages/tasks/src/queue_order.cpp
+++ b/packages/tasks/src/queue_order.cpp
@@ -10,13 +10,43 @@
 
 /// A job that ends after this many objectives is of no use to its caller.
 constexpr milliseconds late_objectives = 3;
+/// Work of lower priorities may be stopped once and do this part of its chain
+/// again: what has no time for that is not likely to be in time.
+constexpr milliseconds redone_parts = 2;
+
+milliseconds redone_of(queue_claim const& c) noexcept
+{
+    return c.priority == 0 ? 0 : c.remaining_ms / redone_parts;
+}
+
+/// Among these, in this order.
+enum class rank : std::uint8_t
+{
+    urgent,      ///< and can be in time
+    below_share, ///< and can be of use
+    rest,
+};
+
+rank rank_of(queue_claim const& c) noexcept
+{
+    auto const p = prospect_of(c);
+    if (c.priority == 0 && p == prospect::in_time)
+        return rank::urgent;
+    return c.below_share && p != prospect::too_late ? rank::below_share
+                                                    : rank::rest;
+}
+
+auto order_of(queue_claim const& c) noexcept
+{
+    return std::tuple(rank_of(c), prospect_of(c), c.priority, -c.age_ms);
+}
 
 } // namespace
 
 prospect prospect_of(queue_claim const& c) noexcept
 {
     auto const end = c.age_ms + c.remaining_ms;
-    if (end <= c.objective_ms)
+    if (end + redone_of(c) <= c.objective_ms)
         return prospect::in_time;
     return end <= late_objectives * c.objective_ms ? prospect::late
                                                    : prospect::too_late;
@@ -24,8 +54,7 @@
 
 bool goes_before(queue_claim const& a, queue_claim const& b) noexcept
 {
-    return std::tuple(prospect_of(a), a.priority, -a.age_ms) <
-           std::tuple(prospect_of(b), b.priority, -b.age_ms);
+    return order_of(a) < order_of(b);
 }
 
 std::vector<milliseconds> chains_of(job_spec const& spec)
--- a/packages/tasks/src/room_census.cpp
+++ b/packages/tasks/src/room_census.cpp
@@ -24,6 +24,7 @@
            " unfit=" + std::to_string(c.unfit) +
            " reserved=" + std::to_string(c.reserved) +
            " headroom=" + std::to_string(c.headroom) +
+           " least_share=" + std::to_string(c.least_share) +
            " spread=" + std::to_string(c.spread) +
            " held=" + by_priority(c, &priority_census::held) +
            " waiting=" + by_priority(c, &priority_census::waiting) +
--- a/tests/unit/test_task_policies.cpp
+++ b/tests/unit/test_task_policies.cpp
@@ -5,6 +5,7 @@
 
 #include <jasminetrack/tasks/headroom.hpp>
 #include <jasminetrack/tasks/leadership.hpp>
+#include <jasminetrack/tasks/least_share.hpp>
 #include <jasminetrack/tasks/progress.hpp>
 #include <jasminetrack/tasks/queue_order.hpp>
 
@@ -21,6 +22,9 @@
 {
     CPPUNIT_TEST_SUITE(test_task_policies);
     CPPUNIT_TEST(what_can_be_in_time_goes_first);
+    CPPUNIT_TEST(a_priority_below_its_share_comes_after_urgent_work);
+    CPPUNIT_TEST(lower_priorities_need_time_for_a_stop);
+    CPPUNIT_TEST(lower_priorities_share_alike);
     CPPUNIT_TEST(the_objective_follows_the_longest_chain);
     CPPUNIT_TEST(room_is_left_for_urgent_work_that_comes_and_goes);
     CPPUNIT_TEST(a_silent_holder_is_succeeded);
@@ -43,6 +47,37 @@
         expect(goes_before(older, urgent), "then by age");
     }
 
+    void a_priority_below_its_share_comes_after_urgent_work()
+    {
+        queue_claim const urgent{0, 100, 1'000, 2'000};
+        queue_claim const late{0, 2'500, 1'000, 2'000};
+        queue_claim const middle{1, 100, 1'000, 9'000};
+        queue_claim const poor{2, 9'500, 1'000, 10'000, true};
+        expect(goes_before(urgent, poor), "after urgent work");
+        expect(goes_before(poor, middle), "before a higher priority");
+        expect(goes_before(poor, late), "and before urgent work that is late");
+        auto lost = poor;
+        lost.age_ms = 60'000;
+        expect(goes_before(middle, lost), "unless it is of no more use");
+    }
+
+    void lower_priorities_need_time_for_a_stop()
+    {
+        queue_claim const safe{2, 8'500, 1'000, 10'000};
+        queue_claim const tight{2, 8'501, 1'000, 10'000};
+        expect(prospect_of(safe) == prospect::in_time, "can be stopped once");
+        expect(prospect_of(tight) == prospect::late, "can not");
+        queue_claim const urgent{0, 9'000, 1'000, 10'000};
+        expect(prospect_of(urgent) == prospect::in_time, "is not stopped");
+    }
+
+    void lower_priorities_share_alike()
+    {
+        expect(least_share(384, 1) == 96, "a quarter");
+        expect(least_share(384, 2) == 48, "of which each has a half");
+        expect(least_share(384, 0) == 0, "nobody, nothing");
+    }
+
     void the_objective_follows_the_longest_chain()
     {
         job_spec spec;
