--- a/tests/support/heavy_day.cpp
+++ b/tests/support/heavy_day.cpp
@@ -37,9 +37,17 @@
 std::vector<heavy_day::job_kind> const& heavy_day::kinds()
 {
     static std::vector<job_kind> const all{
-        {"urgent", 3.6, 6, {7'500, 15'000, 0}, 1'200, 3'800, true, 0.8},
-        {"middle", 0.85, 8, {26'000, 38'000, 0}, 7'000, 11'000, true, 0.6},
-        {"low", 1.3, 24, {5'600, 8'200, 1}, 4'000, 9'000, false, 0}};
+        {"urgent", 3.6, 6, {7'500, 15'000, 0}, 1'200, 3'800, true, 0.8, true},
+        {"middle",
+         0.85,
+         8,
+         {26'000, 38'000, 0},
+         7'000,
+         11'000,
+         true,
+         0.6,
+         false},
+        {"low", 1.3, 24, {5'600, 8'200, 1}, 4'000, 9'000, false, 0, false}};
     return all;
 }
 
@@ -100,24 +108,26 @@
             j.completed = world_.now();
 }
 
-void heavy_day::play()
+void heavy_day::submit_due(milliseconds at)
 {
     constexpr double second_ms = 1'000;
+    bool const burst = at >= burst_from_ms && at < burst_until_ms;
+    for (auto const& k : kinds())
+    {
+        auto const factor = burst && k.bursts ? burst_factor : 1;
+        std::poisson_distribution<> arrivals(k.per_second * factor * tick_ms /
+                                             second_ms);
+        for (int i = arrivals(random_); i > 0; --i)
+            submit(k);
+    }
+}
+
+void heavy_day::play()
+{
     for (milliseconds at = 0; at < traffic_ms + finish_ms; at += tick_ms)
     {
-        bool const burst = at >= burst_from_ms && at < burst_until_ms;
-        for (auto const& k : kinds())
-        {
-            auto const rate = k.per_second * tick_ms / second_ms *
-                              (burst && k.gang && k.work_most_ms < second_ms * 5
-                                   ? burst_factor
-                                   : 1);
-            auto const count = at < traffic_ms
-                                   ? std::poisson_distribution<>(rate)(random_)
-                                   : 0;
-            for (int i = 0; i < count; ++i)
-                submit(k);
-        }
+        if (at < traffic_ms)
+            submit_due(at);
         world_.run_for(tick_ms);
         note_completed();
     }
--- a/tests/support/heavy_day.hpp
+++ b/tests/support/heavy_day.hpp
@@ -47,6 +47,7 @@
         milliseconds work_most_ms;
         bool gang;
         double same_rack; ///< share of the jobs
+        bool bursts;      ///< comes faster for a while
     };
     struct played_job
     {
@@ -58,6 +59,7 @@
     };
 
     [[nodiscard]] static std::vector<job_kind> const& kinds();
+    void submit_due(milliseconds at);
     void submit(job_kind const& k);
     void note_completed();
     [[nodiscard]] double uniform(double least, double most);
