Late urgent work goes before the shares of lower priorities

The first order with least shares let a priority below its share go before urgent work that would be late. An urgent gang that waits for its rack counts as late soon (estimates are rough), was overtaken, and then stopped what had just been started.

Change: urgent work that is of use comes first, then shares, then the rest.

test_task_policies: 'in time before late' across priorities said the opposite for urgent work; it is replaced by checks on the whole order (late urgent work first, in time before late among the others, then by priority, too late last).

--- a/packages/tasks/include/jasminetrack/tasks/queue_order.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/queue_order.hpp
@@ -1,9 +1,9 @@
 #pragma once
 /// \file
 /// In which order waiting units get room. Answers days on which more work
-/// waits than fits: what can still be in time goes before what is late
-/// already, and what can no longer be of use to its caller goes last. A
-/// priority below its least share comes right after urgent work.
+/// waits than fits: urgent work first, then priorities below their least share,
+/// then the others. Among each, what can still be in time goes before what is
+/// late already; what can no longer be of use to its caller goes last.
 
 #include <jasminetrack/tasks/model.hpp>
 
--- a/packages/tasks/src/queue_order.cpp
+++ b/packages/tasks/src/queue_order.cpp
@@ -22,7 +22,7 @@
 /// Among these, in this order.
 enum class rank : std::uint8_t
 {
-    urgent,      ///< and can be in time
+    urgent,      ///< and can be of use
     below_share, ///< and can be of use
     rest,
 };
@@ -30,10 +30,11 @@
 rank rank_of(queue_claim const& c) noexcept
 {
     auto const p = prospect_of(c);
-    if (c.priority == 0 && p == prospect::in_time)
+    if (p == prospect::too_late)
+        return rank::rest;
+    if (c.priority == 0)
         return rank::urgent;
-    return c.below_share && p != prospect::too_late ? rank::below_share
-                                                    : rank::rest;
+    return c.below_share ? rank::below_share : rank::rest;
 }
 
 auto order_of(queue_claim const& c) noexcept
