--- a/tests/unit/test_heavy_load.cpp
+++ b/tests/unit/test_heavy_load.cpp
@@ -11,7 +11,7 @@
 
 using namespace support;
 
-/// The highest floor for one queue among the deployments' heavy days.
+/// The floor for each queue on the heavier of the days of issue 16.
 constexpr double queue_floor = 0.28;
 constexpr unsigned seeds = 10;
 
