Comments on shares say what they count; an include of its own

From reading the diff as a newcomer: a gang may exceed the share of its priority; the share is divided among priorities that have unfinished jobs. No decision changes.

--- a/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -324,8 +324,8 @@
     [[nodiscard]] bool is_below_share(std::string const& service,
                                       std::int64_t priority,
                                       std::int64_t less = 0) const;
-    /// Whether work of a lower priority may take `need`: within its least
-    /// share, or from what urgent work leaves.
+    /// Whether work of a lower priority may take `need`: from its least share,
+    /// which a gang may exceed, or from what urgent work leaves.
     [[nodiscard]] bool may_take(milliseconds now, job_entry const& e,
                                 std::string const& service,
                                 unit_need const& need);
--- a/packages/tasks/include/jasminetrack/tasks/least_share.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/least_share.hpp
@@ -11,7 +11,7 @@
 {
 
 /// \param capacity    accelerators of the service
-/// \param priorities  lower than urgent, that its queues have
+/// \param priorities  lower than urgent, that have unfinished jobs
 /// \returns accelerators that each of them may hold whatever is kept for
 /// urgent work. Guaranteed work may still stop what runs there.
 [[nodiscard]] std::int64_t least_share(std::int64_t capacity,
--- a/packages/tasks/include/jasminetrack/tasks/placement.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/placement.hpp
@@ -114,7 +114,7 @@
 /// borrowed it: a gang that is spread takes `far_factor` times as long and
 /// comes late, so stopping a little of other work is better for callers, and
 /// so is a wait. A gang that is spread also holds its room `far_factor` times
-/// as long and leaves less racks to the next one: where gangs come faster than
+/// as long and leaves fewer racks to the next one: where gangs come faster than
 /// that, all of them end up spread.
 /// \returns nothing if the unit should wait.
 [[nodiscard]] std::optional<reclaim_plan>
--- a/packages/tasks/src/dispatcher_shares.cpp
+++ b/packages/tasks/src/dispatcher_shares.cpp
@@ -2,6 +2,8 @@
 
 #include <jasminetrack/tasks/least_share.hpp>
 
+#include <algorithm>
+
 namespace jasminetrack::tasks
 {
 
