Dispatcher: the work of a tick follows what changed, not the size of the fleet

One VM renews every worker each two seconds, and each wake-up of its dispatcher walked over all workers four times; each attempt to place a unit sorted all workers, full ones included, and each reclaim made all candidates anew. Change: renewals are taken from a queue by due time; time-outs are looked for each 50 ms; ends to acknowledge are kept as a set; only workers with room are sorted; candidates are updated in place, and after a reclaim only those that it touched. Idle workers of a fleet of more than 400 are renewed at most 200 times a second in all, at least every 10 s each; a worker that gets a start is renewed at once.

--- a/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -5,6 +5,7 @@
 /// carry a lower fencing token than the highest one they have seen, which
 /// shuts out earlier dispatchers.
 
+#include <jasminetrack/tasks/due_queue.hpp>
 #include <jasminetrack/tasks/headroom.hpp>
 #include <jasminetrack/tasks/placement.hpp>
 #include <jasminetrack/tasks/placement_advice.hpp>
@@ -212,6 +213,14 @@
         ordering_key key;
     };
 
+    /// The candidates of a service and priority, sorted by id. The entries of
+    /// an earlier pass are kept, as their strings need no memory anew.
+    struct candidate_list
+    {
+        std::vector<worker_candidate> workers;
+        bool current = false; ///< made in this pass
+    };
+
     [[nodiscard]] step_spec const& step_of(job_entry const& e,
                                            unit_ref const& ref) const;
     /// \returns the resources that a task of the step occupies on its worker.
@@ -241,9 +250,21 @@
     unconfirmed_starts(worker_view const& w);
     void send_due_renewals(milliseconds now);
     void send_renewal(milliseconds now, worker_view& w, bool wait);
+    /// Sends the worker's next renewal at `due`, or after the answer to the one
+    /// that is under way.
+    void schedule_renewal(std::string const& worker, worker_view const& w,
+                          milliseconds due);
+    [[nodiscard]] milliseconds next_renewal(milliseconds now,
+                                            worker_view const& w) const;
+    /// \returns the pause between renewals of a worker that hosts no run; 0 if
+    /// its renewals follow each other.
+    [[nodiscard]] milliseconds idle_pause(worker_view const& w) const;
     void record_unresponsive(milliseconds now, worker_view& w,
                              call_result result);
     void record_answer(milliseconds now, worker_view& w, renew_reply const& r);
+    /// Looks for what time alone changes: expired leases, runs without
+    /// progress, and drains that come to their end.
+    void monitor(milliseconds now);
     void check_lost_workers(milliseconds now);
     /// Ends the runs on a lost worker, except those in `kept`.
     void end_lost_runs(milliseconds now, worker_view& w, std::string const& why,
@@ -328,9 +349,12 @@
     [[nodiscard]] std::vector<worker_candidate>&
     candidates_of(milliseconds now, std::string const& service,
                   std::int64_t priority);
-    [[nodiscard]] worker_candidate candidate_of(milliseconds now,
-                                                worker_view const& w,
-                                                std::int64_t priority) const;
+    void update_candidate(milliseconds now, worker_view const& w,
+                          std::int64_t priority,
+                          worker_candidate& candidate) const;
+    /// Updates the candidates of these workers for the rest of the pass.
+    void update_candidates(milliseconds now,
+                           std::set<std::string> const& workers);
     [[nodiscard]] static bool may_start_on(milliseconds now,
                                            worker_view const& w);
     void deduct_capacity(std::string const& service,
@@ -421,6 +445,10 @@
     configuration config_;
     std::map<std::string, job_entry> jobs_;
     std::map<std::string, worker_view> workers_;
+    due_queue renewals_; ///< workers without a renewal under way
+    /// Workers with ends that are processed and not yet acknowledged to them.
+    std::set<std::string> unacknowledged_;
+    milliseconds monitored_at_ = 0;
     std::map<unit_ref, active_run> active_;
     std::map<unit_ref, reservation> reservations_;
     placement_advice advice_;
@@ -428,9 +456,7 @@
     /// State of the current scheduling pass, by service.
     std::map<std::string, accelerator_count> counts_;
     /// State of the current scheduling pass, by service and priority.
-    std::map<std::pair<std::string, std::int64_t>,
-             std::vector<worker_candidate>>
-        candidates_;
+    std::map<std::pair<std::string, std::int64_t>, candidate_list> candidates_;
     milliseconds utilization_at_ = 0;
     /// Newest utilization, by service.
     std::map<std::string, service_utilization> utilization_;
--- a/packages/tasks/include/jasminetrack/tasks/worker_view.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/worker_view.hpp
@@ -79,7 +79,8 @@
     milliseconds unresponsive_since = -1;
 
     bool renewal_sent = false; ///< a renewal awaits its answer
-    milliseconds renewal_due = 0;
+    /// Pause before the next renewal, while the worker hosts no run.
+    milliseconds idle_pause_ms = 0;
     std::int64_t last_seen = 0;     ///< newest end whose effects are in the log
     std::int64_t processed_end = 0; ///< newest end that was processed
     std::int64_t processed_batch = 0; ///< log batch with its effects
--- a/packages/tasks/src/dispatcher.cpp
+++ b/packages/tasks/src/dispatcher.cpp
@@ -190,9 +190,17 @@
 {
     stored_batch_ = std::max(stored_batch_, batch);
     batch_sent_ = false;
-    for (auto& [id, w] : workers_)
-        if (w.processed_end > w.last_seen && w.processed_batch <= stored_batch_)
-            w.renewal_due = now;
+    std::erase_if(unacknowledged_,
+                  [&](std::string const& id)
+                  {
+                      auto const at = workers_.find(id);
+                      if (at == workers_.end())
+                          return true;
+                      if (at->second.processed_batch > stored_batch_)
+                          return false;
+                      schedule_renewal(id, at->second, now);
+                      return true;
+                  });
     while (!unsent_.empty())
     {
         auto const ref = unsent_.front();
@@ -220,9 +228,7 @@
 
 void dispatcher::tick(milliseconds now, milliseconds wall)
 {
-    check_lost_workers(now);
-    check_hanging(now);
-    check_draining(now);
+    monitor(now);
     schedule(now, wall);
     send_due_renewals(now);
     emit_batch();
--- a/packages/tasks/src/dispatcher_candidates.cpp
+++ b/packages/tasks/src/dispatcher_candidates.cpp
@@ -19,26 +19,34 @@
 constexpr int quarantine_penalty = 1;
 constexpr int crawling_penalty = 1;
 
+/// \returns nullptr if the worker is not in the list, which is sorted by id.
+worker_candidate* find_candidate(std::vector<worker_candidate>& list,
+                                 std::string const& id)
+{
+    auto const at =
+        std::lower_bound(list.begin(), list.end(), id,
+                         [](worker_candidate const& c, std::string const& other)
+                         { return c.id < other; });
+    return at == list.end() || at->id != id ? nullptr : &*at;
+}
+
 } // namespace
 
 void dispatcher::deduct_capacity(std::string const& service,
                                  std::vector<std::string> const& places,
                                  resources const& each)
 {
-    for (auto& [key, candidates] : candidates_)
+    for (auto& [key, list] : candidates_)
     {
-        if (key.first != service)
+        if (key.first != service || !list.current)
             continue;
         for (auto const& id : places)
         {
-            auto const at = std::lower_bound(
-                candidates.begin(), candidates.end(), id,
-                [](worker_candidate const& r, std::string const& other)
-                { return r.id < other; });
-            if (at == candidates.end() || at->id != id)
+            auto* const candidate = find_candidate(list.workers, id);
+            if (!candidate)
                 continue;
-            at->free -= each;
-            at->free_after_stops -= each;
+            candidate->free -= each;
+            candidate->free_after_stops -= each;
         }
     }
     counts_[service].free -=
@@ -65,15 +73,34 @@
 dispatcher::candidates_of(milliseconds now, std::string const& service,
                           std::int64_t priority)
 {
-    auto const key = std::pair(service, priority);
-    auto const at = candidates_.find(key);
-    if (at != candidates_.end())
-        return at->second;
-    auto& candidates = candidates_[key];
+    auto& list = candidates_[{service, priority}];
+    if (list.current)
+        return list.workers;
+    list.current = true;
+    std::size_t count = 0;
     for (auto const& [id, w] : workers_)
-        if (w.info.service == service && may_start_on(now, w))
-            candidates.push_back(candidate_of(now, w, priority));
-    return candidates;
+    {
+        if (w.info.service != service || !may_start_on(now, w))
+            continue;
+        if (count == list.workers.size())
+            list.workers.emplace_back();
+        update_candidate(now, w, priority, list.workers[count++]);
+    }
+    list.workers.resize(count);
+    return list.workers;
+}
+
+void dispatcher::update_candidates(milliseconds now,
+                                   std::set<std::string> const& workers)
+{
+    for (auto& [key, list] : candidates_)
+    {
+        if (!list.current)
+            continue;
+        for (auto const& id : workers)
+            if (auto* const candidate = find_candidate(list.workers, id))
+                update_candidate(now, workers_.at(id), key.second, *candidate);
+    }
 }
 
 bool dispatcher::may_start_on(milliseconds now, worker_view const& w)
@@ -83,17 +110,17 @@
            w.answered_recently(now);
 }
 
-worker_candidate dispatcher::candidate_of(milliseconds now,
-                                          worker_view const& w,
-                                          std::int64_t priority) const
+void dispatcher::update_candidate(milliseconds now, worker_view const& w,
+                                  std::int64_t priority,
+                                  worker_candidate& candidate) const
 {
-    worker_candidate candidate;
     candidate.id = w.info.id;
     candidate.rack = w.info.rack;
     candidate.labels = w.info.labels;
     candidate.free = w.free_capacity();
     candidate.capacity = w.info.capacity;
     candidate.free_after_stops = w.capacity_after_stops(now - max_stop_time());
+    candidate.penalty = 0;
     if (now < w.quarantined_until)
         candidate.penalty = quarantine_penalty + w.failures;
     auto const speed = w.pace.speed(now);
@@ -102,8 +129,10 @@
     candidate.verified = w.last_success_at >= 0 &&
                          now - w.last_success_at <= max_verified_age_ms;
     candidate.slower = priority == 0 && speed == worker_speed::slower;
+    candidate.same_step = 0;
+    candidate.stoppable.clear();
     if (priority != 0)
-        return candidate;
+        return;
     for (auto const& [run, o] : w.hosted_runs)
     {
         auto const at = active_.find(o.unit);
@@ -122,7 +151,6 @@
             {at->second.number, o.held,
              cuts_share ? least_share_loss_factor * lost : lost});
     }
-    return candidate;
 }
 
 double dispatcher::lost_work(milliseconds now, active_run const& a,
--- a/packages/tasks/src/dispatcher_reclaim.cpp
+++ b/packages/tasks/src/dispatcher_reclaim.cpp
@@ -29,9 +29,14 @@
     for (auto const& [other, a] : active_)
         if (plan.victims.count(a.number) != 0)
             victims.push_back(other);
+    std::set<std::string> changed(plan.places.begin(), plan.places.end());
     for (auto const& other : victims)
+    {
+        for (auto const& m : active_.at(other).members)
+            changed.insert(m.worker);
         end_run(now, other, "stopped for job " + ref.job);
-    candidates_.clear();
+    }
+    update_candidates(now, changed);
 }
 
 reclaim_terms dispatcher::terms_of(job_entry const& e,
--- a/packages/tasks/src/dispatcher_renewals.cpp
+++ b/packages/tasks/src/dispatcher_renewals.cpp
@@ -17,6 +17,12 @@
 constexpr milliseconds renewal_wait_ms = 2'000;
 constexpr milliseconds unacknowledged_renewal_ms = 1'000;
 constexpr milliseconds unresponsive_retry_ms = 300;
+/// Renewals of idle workers that may take up processor time of the busy ones.
+constexpr std::int64_t max_idle_renewals_per_s = 200;
+/// The estimate of an idle worker's clock must stay well within the window of a
+/// start.
+constexpr milliseconds max_idle_pause_ms = 10'000;
+constexpr milliseconds ms_per_s = 1'000;
 /// Workers list at most this many ends in one answer.
 constexpr std::size_t max_ends_per_reply = 500;
 constexpr std::int64_t complete_percent = 100;
@@ -25,18 +31,45 @@
 
 void dispatcher::send_due_renewals(milliseconds now)
 {
-    for (auto& [id, w] : workers_)
+    for (auto const& id : renewals_.take_due(now))
     {
-        if (w.renewal_sent || w.info.address.empty() || now < w.renewal_due)
+        auto const at = workers_.find(id);
+        if (at == workers_.end() || at->second.info.address.empty())
             continue;
+        auto& w = at->second;
         bool const has_unstored_ends =
             w.processed_end > w.last_seen && w.processed_batch > stored_batch_;
         send_renewal(now, w,
                      w.token_known && !has_unstored_ends &&
-                         w.unresponsive_since < 0);
+                         w.unresponsive_since < 0 && idle_pause(w) == 0);
     }
 }
 
+void dispatcher::schedule_renewal(std::string const& worker,
+                                  worker_view const& w, milliseconds due)
+{
+    if (!w.renewal_sent)
+        renewals_.set(worker, due);
+}
+
+milliseconds dispatcher::idle_pause(worker_view const& w) const
+{
+    if (!w.hosted_runs.empty() || w.runs_unknown_task || !w.token_known ||
+        w.processed_end > w.last_seen)
+        return 0;
+    auto const pause =
+        std::ssize(workers_) * ms_per_s / max_idle_renewals_per_s;
+    return pause <= renewal_wait_ms ? 0 : std::min(pause, max_idle_pause_ms);
+}
+
+milliseconds dispatcher::next_renewal(milliseconds now,
+                                      worker_view const& w) const
+{
+    if (w.processed_batch > stored_batch_)
+        return now + unacknowledged_renewal_ms; // or once stored
+    return now + w.idle_pause_ms;
+}
+
 void dispatcher::send_renewal(milliseconds now, worker_view& w, bool wait)
 {
     if (w.processed_batch <= stored_batch_)
@@ -79,16 +112,15 @@
     process_ended(now, w, r);
     process_running(now, w, r);
     process_missing(now, w, r);
-    if (w.processed_end > w.last_seen)
-        w.renewal_due = now + unacknowledged_renewal_ms; // or once stored
-    if (w.processed_batch <= stored_batch_)
-        w.renewal_due = now;
+    w.idle_pause_ms = idle_pause(w);
+    schedule_renewal(at->first, w, next_renewal(now, w));
 }
 
 void dispatcher::record_unresponsive(milliseconds now, worker_view& w,
                                      call_result result)
 {
-    w.renewal_due = now + unresponsive_retry_ms;
+    w.idle_pause_ms = 0;
+    schedule_renewal(w.info.id, w, now + unresponsive_retry_ms);
     w.last_unanswered_at = now;
     if (w.unresponsive_since >= 0)
         return;
@@ -119,7 +151,6 @@
     w.token_known = true;
     w.unresponsive_since = -1;
     w.answered_at = now;
-    w.renewal_due = now;
 }
 
 void dispatcher::process_ended(milliseconds now, worker_view& w,
@@ -164,6 +195,7 @@
     }
     if (!any)
         return;
+    unacknowledged_.insert(w.info.id);
     if (!dirty_.empty())
         w.processed_batch = next_batch_;
     else
--- a/packages/tasks/src/dispatcher_schedule.cpp
+++ b/packages/tasks/src/dispatcher_schedule.cpp
@@ -26,7 +26,8 @@
     scheduled_at_ = now;
     changed_ = false;
     process_reservations(now);
-    candidates_.clear();
+    for (auto& [key, list] : candidates_)
+        list.current = false;
     counts_ = count_accelerators();
     for (auto const& [service, count] : counts_)
         headroom_[service].record(now, count.urgent);
--- a/packages/tasks/src/dispatcher_starts.cpp
+++ b/packages/tasks/src/dispatcher_starts.cpp
@@ -35,8 +35,12 @@
         member m;
         m.worker = places[i];
         a.members.push_back(m);
-        workers_.at(places[i]).add(run_of(ref, u.run, i, step.gang),
-                                   {ref, held_by(step), false, 0, 0});
+        auto& w = workers_.at(places[i]);
+        w.add(run_of(ref, u.run, i, step.gang),
+              {ref, held_by(step), false, 0, 0});
+        // The lease of an idle worker may have expired.
+        if (w.idle_pause_ms > 0)
+            schedule_renewal(places[i], w, now);
     }
     mark_dirty(ref.job);
     unsent_.push_back(ref);
--- a/packages/tasks/src/dispatcher_workers.cpp
+++ b/packages/tasks/src/dispatcher_workers.cpp
@@ -20,6 +20,8 @@
 /// How long a start that was sent to an earlier incarnation is stopped at the
 /// next one before it counts as not carried out.
 constexpr milliseconds stray_start_ms = 5'000;
+/// Far below the times that are monitored.
+constexpr milliseconds monitor_interval_ms = 50;
 
 } // namespace
 
@@ -44,8 +46,11 @@
                      "worker=" + info.id + " address=" + info.address +
                          " rack=" + info.rack +
                          " born=" + std::to_string(incarnation));
+    bool const is_new = w.info.address != info.address;
     w.info = info;
     w.info.incarnation = incarnation;
+    if (is_new)
+        schedule_renewal(info.id, w, now);
     w.listed = true;
     changed_ = true;
 }
@@ -140,6 +145,16 @@
                      " rest_ms=" + std::to_string(duration));
 }
 
+void dispatcher::monitor(milliseconds now)
+{
+    if (now - monitored_at_ < monitor_interval_ms)
+        return;
+    monitored_at_ = now;
+    check_lost_workers(now);
+    check_hanging(now);
+    check_draining(now);
+}
+
 void dispatcher::check_lost_workers(milliseconds now)
 {
     for (auto at = workers_.begin(); at != workers_.end();)
@@ -154,6 +169,8 @@
             end_lost_runs(now, w, "its lease expired");
         bool const gone = !w.listed && w.hosted_runs.empty() &&
                           now - w.draining_since > unlisted_keep_ms;
+        if (gone)
+            renewals_.erase(at->first);
         at = gone ? workers_.erase(at) : std::next(at);
     }
 }
--- a/packages/tasks/src/placement.cpp
+++ b/packages/tasks/src/placement.cpp
@@ -61,14 +61,26 @@
                       std::string_view(w.id));
 }
 
-std::optional<std::vector<std::string>> fill(candidate_list candidates,
+std::optional<std::vector<std::string>> fill(candidate_list const& candidates,
                                              unit_need const& need)
 {
-    std::sort(candidates.begin(), candidates.end(),
+    // Under load, few workers have room. Only these are sorted.
+    candidate_list with_room;
+    std::int64_t room = 0;
+    for (auto const* w : candidates)
+    {
+        auto const n = tasks_in(w->free, *w, need);
+        room += n;
+        if (n > 0)
+            with_room.push_back(w);
+    }
+    if (room < need.count)
+        return std::nullopt;
+    std::sort(with_room.begin(), with_room.end(),
               [&](worker_candidate const* a, worker_candidate const* b)
               { return fill_order(*a, need) < fill_order(*b, need); });
     std::vector<std::string> places;
-    for (auto const* w : candidates)
+    for (auto const* w : with_room)
     {
         auto n = tasks_in(w->free, *w, need);
         for (; n > 0 && std::ssize(places) < need.count; --n)
--- a/packages/tasks/src/worker_view.cpp
+++ b/packages/tasks/src/worker_view.cpp
@@ -11,8 +11,8 @@
 /// A worker's clock may be slow by up to this many thousandths.
 constexpr milliseconds max_clock_drift = 20;
 constexpr milliseconds thousand = 1000;
-/// A worker that has not answered for this time gets no starts; more than two
-/// of its answers are missing then.
+/// A worker that has not answered for this time, beyond a pause of its
+/// renewals, gets no starts; more than two of its answers are missing then.
 constexpr milliseconds max_answer_age_ms = 3'500;
 
 } // namespace
@@ -52,7 +52,8 @@
 
 bool worker_view::answered_recently(milliseconds now) const noexcept
 {
-    return token_known && now - answered_at <= max_answer_age_ms;
+    return token_known &&
+           now - answered_at <= max_answer_age_ms + idle_pause_ms;
 }
 
 void worker_view::update_clock(milliseconds now, milliseconds clock) noexcept
--- a/tests/support/manual_dispatcher.hpp
+++ b/tests/support/manual_dispatcher.hpp
@@ -4,6 +4,7 @@
 
 #include "small_jobs.hpp"
 
+#include <map>
 #include <set>
 
 namespace support
@@ -81,6 +82,7 @@
     std::set<std::string> unresponsive;
     /// Reported progress by worker; 1 for the others.
     std::map<std::string, std::int64_t> percents;
+    std::map<std::string, std::vector<renew_order>> renewals; ///< by worker
     std::vector<start_order> starts;
     std::vector<stop_order> stops;
     std::vector<advice_order> advice_requests;
@@ -108,6 +110,7 @@
 
     void answer(renew_order const& o)
     {
+        renewals[o.worker].push_back(o);
         renew_reply r;
         r.worker = o.worker;
         if (unresponsive.count(o.worker) == 0)
