--- a/packages/entry/include/jasminetrack/entry/dispatch_loop.hpp
+++ b/packages/entry/include/jasminetrack/entry/dispatch_loop.hpp
@@ -4,6 +4,7 @@
 /// dispatcher's orders. All events are processed on one thread, through a
 /// queue.
 
+#include <jasminetrack/entry/append_timeout.hpp>
 #include <jasminetrack/entry/gauges.hpp>
 #include <jasminetrack/entry/job_table.hpp>
 #include <jasminetrack/entry/latencies.hpp>
@@ -123,6 +124,7 @@
     std::int64_t store_batch_ = 0;      ///< of that append; 0: a heartbeat
     bool append_retry_pending_ = false; ///< the next tick sends it again
     std::deque<tasks::store_order> store_queue_;
+    append_timeout append_timeout_;
     milliseconds last_append_ms_ = 0;
     milliseconds append_started_ms_ = 0;     ///< first send of that append
     milliseconds append_sent_ms_ = 0;        ///< its latest send
--- a/packages/entry/include/jasminetrack/entry/record_writer.hpp
+++ b/packages/entry/include/jasminetrack/entry/record_writer.hpp
@@ -3,6 +3,7 @@
 /// Appends records of request handlers to the log in batches. Records that
 /// are queued while an append is in flight go into the next batch.
 
+#include <jasminetrack/entry/append_timeout.hpp>
 #include <jasminetrack/entry/ports.hpp>
 #include <jasminetrack/runtime/timer_service.hpp>
 
@@ -69,6 +70,8 @@
     std::vector<std::shared_ptr<pending_record>> batch_; ///< in flight
     bool outcome_unknown_ = false; ///< the batch may be in the log
     bool retry_pending_ = false;   ///< the timer sends the batch again
+    append_timeout timeout_;
+    milliseconds sent_ms_ = 0; ///< latest send of the batch
     milliseconds failing_since_ms_ = -1;
     milliseconds next_probe_ms_ = 0;
 };
--- a/packages/entry/src/dispatch_loop_log.cpp
+++ b/packages/entry/src/dispatch_loop_log.cpp
@@ -16,7 +16,7 @@
 /// A third of the time without a heartbeat after which other nodes claim the
 /// role.
 constexpr milliseconds heartbeat_interval_ms = 500;
-constexpr milliseconds append_timeout_ms = 600;
+constexpr milliseconds claim_timeout_ms = 600;
 constexpr char const* writer_name = "dispatcher";
 
 } // namespace
@@ -36,7 +36,7 @@
     call.records.push_back({role_key, encode(role)});
     call.writer = {writer_name, role.epoch, first_sequence_};
     call.expected_end = work_next_;
-    call.timeout_ms = append_timeout_ms;
+    call.timeout_ms = claim_timeout_ms;
     ports_.log.append(std::move(call), [this, role](append_answer const& a)
                       { post([this, role, a] { on_claim_answer(role, a); }); });
 }
@@ -64,7 +64,6 @@
     append_call call;
     call.topic = topic::work;
     call.writer = {writer_name, epoch_, ++sequence_};
-    call.timeout_ms = append_timeout_ms;
     store_batch_ = 0;
     if (!store_queue_.empty())
     {
@@ -86,6 +85,7 @@
 {
     append_retry_pending_ = false;
     append_sent_ms_ = monotonic_ms();
+    append_in_flight_->timeout_ms = append_timeout_.limit();
     count(&dispatch_metrics::batches);
     auto const epoch = epoch_;
     ports_.log.append(
@@ -110,6 +110,8 @@
                   a.reason);
         return;
     }
+    if (a.result == append_result::unknown)
+        append_timeout_.on_missing_answer();
     if (a.result != append_result::stored)
     {
         if (log_failing_since_ms_ < 0)
@@ -138,6 +140,7 @@
             log_level::info, "log.append.back",
             {{"failing_ms", std::to_string(now - log_failing_since_ms_)}});
     log_failing_since_ms_ = -1;
+    append_timeout_.on_answer(now - append_sent_ms_);
     latencies_.record(latency::append, now - append_started_ms_);
     last_append_ms_ = now;
     auto const batch = store_batch_;
--- a/packages/entry/src/record_writer.cpp
+++ b/packages/entry/src/record_writer.cpp
@@ -98,6 +98,8 @@
     append_call call;
     call.topic = topic_;
     call.writer = writer_;
+    call.timeout_ms = timeout_.limit();
+    sent_ms_ = monotonic_ms();
     for (auto const& e : batch_)
         call.records.push_back(e->record);
     // The log may call back within append(), and on_answer() takes the lock.
@@ -117,6 +119,7 @@
                       {{"failing_ms",
                         std::to_string(monotonic_ms() - failing_since_ms_)}});
         failing_since_ms_ = -1;
+        timeout_.on_answer(monotonic_ms() - sent_ms_);
         for (auto const& e : batch_)
             e->result = write_result::stored;
         batch_.clear();
@@ -130,6 +133,8 @@
         write_log(log_level::warning, "log.append.failing",
                   {{"reason", a.reason}});
     }
+    if (a.result == append_result::unknown)
+        timeout_.on_missing_answer();
     outcome_unknown_ = outcome_unknown_ || a.result == append_result::unknown;
     if (!outcome_unknown_)
     {
--- a/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -446,6 +446,8 @@
     std::map<std::string, job_entry> jobs_;
     std::map<std::string, worker_view> workers_;
     due_queue renewals_; ///< workers without a renewal under way
+    /// Workers without runs whose first renewal is under way.
+    std::set<std::string> first_contacts_;
     /// Workers with ends that are processed and not yet acknowledged to them.
     std::set<std::string> unacknowledged_;
     milliseconds monitored_at_ = 0;
--- a/packages/tasks/src/dispatcher_renewals.cpp
+++ b/packages/tasks/src/dispatcher_renewals.cpp
@@ -23,6 +23,10 @@
 /// start.
 constexpr milliseconds max_idle_pause_ms = 10'000;
 constexpr milliseconds ms_per_s = 1'000;
+/// A new dispatcher contacts idle workers in groups of this size, so that the
+/// workers with runs and the first starts do not wait for all of them.
+constexpr std::size_t max_first_contacts = 128;
+constexpr milliseconds first_contact_retry_ms = 20;
 /// Workers list at most this many ends in one answer.
 constexpr std::size_t max_ends_per_reply = 500;
 constexpr std::int64_t complete_percent = 100;
@@ -37,6 +41,16 @@
         if (at == workers_.end() || at->second.info.address.empty())
             continue;
         auto& w = at->second;
+        if (w.clock_at_ < 0 && w.unresponsive_since < 0 &&
+            w.hosted_runs.empty())
+        {
+            if (first_contacts_.size() >= max_first_contacts)
+            {
+                renewals_.set(id, now + first_contact_retry_ms);
+                continue;
+            }
+            first_contacts_.insert(id);
+        }
         bool const has_unstored_ends =
             w.processed_end > w.last_seen && w.processed_batch > stored_batch_;
         send_renewal(now, w,
@@ -92,6 +106,7 @@
 
 void dispatcher::on_renew(milliseconds now, renew_reply const& r)
 {
+    first_contacts_.erase(r.worker);
     auto const at = workers_.find(r.worker);
     if (at == workers_.end())
         return;
--- a/packages/tasks/src/placement.cpp
+++ b/packages/tasks/src/placement.cpp
@@ -64,7 +64,7 @@
 std::optional<std::vector<std::string>> fill(candidate_list const& candidates,
                                              unit_need const& need)
 {
-    // Under load, few workers have room. Only these are sorted.
+    // Under load, few workers have room.
     candidate_list with_room;
     std::int64_t room = 0;
     for (auto const* w : candidates)
@@ -76,12 +76,17 @@
     }
     if (room < need.count)
         return std::nullopt;
-    std::sort(with_room.begin(), with_room.end(),
-              [&](worker_candidate const* a, worker_candidate const* b)
-              { return fill_order(*a, need) < fill_order(*b, need); });
+    auto const comes_later =
+        [&](worker_candidate const* a, worker_candidate const* b)
+    { return fill_order(*b, need) < fill_order(*a, need); };
+    // A unit takes few workers, so the rest need no order.
+    std::make_heap(with_room.begin(), with_room.end(), comes_later);
     std::vector<std::string> places;
-    for (auto const* w : with_room)
+    while (!with_room.empty())
     {
+        std::pop_heap(with_room.begin(), with_room.end(), comes_later);
+        auto const* w = with_room.back();
+        with_room.pop_back();
         auto n = tasks_in(w->free, *w, need);
         for (; n > 0 && std::ssize(places) < need.count; --n)
             places.push_back(w->id);
--- a/tests/unit/test_large_fleet.cpp
+++ b/tests/unit/test_large_fleet.cpp
@@ -29,6 +29,7 @@
     CPPUNIT_TEST(idle_workers_are_renewed_at_a_limited_rate);
     CPPUNIT_TEST(idle_worker_of_a_large_fleet_takes_a_job);
     CPPUNIT_TEST(idle_worker_that_is_silent_gets_no_more_starts);
+    CPPUNIT_TEST(new_dispatcher_does_not_contact_all_idle_workers_at_once);
     CPPUNIT_TEST_SUITE_END();
 
     static void fill(manual_dispatcher& h, int workers)
@@ -129,6 +130,46 @@
             expect(h.unresponsive.count(start.worker) == 0,
                    "on a worker that answers");
     }
+
+    /// Thousands of calls at once take seconds on a small VM; their answers
+    /// would come after the time limit.
+    void new_dispatcher_does_not_contact_all_idle_workers_at_once()
+    {
+        constexpr std::size_t max_at_once = 150;
+        dispatcher d(7, {}, 100'000, nullptr);
+        d.set_configuration(two_queues());
+        for (int i = 0; i < fleet_size; ++i)
+        {
+            worker_info w;
+            w.id = worker_name(i);
+            w.address = "10.0.0.1:1";
+            w.service = "service";
+            w.capacity = {8'000, 8'000, 8};
+            d.put_worker(100'000, w);
+        }
+        std::set<std::string> contacted;
+        milliseconds now = 100'000;
+        for (; contacted.size() < fleet_size && now < 105'000; now += 50)
+        {
+            d.tick(now, now);
+            std::vector<renew_order> orders;
+            for (auto const& a : d.take_actions())
+                if (auto const* o = std::get_if<renew_order>(&a);
+                    o && o->until_ms == 0)
+                    orders.push_back(*o);
+            expect(orders.size() <= max_at_once, "a group at a time");
+            for (auto const& o : orders)
+            {
+                contacted.insert(o.worker);
+                renew_reply r;
+                r.worker = o.worker;
+                r.result = call_result::done;
+                r.clock_ms = now;
+                d.on_renew(now, r);
+            }
+        }
+        expect(contacted.size() == fleet_size, "all are contacted in the end");
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(test_large_fleet);
--- a/tests/unit/test_record_writer.cpp
+++ b/tests/unit/test_record_writer.cpp
@@ -83,9 +83,38 @@
     CPPUNIT_TEST(a_failing_log_refuses_at_once);
     CPPUNIT_TEST(a_log_that_is_back_is_used_again);
     CPPUNIT_TEST(a_failing_path_is_avoided_and_retried);
+    CPPUNIT_TEST(a_lost_answer_is_overdue_soon);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    /// The log answers in milliseconds. If some of its answers are lost, the
+    /// time limit of an append is the delay of its callers.
+    void a_lost_answer_is_overdue_soon()
+    {
+        scripted_log log;
+        runtime::timer_service timers;
+        record_writer writer(log, topic::jobs, "w", timers);
+        expect(writer.write({"a", "1"}, refuse_after_ms, wait_ms) ==
+                   write_result::stored,
+               "stored");
+        log.set_answers({append_result::unknown, append_result::unknown});
+        expect(writer.write({"b", "1"}, wait_ms, wait_ms) ==
+                   write_result::stored,
+               "stored by a repeat");
+        auto const calls = log.calls();
+        expect(calls.size() == 4, "two answers were lost");
+        section("its time limit is a small part of the caller's time", [&]
+                { expect(calls[1].timeout_ms <= wait_ms / 10, "first send"); });
+        section("repeats leave a slow log more time",
+                [&]
+                {
+                    expect(calls[2].timeout_ms > calls[1].timeout_ms &&
+                               calls[3].timeout_ms > calls[2].timeout_ms,
+                           "longer each time");
+                });
+        timers.stop();
+    }
+
     void an_answer_within_the_call_does_not_block()
     {
         scripted_log log;
