--- a/packages/entry/include/jasminetrack/entry/job_requests.hpp
+++ b/packages/entry/include/jasminetrack/entry/job_requests.hpp
@@ -9,6 +9,7 @@
 #include <jasminetrack/entry/topic_follower.hpp>
 
 #include <atomic>
+#include <limits>
 
 namespace jasminetrack::entry
 {
@@ -39,11 +40,15 @@
 class view_age
 {
 public:
+    /// Age of a topic that was not read yet.
+    static constexpr milliseconds never =
+        std::numeric_limits<milliseconds>::max();
+
     void record_contact(milliseconds now) noexcept
     {
         last_contact_ms_ = now;
     }
-    /// \returns the time since the last read; the largest value if none.
+    /// \returns the time since the last read, or `never`.
     [[nodiscard]] milliseconds age(milliseconds now) const noexcept;
 
 private:
@@ -72,6 +77,8 @@
     /// \returns whether the view is recent enough to answer that there is no
     /// such job.
     [[nodiscard]] bool is_current() const;
+    /// \returns the time for which the log has not answered; 0 if it works.
+    [[nodiscard]] milliseconds log_outage() const;
 
 private:
     /// Reads the log first if the job may have changed; an unreachable log
--- a/packages/entry/src/job_requests.cpp
+++ b/packages/entry/src/job_requests.cpp
@@ -2,7 +2,7 @@
 
 #include <jasminetrack/runtime/logging.hpp>
 
-#include <limits>
+#include <algorithm>
 
 namespace jasminetrack::entry
 {
@@ -61,8 +61,7 @@
 milliseconds view_age::age(milliseconds now) const noexcept
 {
     auto const contact = last_contact_ms_.load();
-    return contact < 0 ? std::numeric_limits<milliseconds>::max()
-                       : now - contact;
+    return contact < 0 ? never : now - contact;
 }
 
 job_requests::job_requests(job_table& table, record_writer& writer,
@@ -92,6 +91,15 @@
     return age_.age(monotonic_ms()) <= max_current_age_ms;
 }
 
+milliseconds job_requests::log_outage() const
+{
+    auto const now = monotonic_ms();
+    auto const failing = writer_.failing_for(now);
+    // A new process that has read nothing yet does not show an outage.
+    bool const is_new = age_.age(now) == view_age::never;
+    return is_new || is_current() ? failing : std::max(failing, age_.age(now));
+}
+
 write_result job_requests::store(caller const& who,
                                  tasks::log_record const& record)
 {
