Reclaim: runs that a stopped gang makes room for go on; losses by reason

The search for victims goes from worker to worker and kept a victim on an earlier worker after a gang stopped for a later one had freed room there too. Change: the finished plan drops victims without which its tasks still fit, those with the most work first. unit.end_run names the work that is lost, and 'jasminetrack losses' sums it by reason.

--- a/packages/cli/src/job_causes.cpp
+++ b/packages/cli/src/job_causes.cpp
@@ -56,6 +56,29 @@
                                      : cause;
 }
 
+void add(ended_runs& ended, log_line const& l)
+{
+    ++ended.count;
+    ended.lost_core_s += std::max<std::int64_t>(0, l.number("lost_core_s"));
+}
+
+/// Writes the runs that were ended before their work was done.
+void write_ended_runs(std::ostream& out, loss_table const& t)
+{
+    std::vector<std::pair<std::string, ended_runs>> rows;
+    for (auto const& row : t.ended)
+        if (row.second.lost_core_s > 0)
+            rows.push_back(row);
+    std::sort(rows.begin(), rows.end(),
+              [](auto const& a, auto const& b)
+              { return a.second.lost_core_s > b.second.lost_core_s; });
+    if (!rows.empty())
+        out << "work that was lost, in core seconds\n";
+    for (auto const& [why, ended] : rows)
+        out << "  " << ended.lost_core_s << "  in " << ended.count
+            << " runs: " << why << "\n";
+}
+
 } // namespace
 
 void update(job_times& t, log_line const& l)
@@ -101,10 +124,14 @@
 loss_table count_losses(std::vector<log_line> const& lines)
 {
     std::map<std::string, job_times> jobs;
+    loss_table table;
     for (auto const& l : lines)
+    {
         if (auto const& id = l.field("job"); !id.empty())
             update(jobs[id], l);
-    loss_table table;
+        if (l.step == "unit.end_run")
+            add(table.ended[without_ids(l.field("why"))], l);
+    }
     for (auto const& [id, t] : jobs)
     {
         if (t.first < 0)
@@ -131,6 +158,7 @@
         for (auto const& [count, cause] : rows)
             out << "  " << count << "  " << cause << "\n";
     }
+    write_ended_runs(out, t);
     return out.str();
 }
 
--- a/packages/cli/src/job_causes.hpp
+++ b/packages/cli/src/job_causes.hpp
@@ -36,16 +36,26 @@
 /// key of `loss_table`.
 [[nodiscard]] std::string outcome_of(job_times const& t);
 
+/// Runs that were ended for one reason.
+struct ended_runs
+{
+    int count = 0;
+    std::int64_t lost_core_s = 0; ///< work that has to be done again
+
+    friend bool operator==(ended_runs const&, ended_runs const&) = default;
+};
+
 /// Why jobs were late or lost, by priority.
 struct loss_table
 {
+    std::map<std::string, ended_runs> ended; ///< by reason
     /// Outcomes and their counts, by priority; -1: never placed.
     std::map<std::int64_t, std::map<std::string, int>> causes;
     int jobs = 0; ///< that were submitted in these lines
 };
 
 [[nodiscard]] loss_table count_losses(std::vector<log_line> const& lines);
-/// \returns the table as text, most frequent outcomes first.
+/// \returns the table as text, most frequent outcomes and largest losses first.
 [[nodiscard]] std::string to_text(loss_table const& t);
 
 } // namespace jasminetrack::cli
--- a/packages/tasks/src/dispatcher_runs.cpp
+++ b/packages/tasks/src/dispatcher_runs.cpp
@@ -61,7 +61,12 @@
     log_decision("unit.end_run", ref.job,
                  "step=" + std::to_string(ref.unit.step) +
                      " index=" + std::to_string(ref.unit.index) +
-                     " run=" + std::to_string(a.run) + " why=\"" + why + "\"");
+                     " run=" + std::to_string(a.run) + " why=\"" + why +
+                     "\" lost_core_s=" +
+                     std::to_string(static_cast<std::int64_t>(
+                         u.phase == unit_phase::done
+                             ? 0
+                             : lost_work(now, a, step_of(e, ref)))));
     std::vector<std::size_t> unsent;
     for (std::size_t i = 0; i < a.members.size(); ++i)
     {
--- a/packages/tasks/src/placement.cpp
+++ b/packages/tasks/src/placement.cpp
@@ -224,10 +224,55 @@
     return best;
 }
 
-std::optional<reclaim_plan> plan_on(candidate_list candidates,
+/// \returns whether the plan's tasks fit on their workers without one of its
+/// victims.
+bool fits_without(std::size_t victim, reclaim_plan const& plan,
+                  candidate_list const& candidates, unit_need const& need)
+{
+    for (auto const* w : candidates)
+    {
+        auto const tasks =
+            std::count(plan.places.begin(), plan.places.end(), w->id);
+        if (tasks == 0)
+            continue;
+        auto available = w->free_after_stops;
+        for (auto const& r : w->stoppable)
+            if (r.run != victim && plan.victims.count(r.run) != 0)
+                available += r.held;
+        if (tasks_in(available, *w, need) < tasks)
+            return false;
+    }
+    return true;
+}
+
+/// Keeps the runs that the stop of a gang for another worker has made
+/// unnecessary to stop, those with the most work to lose first.
+void drop_unneeded_victims(reclaim_plan& plan, candidate_list const& candidates,
+                           unit_need const& need)
+{
+    std::map<std::size_t, double> lost_work;
+    for (auto const* w : candidates)
+        for (auto const& r : w->stoppable)
+            if (plan.victims.count(r.run) != 0)
+                lost_work[r.run] = r.lost_work;
+    std::vector<std::pair<double, std::size_t>> victims;
+    for (auto const& [run, lost] : lost_work)
+        victims.emplace_back(lost, run);
+    std::sort(victims.rbegin(), victims.rend());
+    for (auto const& [lost, run] : victims)
+    {
+        if (!fits_without(run, plan, candidates, need))
+            continue;
+        plan.victims.erase(run);
+        plan.lost_work -= lost;
+    }
+}
+
+std::optional<reclaim_plan> plan_on(candidate_list const& all,
                                     unit_need const& need)
 {
     reclaim_plan plan;
+    auto candidates = all;
     while (std::ssize(plan.places) < need.count)
     {
         std::optional<worker_offer> best;
@@ -259,6 +304,7 @@
         candidates.erase(candidates.begin() +
                          static_cast<std::ptrdiff_t>(best_at));
     }
+    drop_unneeded_victims(plan, all, need);
     plan.fits_now = false;
     return plan;
 }
--- a/tests/support/entry_cluster.hpp
+++ b/tests/support/entry_cluster.hpp
@@ -56,14 +56,17 @@
         for (int i = 0; i < 3; ++i)
             log.put(entry::topic::workers, "w" + std::to_string(i), "1");
         for (int i = 0; i < count; ++i)
-        {
-            entry::entry_settings s;
-            s.node = "node" + std::to_string(i);
-            s.mesh = "127.0.0.1:1";
-            nodes.push_back(std::make_unique<entry::entry_node>(
-                s, entry::platform_ports{log, workers, decoder}));
-            nodes.back()->start();
-        }
+            add_node("node" + std::to_string(i));
+    }
+
+    void add_node(std::string const& name)
+    {
+        entry::entry_settings s;
+        s.node = name;
+        s.mesh = "127.0.0.1:1";
+        nodes.push_back(std::make_unique<entry::entry_node>(
+            s, entry::platform_ports{log, workers, decoder}));
+        nodes.back()->start();
     }
 
     template <typename Condition> bool wait_until(Condition const& condition)
--- a/tests/support/memory_platform.cpp
+++ b/tests/support/memory_platform.cpp
@@ -261,7 +261,10 @@
         if (order.token < w.token)
             reply.result = call_result::fenced;
         else if (w.running.emplace(order.run, reply.clock_ms).second)
+        {
             ++starts_[order.run.task];
+            used_workers_.insert(order.worker);
+        }
     }
     done(reply);
 }
@@ -291,6 +294,12 @@
     done(reply);
 }
 
+std::set<std::string> memory_workers::used_workers() const
+{
+    std::lock_guard<std::mutex> const lock(mutex_);
+    return used_workers_;
+}
+
 void memory_workers::fail_next_start(std::string reason)
 {
     std::lock_guard<std::mutex> const lock(mutex_);
--- a/tests/support/memory_platform.hpp
+++ b/tests/support/memory_platform.hpp
@@ -99,6 +99,8 @@
     void fail_next_start(std::string reason);
     /// \returns how often each task was started.
     [[nodiscard]] std::map<tasks::task_id, int> starts() const;
+    /// \returns the workers that have accepted a start.
+    [[nodiscard]] std::set<std::string> used_workers() const;
 
 private:
     struct worker_state
@@ -124,6 +126,7 @@
     std::vector<pending_renewal> pending_renewals_;
     std::map<std::string, worker_state> workers_;
     std::map<tasks::task_id, int> starts_;
+    std::set<std::string> used_workers_;
     std::string next_start_error_; ///< empty: none
     runtime::timer_service timers_;
 };
--- a/tests/unit/test_entry.cpp
+++ b/tests/unit/test_entry.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(one_of_several_nodes_dispatches);
     CPPUNIT_TEST(a_successor_takes_over_a_drained_node);
     CPPUNIT_TEST(jobs_survive_an_outage_of_the_log);
+    CPPUNIT_TEST(a_removed_worker_is_not_used_after_a_restart);
     CPPUNIT_TEST(an_append_is_refused_if_no_path_reaches_the_log);
     CPPUNIT_TEST(a_paused_dispatcher_starts_nothing_on_an_old_confirmation);
     CPPUNIT_TEST_SUITE_END();
@@ -125,6 +126,30 @@
                "the refused job does not exist");
     }
 
+    /// A new process reads the list of workers from the log, where older
+    /// entries of a worker that has left may still be readable.
+    void a_removed_worker_is_not_used_after_a_restart()
+    {
+        entry_cluster cluster(1);
+        caller const who{"team", 3'000};
+        expect(cluster.wait_until([&] { return cluster.nodes[0]->is_ready(); }),
+               "ready");
+        cluster.nodes[0]->stop();
+        cluster.log.put(topic::workers, "w0", "");
+        cluster.log.put(topic::workers, "w1", "");
+        cluster.add_node("restarted");
+        cluster.nodes.erase(cluster.nodes.begin());
+        expect(cluster.wait_until([&] { return cluster.nodes[0]->is_ready(); }),
+               "ready after the restart");
+        expect(cluster.nodes[0]->requests().submit(who, "batch", "a",
+                                                   two_step_job()) ==
+                   submit_result::accepted,
+               "accepted");
+        expect(cluster.wait_for_completion("a"), "completed");
+        expect(cluster.workers.used_workers() == std::set<std::string>{"w2"},
+               "only on the worker that is left");
+    }
+
     void an_append_is_refused_if_no_path_reaches_the_log()
     {
         support::memory_log log;
--- a/tests/unit/test_job_report.cpp
+++ b/tests/unit/test_job_report.cpp
@@ -21,8 +21,8 @@
 no log line at all
  2.9 vm-2 2026-12-04T08:00:01.050000Z level=info node=vm-2 step=unit.reclaim job=aa victims=1 lost_core_s=4.0
 2026-12-04T08:00:01.000000Z level=info node=vm-1 step=job.submit job=aa queue=q team=t steps=1 result=stored took_ms=40
-2026-12-04T08:00:01.060000Z level=info node=vm-2 step=unit.end_run job=bb step=0 index=3 run=1 why="stopped for job aa"
-2026-12-04T08:00:01.060001Z level=info node=vm-2 step=unit.end_run job=bb step=0 index=4 run=1 why="stopped for job aa"
+2026-12-04T08:00:01.060000Z level=info node=vm-2 step=unit.end_run job=bb step=0 index=3 run=1 why="stopped for job aa" lost_core_s=12
+2026-12-04T08:00:01.060001Z level=info node=vm-2 step=unit.end_run job=bb step=0 index=4 run=1 why="stopped for job aa" lost_core_s=30
 2026-12-04T08:00:01.070000Z level=info node=vm-2 step=unit.reclaim_again job=aa why="stops took too long"
 2026-12-04T08:00:01.200000Z level=warning node=vm-2 step=worker.silent job="" worker=w1 result=no_answer
 2026-12-04T08:00:01.300000Z level=info node=vm-2 step=worker.silent job="" worker=w9 result=no_answer
@@ -52,6 +52,7 @@
     CPPUNIT_TEST(lines_are_sorted_by_time);
     CPPUNIT_TEST(a_job_is_described_with_its_outcome);
     CPPUNIT_TEST(losses_are_counted_by_priority);
+    CPPUNIT_TEST(lost_work_is_summed_by_reason);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -104,6 +105,16 @@
                "refused");
         expect(to_text(table).find("priority 0") != std::string::npos, "text");
     }
+
+    void lost_work_is_summed_by_reason()
+    {
+        auto const table = count_losses(lines());
+        expect(table.ended.at("stopped for job") == ended_runs{2, 42},
+               "the ids of the other jobs do not count");
+        expect(to_text(table).find("42  in 2 runs: stopped for job") !=
+                   std::string::npos,
+               "text");
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(test_job_report);
--- a/tests/unit/test_placement.cpp
+++ b/tests/unit/test_placement.cpp
@@ -50,10 +50,38 @@
     CPPUNIT_TEST(labels_limits_and_avoided_workers_are_respected);
     CPPUNIT_TEST(gang_is_placed_on_one_rack);
     CPPUNIT_TEST(cheapest_runs_are_stopped);
+    CPPUNIT_TEST(runs_that_a_stopped_gang_makes_room_for_go_on);
     CPPUNIT_TEST(stopping_little_work_is_preferred_to_spreading);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    /// The search takes one worker after the other. A gang that is stopped for
+    /// a later worker frees room on the earlier ones as well.
+    void runs_that_a_stopped_gang_makes_room_for_go_on()
+    {
+        constexpr std::size_t single = 1;
+        constexpr std::size_t gang = 2;
+        std::vector<worker_candidate> candidates{candidate("a", "r", 0),
+                                                 candidate("b", "r", 0)};
+        add_run(candidates[0], single, 4, 5);
+        add_run(candidates[0], gang, 4, 12);
+        add_run(candidates[1], gang, 4, 12);
+        auto const p =
+            plan_reclaim(candidates, accelerators(4, 2), rack_spread::multiple);
+        expect(p && p->places.size() == 2, "two places");
+        expect(p->victims == std::set<std::size_t>{gang},
+               "only the gang is stopped");
+        expect(p->lost_work == 12, "and only its work is lost");
+        section("a run that is in the way is stopped",
+                [&]
+                {
+                    candidates[0].stoppable[1].held.accelerators = 2;
+                    auto const both = plan_reclaim(
+                        candidates, accelerators(4, 2), rack_spread::multiple);
+                    expect(both && both->victims.size() == 2, "both");
+                });
+    }
+
     void small_tasks_fill_partly_used_workers_first()
     {
         std::vector<worker_candidate> const candidates{candidate("a", "r", 8),
