--- a/packages/entry/include/jasminetrack/entry/dispatch_loop.hpp
+++ b/packages/entry/include/jasminetrack/entry/dispatch_loop.hpp
@@ -87,6 +87,8 @@
     /// Sends the append in flight, for the first time or again.
     void send_append();
     void on_append_answer(std::int64_t epoch, append_answer const& a);
+    void record_failed_append(milliseconds now, append_answer const& a);
+    void record_stored_append(milliseconds now);
     /// Appends what is due, if no append is in flight: queued store orders, the
     /// resignation, or a heartbeat.
     void append_if_due(milliseconds now);
--- a/packages/entry/include/jasminetrack/entry/entry_node.hpp
+++ b/packages/entry/include/jasminetrack/entry/entry_node.hpp
@@ -58,6 +58,7 @@
     mutable std::mutex mutex_;
     std::shared_ptr<tasks::configuration const> config_;
     view_age jobs_age_;
+    view_age work_age_; ///< since a new record of work was read
     view_age config_age_;
     std::atomic<bool> draining_{false};
     std::atomic<bool> node_record_published_{false};
--- a/packages/entry/include/jasminetrack/entry/job_requests.hpp
+++ b/packages/entry/include/jasminetrack/entry/job_requests.hpp
@@ -59,9 +59,11 @@
 class job_requests
 {
 public:
+    /// \param age       since the topic of jobs was read
+    /// \param work_age  since a new record of the dispatcher was read
     job_requests(job_table& table, record_writer& writer, view_age const& age,
-                 topic_follower& jobs, topic_follower& work,
-                 latencies& l) noexcept;
+                 view_age const& work_age, topic_follower& jobs,
+                 topic_follower& work, latencies& l) noexcept;
 
     [[nodiscard]] submit_result submit(caller const& who,
                                        std::string const& queue,
@@ -77,7 +79,8 @@
     /// \returns whether the view is recent enough to answer that there is no
     /// such job.
     [[nodiscard]] bool is_current() const;
-    /// \returns the time for which the log has not answered; 0 if it works.
+    /// \returns the time for which the log has answered no reads or stored
+    /// nothing, also for other nodes; 0 if it works.
     [[nodiscard]] milliseconds log_outage() const;
 
 private:
@@ -91,6 +94,7 @@
     job_table& table_;
     record_writer& writer_;
     view_age const& age_;
+    view_age const& work_age_;
     topic_follower& jobs_;
     topic_follower& work_;
     latencies& latencies_;
--- a/packages/entry/src/dispatch_loop_log.cpp
+++ b/packages/entry/src/dispatch_loop_log.cpp
@@ -110,20 +110,9 @@
                   a.reason);
         return;
     }
-    if (a.result == append_result::unknown)
-        append_timeout_.on_missing_answer();
     if (a.result != append_result::stored)
     {
-        if (log_failing_since_ms_ < 0)
-        {
-            log_failing_since_ms_ = now;
-            write_log(log_level::warning, "log.append.failing",
-                      {{"sequence",
-                        std::to_string(append_in_flight_->writer.sequence)},
-                       {"result", to_text(a.result)},
-                       {"reason", a.reason}});
-        }
-        append_retry_pending_ = true; // the next tick repeats it
+        record_failed_append(now, a);
         return;
     }
     if (!tasks::leadership::confirms_role(now, append_sent_ms_))
@@ -135,6 +124,33 @@
         append_retry_pending_ = true; // the log confirms it again, or refuses
         return;
     }
+    record_stored_append(now);
+    auto const batch = store_batch_;
+    append_in_flight_.reset();
+    if (batch > 0)
+        dispatcher_->on_stored(now, batch);
+    if (resigning_)
+        append_if_due(now);
+}
+
+/// The next tick repeats the append.
+void dispatch_loop::record_failed_append(milliseconds now,
+                                         append_answer const& a)
+{
+    append_retry_pending_ = true;
+    if (a.result == append_result::unknown)
+        append_timeout_.on_missing_answer();
+    if (log_failing_since_ms_ >= 0)
+        return;
+    log_failing_since_ms_ = now;
+    write_log(log_level::warning, "log.append.failing",
+              {{"sequence", std::to_string(append_in_flight_->writer.sequence)},
+               {"result", to_text(a.result)},
+               {"reason", a.reason}});
+}
+
+void dispatch_loop::record_stored_append(milliseconds now)
+{
     if (log_failing_since_ms_ >= 0)
         write_log(
             log_level::info, "log.append.back",
@@ -143,12 +159,6 @@
     append_timeout_.on_answer(now - append_sent_ms_);
     latencies_.record(latency::append, now - append_started_ms_);
     last_append_ms_ = now;
-    auto const batch = store_batch_;
-    append_in_flight_.reset();
-    if (batch > 0)
-        dispatcher_->on_stored(now, batch);
-    if (resigning_)
-        append_if_due(now);
 }
 
 tasks::log_record dispatch_loop::heartbeat_record() const
--- a/packages/entry/src/entry_node.cpp
+++ b/packages/entry/src/entry_node.cpp
@@ -74,8 +74,8 @@
       log_(ports.log, client_, peers_),
       incarnation_(new_incarnation(settings.node)),
       writer_(log_, topic::jobs, incarnation_, timers_),
-      requests_(table_, writer_, jobs_age_, jobs_follower_, work_follower_,
-                latencies_),
+      requests_(table_, writer_, jobs_age_, work_age_, jobs_follower_,
+                work_follower_, latencies_),
       dispatch_(settings, incarnation_, {log_, ports.workers, ports.decoder},
                 table_, timers_, latencies_),
       config_follower_(
@@ -97,6 +97,8 @@
                      {[this](std::vector<log_entry> const& entries,
                              std::int64_t next, bool reloaded)
                       {
+                          if (!entries.empty())
+                              work_age_.record_contact(monotonic_ms());
                           for (auto const& e : entries)
                               (void)table_.apply_progress(e);
                           dispatch_.on_work(entries, next, reloaded);
--- a/packages/entry/src/job_requests.cpp
+++ b/packages/entry/src/job_requests.cpp
@@ -35,6 +35,9 @@
 /// A view up to this age contains every job whose acceptance a caller can have
 /// been told.
 constexpr milliseconds max_current_age_ms = 1'500;
+/// The dispatcher appends at least each half second, and nodes read that at
+/// least each second. If no record is read for this long, the log stores none.
+constexpr milliseconds max_work_age_ms = 2'000;
 /// Time limit of a refresh before a request is answered from the view.
 constexpr milliseconds refresh_timeout_ms = 400;
 /// An open long poll returns a job that another entry VM accepted within this
@@ -44,6 +47,15 @@
 /// for a repeat through another entry VM with the same id.
 constexpr milliseconds deadline_divisor = 2;
 
+/// \returns the age if it is above the limit; 0 otherwise, and for a topic that
+/// was not read yet, as by a new process.
+milliseconds excess_age(view_age const& view, milliseconds now,
+                        milliseconds limit)
+{
+    auto const age = view.age(now);
+    return age == view_age::never || age <= limit ? 0 : age;
+}
+
 milliseconds max_wait(caller const& who)
 {
     return std::max<milliseconds>(1, who.deadline_ms / deadline_divisor);
@@ -65,10 +77,11 @@
 }
 
 job_requests::job_requests(job_table& table, record_writer& writer,
-                           view_age const& age, topic_follower& jobs,
-                           topic_follower& work, latencies& l) noexcept
-    : table_(table), writer_(writer), age_(age), jobs_(jobs), work_(work),
-      latencies_(l)
+                           view_age const& age, view_age const& work_age,
+                           topic_follower& jobs, topic_follower& work,
+                           latencies& l) noexcept
+    : table_(table), writer_(writer), age_(age), work_age_(work_age),
+      jobs_(jobs), work_(work), latencies_(l)
 {
 }
 
@@ -94,10 +107,9 @@
 milliseconds job_requests::log_outage() const
 {
     auto const now = monotonic_ms();
-    auto const failing = writer_.failing_for(now);
-    // A new process that has read nothing yet does not show an outage.
-    bool const is_new = age_.age(now) == view_age::never;
-    return is_new || is_current() ? failing : std::max(failing, age_.age(now));
+    return std::max({writer_.failing_for(now),
+                     excess_age(age_, now, max_current_age_ms),
+                     excess_age(work_age_, now, max_work_age_ms)});
 }
 
 write_result job_requests::store(caller const& who,
--- /dev/null
+++ b/packages/tasks/include/jasminetrack/tasks/detail/dispatcher_state.hpp
@@ -0,0 +1,117 @@
+#pragma once
+/// \file
+/// State that the dispatcher keeps of jobs, runs and the current scheduling
+/// pass. Times are on the dispatcher's monotonic clock unless a comment names
+/// another one.
+
+#include <jasminetrack/tasks/placement.hpp>
+#include <jasminetrack/tasks/queue_order.hpp>
+#include <jasminetrack/tasks/worker_view.hpp>
+
+#include <map>
+#include <set>
+
+namespace jasminetrack::tasks::detail
+{
+
+enum class member_phase : std::uint8_t
+{
+    recorded, ///< its start waits until the log has the placement
+    starting, ///< its start was sent and is not answered yet
+    /// The start got no answer; the next renewal shows whether it runs.
+    unconfirmed,
+    /// Placed by an earlier dispatcher; the next renewal shows whether it
+    /// runs.
+    adopted,
+    running,
+    released, ///< no longer on its worker
+};
+
+[[nodiscard]] constexpr bool is_unconfirmed(member_phase p) noexcept
+{
+    return p == member_phase::starting || p == member_phase::unconfirmed;
+}
+
+/// One task of a run: the only one, or a member of a gang.
+struct member
+{
+    std::string worker;
+    member_phase phase = member_phase::recorded;
+    /// Time on the worker's clock after which it refuses the start.
+    milliseconds until_ms = 0;
+    /// Time on the worker's clock when it confirmed the start.
+    milliseconds started_ms = 0;
+    milliseconds sent_at = 0;      ///< first send of the start
+    milliseconds last_sent_at = 0; ///< latest send, retries included
+    std::int64_t percent = 0;      ///< done, as the worker reports it
+    milliseconds progress_at = 0;  ///< when `percent` last rose
+    run_progress progress;
+};
+
+/// The newest run of a unit, kept while any member may be on a worker.
+struct active_run
+{
+    std::int64_t run = 0;
+    std::vector<member> members;
+    bool over = false;      ///< ended, or its members are being stopped
+    bool counted = false;   ///< its failure counts against the attempts
+    std::int64_t batch = 0; ///< log batch that records its places
+    milliseconds placed_at = 0;
+    milliseconds first_sent = 0; ///< when starts were sent; 0: not yet
+    std::size_t number = 0;      ///< identifies it in reclaim plans
+};
+
+/// A job that is not finished, or whose end is not stored yet.
+struct job_entry
+{
+    accepted_job job;
+    job_progress progress;
+    std::int64_t priority = 0;
+    std::string service;       ///< that its queue uses
+    milliseconds known_at = 0; ///< when this dispatcher received it
+    milliseconds objective_ms = 0;
+    /// Longest chain of estimated work from each step to the job's end.
+    std::vector<milliseconds> critical_paths;
+    std::int64_t waiting = 0;    ///< number of units in phase waiting
+    std::int64_t unfinished = 0; ///< number of units that are not done
+    std::map<unit_ref, std::set<std::string>> failed_on; ///< workers
+    std::map<unit_ref, milliseconds> failed_at;          ///< latest failure
+    std::map<std::int64_t, step_durations> durations;    ///< by step
+};
+
+/// Workers reserved for a unit until the stops that free them complete.
+struct reservation
+{
+    std::vector<std::string> places;
+    milliseconds since = 0; ///< when the stops were sent
+};
+
+/// The waiting units of one step; all have the same needs.
+struct waiting_units
+{
+    job_entry* entry = nullptr;
+    std::int64_t occurrence = 0;
+    std::int64_t step = 0;
+    std::vector<std::int64_t> indices;
+    ordering_key key;
+};
+
+/// The candidates of a service and priority, sorted by id. The entries of
+/// an earlier pass are kept, as their strings need no memory anew.
+struct candidate_list
+{
+    std::vector<worker_candidate> workers;
+    bool current = false; ///< made in this pass
+};
+
+/// Accelerators of a service at the start of a scheduling pass.
+struct accelerator_count
+{
+    std::int64_t capacity = 0;
+    std::int64_t free = 0;
+    std::int64_t urgent = 0;                   ///< held or reserved
+    std::int64_t least_share = 0;              ///< of each lower priority
+    std::map<std::int64_t, std::int64_t> held; ///< by priority
+};
+
+} // namespace jasminetrack::tasks::detail
--- /dev/null
+++ b/packages/tasks/include/jasminetrack/tasks/dispatch_limits.hpp
@@ -0,0 +1,27 @@
+#pragma once
+/// \file
+/// Limits of the platform within which the dispatcher works.
+
+#include <jasminetrack/tasks/model.hpp>
+
+namespace jasminetrack::tasks
+{
+
+/// Limits that the platform defines.
+struct dispatch_limits
+{
+    milliseconds max_lease_ms = 10'000; ///< workers cap longer leases
+    milliseconds max_stop_ms = 900;     ///< longest time that a stop takes
+    /// Time for which a started member waits for the rest of its gang.
+    milliseconds gang_wait_ms = 3'000;
+    /// Time in which guaranteed work must start by reclaiming accelerators.
+    milliseconds max_reclaim_ms = 3'400;
+    /// Slowdown of a gang that spans racks, and of a task whose data is in
+    /// another rack.
+    std::int64_t far_factor = 3;
+
+    friend bool operator==(dispatch_limits const&,
+                           dispatch_limits const&) = default;
+};
+
+} // namespace jasminetrack::tasks
--- a/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -5,39 +5,19 @@
 /// carry a lower fencing token than the highest one they have seen, which
 /// shuts out earlier dispatchers.
 
+#include <jasminetrack/tasks/detail/dispatcher_state.hpp>
+#include <jasminetrack/tasks/dispatch_limits.hpp>
 #include <jasminetrack/tasks/due_queue.hpp>
 #include <jasminetrack/tasks/headroom.hpp>
-#include <jasminetrack/tasks/placement.hpp>
 #include <jasminetrack/tasks/placement_advice.hpp>
-#include <jasminetrack/tasks/queue_order.hpp>
 #include <jasminetrack/tasks/service_utilization.hpp>
-#include <jasminetrack/tasks/worker_view.hpp>
 
 #include <deque>
 #include <functional>
-#include <map>
-#include <set>
 
 namespace jasminetrack::tasks
 {
 
-/// Limits that the platform defines.
-struct dispatch_limits
-{
-    milliseconds max_lease_ms = 10'000; ///< workers cap longer leases
-    milliseconds max_stop_ms = 900;     ///< longest time that a stop takes
-    /// Time for which a started member waits for the rest of its gang.
-    milliseconds gang_wait_ms = 3'000;
-    /// Time in which guaranteed work must start by reclaiming accelerators.
-    milliseconds max_reclaim_ms = 3'400;
-    /// Slowdown of a gang that spans racks, and of a task whose data is in
-    /// another rack.
-    std::int64_t far_factor = 3;
-
-    friend bool operator==(dispatch_limits const&,
-                           dispatch_limits const&) = default;
-};
-
 /// A scheduling decision, as it is written to the log.
 struct decision
 {
@@ -131,95 +111,14 @@
     [[nodiscard]] actions take_actions();
 
 private:
-    enum class member_phase : std::uint8_t
-    {
-        recorded, ///< its start waits until the log has the placement
-        starting, ///< its start was sent and is not answered yet
-        /// The start got no answer; the next renewal shows whether it runs.
-        unconfirmed,
-        /// Placed by an earlier dispatcher; the next renewal shows whether it
-        /// runs.
-        adopted,
-        running,
-        released, ///< no longer on its worker
-    };
-
-    [[nodiscard]] static constexpr bool is_unconfirmed(member_phase p) noexcept
-    {
-        return p == member_phase::starting || p == member_phase::unconfirmed;
-    }
-
-    /// One task of a run: the only one, or a member of a gang.
-    struct member
-    {
-        std::string worker;
-        member_phase phase = member_phase::recorded;
-        /// Time on the worker's clock after which it refuses the start.
-        milliseconds until_ms = 0;
-        /// Time on the worker's clock when it confirmed the start.
-        milliseconds started_ms = 0;
-        milliseconds sent_at = 0;      ///< first send of the start
-        milliseconds last_sent_at = 0; ///< latest send, retries included
-        std::int64_t percent = 0;      ///< done, as the worker reports it
-        milliseconds progress_at = 0;  ///< when `percent` last rose
-        run_progress progress;
-    };
-
-    /// The newest run of a unit, kept while any member may be on a worker.
-    struct active_run
-    {
-        std::int64_t run = 0;
-        std::vector<member> members;
-        bool over = false;      ///< ended, or its members are being stopped
-        bool counted = false;   ///< its failure counts against the attempts
-        std::int64_t batch = 0; ///< log batch that records its places
-        milliseconds placed_at = 0;
-        milliseconds first_sent = 0; ///< when starts were sent; 0: not yet
-        std::size_t number = 0;      ///< identifies it in reclaim plans
-    };
-
-    /// A job that is not finished, or whose end is not stored yet.
-    struct job_entry
-    {
-        accepted_job job;
-        job_progress progress;
-        std::int64_t priority = 0;
-        std::string service;       ///< that its queue uses
-        milliseconds known_at = 0; ///< when this dispatcher received it
-        milliseconds objective_ms = 0;
-        /// Longest chain of estimated work from each step to the job's end.
-        std::vector<milliseconds> critical_paths;
-        std::int64_t waiting = 0;    ///< number of units in phase waiting
-        std::int64_t unfinished = 0; ///< number of units that are not done
-        std::map<unit_ref, std::set<std::string>> failed_on; ///< workers
-        std::map<unit_ref, milliseconds> failed_at;          ///< latest failure
-        std::map<std::int64_t, step_durations> durations;    ///< by step
-    };
-
-    /// Workers reserved for a unit until the stops that free them complete.
-    struct reservation
-    {
-        std::vector<std::string> places;
-        milliseconds since = 0; ///< when the stops were sent
-    };
-
-    /// The waiting units of one step; all have the same needs.
-    struct waiting_units
-    {
-        job_entry* entry = nullptr;
-        std::int64_t occurrence = 0;
-        std::int64_t step = 0;
-        std::vector<std::int64_t> indices;
-        ordering_key key;
-    };
-
-    /// The candidates of a service and priority, sorted by id. The entries of
-    /// an earlier pass are kept, as their strings need no memory anew.
-    struct candidate_list
-    {
-        std::vector<worker_candidate> workers;
-        bool current = false; ///< made in this pass
-    };
+    using member_phase = detail::member_phase;
+    using member = detail::member;
+    using active_run = detail::active_run;
+    using job_entry = detail::job_entry;
+    using reservation = detail::reservation;
+    using waiting_units = detail::waiting_units;
+    using candidate_list = detail::candidate_list;
+    using accelerator_count = detail::accelerator_count;
 
     [[nodiscard]] step_spec const& step_of(job_entry const& e,
                                            unit_ref const& ref) const;
@@ -384,15 +283,6 @@
     [[nodiscard]] bool fits_now(milliseconds now, job_entry const& e,
                                 unit_ref const& ref,
                                 std::vector<std::string> const& places) const;
-    /// Accelerators of a service at the start of a scheduling pass.
-    struct accelerator_count
-    {
-        std::int64_t capacity = 0;
-        std::int64_t free = 0;
-        std::int64_t urgent = 0;                   ///< held or reserved
-        std::int64_t least_share = 0;              ///< of each lower priority
-        std::map<std::int64_t, std::int64_t> held; ///< by priority
-    };
     [[nodiscard]] std::map<std::string, accelerator_count>
     count_accelerators() const;
     [[nodiscard]] std::map<std::string, std::set<std::int64_t>>
--- a/tests/process/test_http.cpp
+++ b/tests/process/test_http.cpp
@@ -137,6 +137,40 @@
     std::thread thread_;
 };
 
+/// Answers every request with status 200.
+class accepting_server
+{
+public:
+    accepting_server()
+        : server_(address_, {},
+                  [](jasminetrack::runtime::http_request const&) {
+                      return jasminetrack::runtime::http_response{
+                          200, "{}", "", {}};
+                  })
+    {
+        std::string reason;
+        CPPUNIT_ASSERT_MESSAGE(reason, server_.start(reason));
+    }
+
+    [[nodiscard]] int port() const noexcept
+    {
+        return port_;
+    }
+    [[nodiscard]] std::string const& address() const noexcept
+    {
+        return address_;
+    }
+    bool drain(std::int64_t drain_ms)
+    {
+        return server_.drain(drain_ms);
+    }
+
+private:
+    int port_ = free_port();
+    std::string address_ = "127.0.0.1:" + std::to_string(port_);
+    jasminetrack::runtime::http_server server_;
+};
+
 class test_http : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(test_http);
@@ -202,21 +236,14 @@
     /// that are still open.
     void a_draining_server_sends_no_false_answers()
     {
-        auto const address = "127.0.0.1:" + std::to_string(free_port());
-        jasminetrack::runtime::http_server server(
-            address, {},
-            [](jasminetrack::runtime::http_request const&) {
-                return jasminetrack::runtime::http_response{200, "{}", "", {}};
-            });
-        std::string reason;
-        expect(server.start(reason), reason);
+        accepting_server server;
         http_client client;
-        expect(post(client, address, "a", false).status == 200,
+        expect(post(client, server.address(), "a", false).status == 200,
                "answered before the drain");
         expect(server.drain(1'000), "drained");
         for (int i = 0; i < 5; ++i)
         {
-            auto const a = post(client, address, "b", false);
+            auto const a = post(client, server.address(), "b", false);
             expect(a.result != delivery::answered || a.status == 200,
                    "the server's own answer or none");
         }
@@ -260,15 +287,7 @@
 
     void malformed_requests_do_not_stop_the_server()
     {
-        auto const address = "127.0.0.1:" + std::to_string(free_port());
-        jasminetrack::runtime::http_server server(
-            address, {},
-            [](jasminetrack::runtime::http_request const&) {
-                return jasminetrack::runtime::http_response{200, "{}", "", {}};
-            });
-        std::string reason;
-        expect(server.start(reason), reason);
-        auto const port = address.substr(address.find(':') + 1);
+        accepting_server server;
         for (std::string const request :
              {"GET /%zz HTTP/1.1\r\nHost: h\r\n\r\n",
               "GET /a?%=%zz HTTP/1.1\r\nHost: h\r\n\r\n",
@@ -280,11 +299,11 @@
             boost::asio::io_context context;
             tcp::socket s(context);
             s.connect({boost::asio::ip::make_address("127.0.0.1"),
-                       static_cast<unsigned short>(std::stoi(port))});
+                       static_cast<unsigned short>(server.port())});
             boost::asio::write(s, boost::asio::buffer(request));
             s.shutdown(tcp::socket::shutdown_send);
             http_client client;
-            expect(post(client, address, "x", true).status == 200,
+            expect(post(client, server.address(), "x", true).status == 200,
                    "served after " + request.substr(0, request.find('\r')));
         }
     }
--- a/tests/support/entry_cluster.hpp
+++ b/tests/support/entry_cluster.hpp
@@ -77,6 +77,20 @@
         return condition();
     }
 
+    bool wait_until_ready()
+    {
+        return wait_until([&] { return nodes[0]->is_ready(); });
+    }
+
+    /// Submits a job of two steps at the first node.
+    /// \returns whether the node has accepted it.
+    bool submit(std::string const& id)
+    {
+        entry::caller const who{"team", 3'000};
+        return nodes[0]->requests().submit(who, "batch", id, two_step_job()) ==
+               entry::submit_result::accepted;
+    }
+
     bool wait_for_completion(std::string const& id)
     {
         return wait_until(
--- a/tests/support/memory_platform.cpp
+++ b/tests/support/memory_platform.cpp
@@ -88,7 +88,7 @@
     {
         std::lock_guard<std::mutex> const lock(mutex_);
         answer.result = append_result::refused;
-        if (!down_)
+        if (!down_ && !refuses_appends_)
             answer = apply_append(call);
         if (auto const delay_ms = answer_delays_ms_[call.topic]; delay_ms > 0)
         {
@@ -172,6 +172,12 @@
     changed_.notify_all();
 }
 
+void memory_log::refuse_appends(bool refuse)
+{
+    std::lock_guard<std::mutex> const lock(mutex_);
+    refuses_appends_ = refuse;
+}
+
 void memory_log::set_down(bool down)
 {
     std::lock_guard<std::mutex> const lock(mutex_);
--- a/tests/support/memory_platform.hpp
+++ b/tests/support/memory_platform.hpp
@@ -39,6 +39,8 @@
     void delay_append_answers(entry::topic t, tasks::milliseconds ms);
     /// \returns how many appends have repeated an earlier sequence.
     [[nodiscard]] int repeated_appends() const;
+    /// While the log refuses appends, reads go on.
+    void refuse_appends(bool refuse);
     /// While the log is down, every call fails.
     void set_down(bool down);
     /// \returns the number of appends with another sequence than expected.
@@ -66,6 +68,7 @@
     std::condition_variable changed_;
     std::map<entry::topic, partition> topics_;
     bool down_ = false;
+    bool refuses_appends_ = false;
     std::map<entry::topic, tasks::milliseconds> answer_delays_ms_;
     int repeated_appends_ = 0;
     struct delayed_answer
--- a/tests/unit/test_entry.cpp
+++ b/tests/unit/test_entry.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(one_of_several_nodes_dispatches);
     CPPUNIT_TEST(a_successor_takes_over_a_drained_node);
     CPPUNIT_TEST(jobs_survive_an_outage_of_the_log);
+    CPPUNIT_TEST(a_node_without_own_appends_knows_of_an_outage);
     CPPUNIT_TEST(a_removed_worker_is_not_used_after_a_restart);
     CPPUNIT_TEST(an_append_is_refused_if_no_path_reaches_the_log);
     CPPUNIT_TEST(a_paused_dispatcher_starts_nothing_on_an_old_confirmation);
@@ -35,8 +36,7 @@
     void one_of_several_nodes_dispatches()
     {
         entry_cluster cluster(3);
-        expect(cluster.wait_until([&] { return cluster.nodes[0]->is_ready(); }),
-               "ready");
+        expect(cluster.wait_until_ready(), "ready");
         caller const who{"team", 3'000};
         for (int i = 0; i < 6; ++i)
         {
@@ -88,20 +88,12 @@
     void a_successor_takes_over_a_drained_node()
     {
         entry_cluster cluster(2);
-        caller const who{"team", 3'000};
-        expect(cluster.wait_until([&] { return cluster.nodes[0]->is_ready(); }),
-               "ready");
-        expect(cluster.nodes[0]->requests().submit(who, "batch", "a",
-                                                   two_step_job()) ==
-                   submit_result::accepted,
-               "accepted");
+        expect(cluster.wait_until_ready(), "ready");
+        expect(cluster.submit("a"), "accepted");
         expect(cluster.wait_for_completion("a"), "completed");
         cluster.nodes[1]->drain();
         expect(!cluster.nodes[1]->is_ready(), "a draining node is not ready");
-        expect(cluster.nodes[0]->requests().submit(who, "batch", "b",
-                                                   two_step_job()) ==
-                   submit_result::accepted,
-               "accepted");
+        expect(cluster.submit("b"), "accepted");
         expect(cluster.wait_for_completion("b"),
                "the other node completes the job");
     }
@@ -110,12 +102,8 @@
     {
         entry_cluster cluster(2);
         caller const who{"team", 3'000};
-        expect(cluster.wait_until([&] { return cluster.nodes[0]->is_ready(); }),
-               "ready");
-        expect(cluster.nodes[0]->requests().submit(who, "batch", "a",
-                                                   two_step_job()) ==
-                   submit_result::accepted,
-               "accepted");
+        expect(cluster.wait_until_ready(), "ready");
+        expect(cluster.submit("a"), "accepted");
         cluster.log.set_down(true);
         expect(cluster.nodes[0]->requests().submit(
                    who, "batch", "b", two_step_job()) == submit_result::refused,
@@ -126,25 +114,40 @@
                "the refused job does not exist");
     }
 
+    /// Callers try one node after the other. If each node counted the outage
+    /// from its own first append, each would ask its caller back at once.
+    void a_node_without_own_appends_knows_of_an_outage()
+    {
+        constexpr milliseconds outage_ms = 3'000;
+        entry_cluster cluster(2);
+        expect(cluster.wait_until_ready(), "ready");
+        expect(cluster.submit("a") && cluster.wait_for_completion("a"),
+               "the log works");
+        expect(cluster.nodes[1]->requests().log_outage() == 0, "no outage");
+        cluster.log.refuse_appends(true);
+        auto const begun = runtime::monotonic_ms();
+        expect(cluster.wait_until(
+                   [&] { return runtime::monotonic_ms() - begun > outage_ms; }),
+               "the outage lasts");
+        expect(!cluster.submit("b"), "refused");
+        for (auto const& node : cluster.nodes)
+            expect(node->requests().log_outage() >= outage_ms / 2,
+                   "every node knows how long it has lasted");
+    }
+
     /// A new process reads the list of workers from the log, where older
     /// entries of a worker that has left may still be readable.
     void a_removed_worker_is_not_used_after_a_restart()
     {
         entry_cluster cluster(1);
-        caller const who{"team", 3'000};
-        expect(cluster.wait_until([&] { return cluster.nodes[0]->is_ready(); }),
-               "ready");
+        expect(cluster.wait_until_ready(), "ready");
         cluster.nodes[0]->stop();
         cluster.log.put(topic::workers, "w0", "");
         cluster.log.put(topic::workers, "w1", "");
         cluster.add_node("restarted");
         cluster.nodes.erase(cluster.nodes.begin());
-        expect(cluster.wait_until([&] { return cluster.nodes[0]->is_ready(); }),
-               "ready after the restart");
-        expect(cluster.nodes[0]->requests().submit(who, "batch", "a",
-                                                   two_step_job()) ==
-                   submit_result::accepted,
-               "accepted");
+        expect(cluster.wait_until_ready(), "ready after the restart");
+        expect(cluster.submit("a"), "accepted");
         expect(cluster.wait_for_completion("a"), "completed");
         expect(cluster.workers.used_workers() == std::set<std::string>{"w2"},
                "only on the worker that is left");
@@ -176,19 +179,11 @@
     {
         constexpr milliseconds pause_ms = 2'000;
         entry_cluster cluster(1);
-        caller const who{"team", 3'000};
-        expect(cluster.wait_until([&] { return cluster.nodes[0]->is_ready(); }),
-               "ready");
-        expect(cluster.nodes[0]->requests().submit(who, "batch", "a",
-                                                   two_step_job()) ==
-                   submit_result::accepted,
-               "accepted");
+        expect(cluster.wait_until_ready(), "ready");
+        expect(cluster.submit("a"), "accepted");
         expect(cluster.wait_for_completion("a"), "the node dispatches");
         cluster.log.delay_append_answers(topic::work, pause_ms);
-        expect(cluster.nodes[0]->requests().submit(who, "batch", "b",
-                                                   two_step_job()) ==
-                   submit_result::accepted,
-               "accepted");
+        expect(cluster.submit("b"), "accepted");
         auto const repeated = cluster.log.repeated_appends();
         expect(cluster.wait_until(
                    [&]
--- a/tests/unit/test_unexpected_input.cpp
+++ b/tests/unit/test_unexpected_input.cpp
@@ -20,7 +20,6 @@
 using support::entry_cluster;
 using support::expect;
 using support::section;
-using support::two_step_job;
 
 std::string cbor(json const& value)
 {
@@ -74,14 +73,8 @@
         section("jobs are served on",
                 [&]
                 {
-                    caller const who{"team", 3'000};
-                    expect(cluster.wait_until(
-                               [&] { return cluster.nodes[0]->is_ready(); }),
-                           "ready");
-                    expect(cluster.nodes[0]->requests().submit(
-                               who, "batch", "a", two_step_job()) ==
-                               submit_result::accepted,
-                           "accepted");
+                    expect(cluster.wait_until_ready(), "ready");
+                    expect(cluster.submit("a"), "accepted");
                     expect(cluster.wait_for_completion("a"), "completed");
                 });
     }
@@ -89,14 +82,9 @@
     void an_error_in_the_dispatcher_costs_only_the_role()
     {
         entry_cluster cluster(2);
-        caller const who{"team", 3'000};
-        expect(cluster.wait_until([&] { return cluster.nodes[0]->is_ready(); }),
-               "ready");
+        expect(cluster.wait_until_ready(), "ready");
         cluster.workers.fail_next_start("unexpected state");
-        expect(cluster.nodes[0]->requests().submit(who, "batch", "a",
-                                                   two_step_job()) ==
-                   submit_result::accepted,
-               "accepted");
+        expect(cluster.submit("a"), "accepted");
         expect(cluster.wait_for_completion("a"), "completed after a take-over");
         for (auto const& [task, count] : cluster.workers.starts())
             expect(count == 1, "no task was started twice");
