Draining workers: their reports count the remaining time down

Change: the earliest time that any report gives is kept. Result: test_draining was seen failing before (stopped after 3.0 s of 6.5 s) and passes; 137 unit tests pass.

--- a/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -145,6 +145,8 @@
     void start_incarnation(milliseconds now, worker_view& w,
                            std::int64_t incarnation, milliseconds clock_ms,
                            std::string const& why);
+    static void record_remaining_time(milliseconds now, worker_view& w,
+                                      worker_info const& info);
     [[nodiscard]] std::map<task_run, hosted_run>
     unconfirmed_starts(worker_view const& w);
     void send_due_renewals(milliseconds now);
--- a/packages/tasks/include/jasminetrack/tasks/worker_view.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/worker_view.hpp
@@ -69,8 +69,10 @@
 
     worker_info info;
     bool listed = true;
-    /// Time since which it is draining or no longer listed; -1: neither.
-    milliseconds draining_since = -1;
+    /// Time since which it is no longer listed; -1: it is listed.
+    milliseconds unlisted_since = -1;
+    /// Earliest time at which a draining worker leaves; -1: not known.
+    milliseconds leaves_at = -1;
     bool token_known = false; ///< it has accepted this dispatcher's token
     /// It runs a task of an unknown job, so its free capacity is not known.
     bool runs_unknown_task = false;
--- a/packages/tasks/src/dispatcher_monitor.cpp
+++ b/packages/tasks/src/dispatcher_monitor.cpp
@@ -94,10 +94,9 @@
     std::vector<unit_ref> to_move;
     for (auto const& [id, w] : workers_)
     {
-        if (!w.info.draining || !w.listed || w.info.remaining_ms <= 0)
+        if (!w.listed || w.leaves_at < 0)
             continue;
-        auto const left =
-            w.draining_since + w.info.remaining_ms - now - limits_.max_stop_ms;
+        auto const left = w.leaves_at - now - limits_.max_stop_ms;
         for (auto const& [run, o] : w.hosted_runs)
         {
             auto const at = active_.find(o.unit);
--- a/packages/tasks/src/dispatcher_workers.cpp
+++ b/packages/tasks/src/dispatcher_workers.cpp
@@ -35,17 +35,15 @@
         start_incarnation(now, w, incarnation, 0,
                           "a new incarnation is listed");
     if (info.draining && !w.info.draining)
-    {
-        w.draining_since = now;
         log_decision("worker.draining", "",
                      "worker=" + info.id +
                          " remaining_ms=" + std::to_string(info.remaining_ms));
-    }
     if (w.info.id.empty())
         log_decision("worker.listed", "",
                      "worker=" + info.id + " address=" + info.address +
                          " rack=" + info.rack +
                          " born=" + std::to_string(incarnation));
+    record_remaining_time(now, w, info);
     bool const is_new = w.info.address != info.address;
     w.info = info;
     w.info.incarnation = incarnation;
@@ -55,13 +53,27 @@
     changed_ = true;
 }
 
+/// A worker reports the remaining time again and again. Each report is older
+/// than it seems by the time that it took to arrive, so the earliest time
+/// counts.
+void dispatcher::record_remaining_time(milliseconds now, worker_view& w,
+                                       worker_info const& info)
+{
+    if (!info.draining)
+        w.leaves_at = -1;
+    if (!info.draining || info.remaining_ms <= 0)
+        return;
+    auto const at = now + info.remaining_ms;
+    w.leaves_at = w.leaves_at < 0 ? at : std::min(w.leaves_at, at);
+}
+
 void dispatcher::unlist_worker(milliseconds now, std::string const& id)
 {
     auto const at = workers_.find(id);
     if (at == workers_.end() || !at->second.listed)
         return;
     at->second.listed = false;
-    at->second.draining_since = now;
+    at->second.unlisted_since = now;
     changed_ = true;
     log_decision("worker.unlisted", "", "worker=" + id);
 }
@@ -168,7 +180,7 @@
             (never_reached || w.is_lease_expired(now)))
             end_lost_runs(now, w, "its lease expired");
         bool const gone = !w.listed && w.hosted_runs.empty() &&
-                          now - w.draining_since > unlisted_keep_ms;
+                          now - w.unlisted_since > unlisted_keep_ms;
         if (gone)
             renewals_.erase(at->first);
         at = gone ? workers_.erase(at) : std::next(at);
--- a/tests/support/manual_dispatcher.hpp
+++ b/tests/support/manual_dispatcher.hpp
@@ -36,12 +36,22 @@
         w.incarnation = incarnation;
         incarnations_[id] = incarnation;
         started_at_[id] = now;
+        infos_[id] = w;
+        dispatcher_.put_worker(now, w);
+    }
+
+    /// The worker reports that it leaves in this time.
+    void drain_worker(std::string const& id, milliseconds remaining_ms)
+    {
+        auto& w = infos_.at(id);
+        w.draining = true;
+        w.remaining_ms = remaining_ms;
         dispatcher_.put_worker(now, w);
     }
 
     /// Submits a job of which each task needs a whole worker.
     void submit(std::string const& id, std::string const& queue,
-                std::int64_t members = 1)
+                std::int64_t members = 1, bool checkpoints = false)
     {
         accepted_job job;
         job.id = id;
@@ -52,6 +62,7 @@
         job.spec.steps[0].estimate_ms = 20'000;
         job.spec.steps[0].count = members;
         job.spec.steps[0].gang = members > 1;
+        job.spec.steps[0].checkpoints = checkpoints;
         dispatcher_.put_job(now, job, initial_progress(job.spec));
     }
 
@@ -132,6 +143,7 @@
 
     std::map<std::string, std::int64_t> incarnations_;
     std::map<std::string, milliseconds> started_at_;
+    std::map<std::string, worker_info> infos_;
     dispatcher dispatcher_;
 };
 
