Retry-After: only an outage for all nodes makes it longer

Cause: a node that could not read the log took that for an outage of the log and sent its callers away for up to five seconds, though other nodes might have served them at once. Change: the outage is what the missing records of the dispatcher show to a node that does read the log; otherwise callers come back after a second.

--- a/packages/entry/include/jasminetrack/entry/job_requests.hpp
+++ b/packages/entry/include/jasminetrack/entry/job_requests.hpp
@@ -79,8 +79,8 @@
     /// \returns whether the view is recent enough to answer that there is no
     /// such job.
     [[nodiscard]] bool is_current() const;
-    /// \returns the time for which the log has answered no reads or stored
-    /// nothing, also for other nodes; 0 if it works.
+    /// \returns the time for which the log has stored nothing for any node; 0
+    /// if it works, or if this node cannot tell.
     [[nodiscard]] milliseconds log_outage() const;
 
 private:
--- a/packages/entry/include/jasminetrack/entry/record_writer.hpp
+++ b/packages/entry/include/jasminetrack/entry/record_writer.hpp
@@ -42,10 +42,6 @@
                                      milliseconds refuse_after_ms,
                                      milliseconds wait_ms);
 
-    /// \returns the time for which the log has stored nothing, as far as
-    /// appends of this writer show; 0 if the latest one was stored.
-    [[nodiscard]] milliseconds failing_for(milliseconds now);
-
 private:
     struct pending_record
     {
--- a/packages/entry/src/job_requests.cpp
+++ b/packages/entry/src/job_requests.cpp
@@ -47,15 +47,6 @@
 /// for a repeat through another entry VM with the same id.
 constexpr milliseconds deadline_divisor = 2;
 
-/// \returns the age if it is above the limit; 0 otherwise, and for a topic that
-/// was not read yet, as by a new process.
-milliseconds excess_age(view_age const& view, milliseconds now,
-                        milliseconds limit)
-{
-    auto const age = view.age(now);
-    return age == view_age::never || age <= limit ? 0 : age;
-}
-
 milliseconds max_wait(caller const& who)
 {
     return std::max<milliseconds>(1, who.deadline_ms / deadline_divisor);
@@ -104,12 +95,15 @@
     return age_.age(monotonic_ms()) <= max_current_age_ms;
 }
 
+/// A node that cannot read the log may be the only one: its callers are served
+/// at once by others. One that reads it and misses the dispatcher's records
+/// knows that the log stores nothing for any node.
 milliseconds job_requests::log_outage() const
 {
-    auto const now = monotonic_ms();
-    return std::max({writer_.failing_for(now),
-                     excess_age(age_, now, max_current_age_ms),
-                     excess_age(work_age_, now, max_work_age_ms)});
+    auto const age = work_age_.age(monotonic_ms());
+    bool const shows_outage =
+        is_current() && age != view_age::never && age > max_work_age_ms;
+    return shows_outage ? age : 0;
 }
 
 write_result job_requests::store(caller const& who,
--- a/packages/entry/src/record_writer.cpp
+++ b/packages/entry/src/record_writer.cpp
@@ -61,12 +61,6 @@
     return write_result::unknown;
 }
 
-milliseconds record_writer::failing_for(milliseconds now)
-{
-    std::lock_guard<std::mutex> const lock(mutex_);
-    return failing_since_ms_ < 0 ? 0 : now - failing_since_ms_;
-}
-
 bool record_writer::refuses_records()
 {
     auto const now = monotonic_ms();
--- a/tests/unit/test_entry.cpp
+++ b/tests/unit/test_entry.cpp
@@ -133,6 +133,17 @@
         for (auto const& node : cluster.nodes)
             expect(node->requests().log_outage() >= outage_ms / 2,
                    "every node knows how long it has lasted");
+        section("a node that cannot read the log sends its callers on",
+                [&]
+                {
+                    cluster.log.set_down(true);
+                    for (auto const& node : cluster.nodes)
+                        expect(
+                            cluster.wait_until(
+                                [&]
+                                { return node->requests().log_outage() == 0; }),
+                            "other nodes may serve them at once");
+                });
     }
 
     /// A new process reads the list of workers from the log, where older
