--- a/packages/tasks/src/placement.cpp
+++ b/packages/tasks/src/placement.cpp
@@ -256,6 +256,7 @@
             if (plan.victims.count(r.run) != 0)
                 lost_work[r.run] = r.lost_work;
     std::vector<std::pair<double, std::size_t>> victims;
+    victims.reserve(lost_work.size());
     for (auto const& [run, lost] : lost_work)
         victims.emplace_back(lost, run);
     std::sort(victims.rbegin(), victims.rend());
