Log lines of lost workers name their runs, and whether the process ended

Change: run.lost for each run (worker, rack, time since its start, whether the worker had reported it, how many others were there); worker.lost has replaced=1 if another process is at the worker's address or under its id. jasminetrack why shows it. No decision changed.

--- a/packages/cli/src/job_report.cpp
+++ b/packages/cli/src/job_report.cpp
@@ -122,6 +122,18 @@
              return "On worker " + e.field("worker") + ", " +
                     run_text(e, "task") + " ended: " + e.field("how") + ".";
          }},
+        {"run.lost",
+         [](log_line const& e)
+         {
+             return "Worker " + e.field("worker") + " was lost with " +
+                    run_text(e, "task") + ", " + e.field("ran_ms") +
+                    " ms after its start was sent" +
+                    (e.number("reported") == 1 ? ""
+                                               : " and before it was "
+                                                 "reported as running") +
+                    "; " + e.field("others") +
+                    " other run(s) were on that worker.";
+         }},
         {"run.absent",
          [](log_line const& e)
          {
--- a/packages/tasks/include/jasminetrack/tasks/detail/dispatcher_state.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/detail/dispatcher_state.hpp
@@ -43,6 +43,7 @@
     milliseconds started_ms = 0;
     milliseconds sent_at = 0;      ///< first send of the start
     milliseconds last_sent_at = 0; ///< latest send, retries included
+    bool reported = false;         ///< the worker has listed it as running
     std::int64_t percent = 0;      ///< done, as the worker reports it
     milliseconds progress_at = 0;  ///< when `percent` last rose
     run_progress progress;
--- a/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -166,10 +166,6 @@
     /// Looks for what time alone changes: expired leases, runs without
     /// progress, and drains that come to their end.
     void monitor(milliseconds now);
-    void check_lost_workers(milliseconds now);
-    /// Ends the runs on a lost worker, except those in `kept`.
-    void end_lost_runs(milliseconds now, worker_view& w, std::string const& why,
-                       std::map<task_run, hosted_run> const& kept = {});
     /// Processes the ended runs of a reply that are new.
     void process_ended(milliseconds now, worker_view& w, renew_reply const& r);
     /// Updates members from the running tasks of a reply, and stops tasks that
@@ -187,6 +183,18 @@
                      member& m, milliseconds clock_ms, std::int64_t percent);
     void send_stop(milliseconds now, worker_view& w, task_run const& run);
 
+    // dispatcher_losses.cpp
+    void check_lost_workers(milliseconds now);
+    /// Ends the runs on a lost worker, except those in `kept`.
+    void end_lost_runs(milliseconds now, worker_view& w, std::string const& why,
+                       std::map<task_run, hosted_run> const& kept = {});
+    /// Notes which worker is at the address, and that another one has been
+    /// replaced there.
+    void note_address(worker_view& w);
+    void forget_address(worker_view const& w);
+    void log_lost_run(milliseconds now, worker_view const& w,
+                      task_run const& run, unit_ref const& ref) const;
+
     // dispatcher_starts.cpp, dispatcher_runs.cpp, dispatcher_monitor.cpp
     void place(milliseconds now, job_entry& e, unit_ref const& ref,
                std::vector<std::string> const& places);
@@ -337,6 +345,8 @@
     configuration config_;
     std::map<std::string, job_entry> jobs_;
     std::map<std::string, worker_view> workers_;
+    /// Id of the worker that was listed last, by address.
+    std::map<std::string, std::string> holder_of_address_;
     due_queue renewals_; ///< workers without a renewal under way
     /// Workers without runs whose first renewal is under way.
     std::set<std::string> first_contacts_;
--- a/packages/tasks/include/jasminetrack/tasks/worker_view.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/worker_view.hpp
@@ -79,6 +79,8 @@
     milliseconds answered_at = -1; ///< latest answer to a renewal
     /// Time of the first renewal that failed since the last answer; -1: none.
     milliseconds unresponsive_since = -1;
+    /// Another process is at its address, so its own process has ended.
+    bool replaced = false;
 
     bool renewal_sent = false; ///< a renewal awaits its answer
     /// Pause before the next renewal, while the worker hosts no run.
--- /dev/null
+++ b/packages/tasks/src/dispatcher_losses.cpp
@@ -0,0 +1,115 @@
+#include <jasminetrack/tasks/dispatcher.hpp>
+
+namespace jasminetrack::tasks
+{
+namespace
+{
+
+/// An earlier dispatcher stops within this time after its successor starts.
+constexpr milliseconds handover_ms = 3'000;
+/// Unlisted workers are kept for this time, as they may be listed again.
+constexpr milliseconds unlisted_keep_ms = 60'000;
+
+} // namespace
+
+void dispatcher::check_lost_workers(milliseconds now)
+{
+    for (auto at = workers_.begin(); at != workers_.end();)
+    {
+        auto& w = at->second;
+        bool const never_reached =
+            !w.token_known && w.clock_at_ < 0 &&
+            now - created_at_ >
+                limits_.max_lease_ms + limits_.max_lease_ms / 50 + handover_ms;
+        if (!w.hosted_runs.empty() &&
+            (never_reached || w.is_lease_expired(now)))
+            end_lost_runs(now, w, "its lease expired");
+        bool const gone = !w.listed && w.hosted_runs.empty() &&
+                          now - w.unlisted_since > unlisted_keep_ms;
+        if (gone)
+        {
+            forget_address(w);
+            renewals_.erase(at->first);
+        }
+        at = gone ? workers_.erase(at) : std::next(at);
+    }
+}
+
+void dispatcher::end_lost_runs(milliseconds now, worker_view& w,
+                               std::string const& why,
+                               std::map<task_run, hosted_run> const& kept)
+{
+    std::vector<std::pair<task_run, unit_ref>> lost;
+    for (auto const& [run, o] : w.hosted_runs)
+        if (kept.count(run) == 0)
+            lost.emplace_back(run, o.unit);
+    log_decision(
+        "worker.lost", "",
+        "worker=" + w.info.id + " runs=" + std::to_string(lost.size()) +
+            " replaced=" + (w.replaced ? "1" : "0") + " why=\"" + why + "\"");
+    for (auto const& [run, ref] : lost)
+    {
+        log_lost_run(now, w, run, ref);
+        auto const at = active_.find(ref);
+        auto const index = at == active_.end()
+                               ? std::nullopt
+                               : member_index(ref, at->second, run);
+        w.remove(run);
+        if (!index)
+            continue;
+        end_run(now, ref, "its worker was lost");
+        if (active_.count(ref) != 0)
+            release_member(now, ref, *index);
+    }
+    changed_ = true;
+}
+
+/// Two workers cannot share an address, so the process of the one that started
+/// earlier has ended.
+void dispatcher::note_address(worker_view& w)
+{
+    auto& holder = holder_of_address_[w.info.address];
+    auto const other = workers_.find(holder);
+    bool const is_shared = other != workers_.end() && holder != w.info.id &&
+                           other->second.info.address == w.info.address;
+    if (is_shared && other->second.info.incarnation > w.info.incarnation)
+    {
+        w.replaced = true;
+        return;
+    }
+    if (is_shared)
+        other->second.replaced = true;
+    holder = w.info.id;
+}
+
+void dispatcher::forget_address(worker_view const& w)
+{
+    auto const at = holder_of_address_.find(w.info.address);
+    if (at != holder_of_address_.end() && at->second == w.info.id)
+        holder_of_address_.erase(at);
+}
+
+void dispatcher::log_lost_run(milliseconds now, worker_view const& w,
+                              task_run const& run, unit_ref const& ref) const
+{
+    auto const at = active_.find(ref);
+    auto const index =
+        at == active_.end() ? std::nullopt : member_index(ref, at->second, run);
+    if (!index)
+        return;
+    auto const& m = at->second.members[*index];
+    if (m.phase == member_phase::recorded)
+        return;
+    auto const silent_at =
+        w.unresponsive_since >= 0 ? w.unresponsive_since : now;
+    log_decision("run.lost", run.task.job,
+                 "worker=" + w.info.id + " rack=" + w.info.rack +
+                     " step=" + std::to_string(run.task.step) +
+                     " index=" + std::to_string(run.task.index) +
+                     " run=" + std::to_string(run.run) +
+                     " ran_ms=" + std::to_string(silent_at - m.sent_at) +
+                     " reported=" + (m.reported ? "1" : "0") +
+                     " others=" + std::to_string(w.hosted_runs.size() - 1));
+}
+
+} // namespace jasminetrack::tasks
--- a/packages/tasks/src/dispatcher_renewals.cpp
+++ b/packages/tasks/src/dispatcher_renewals.cpp
@@ -135,6 +135,7 @@
                                      call_result result)
 {
     w.idle_pause_ms = 0;
+    w.replaced = w.replaced || result == call_result::other_incarnation;
     schedule_renewal(w.info.id, w, now + unresponsive_retry_ms);
     w.last_unanswered_at = now;
     if (w.unresponsive_since >= 0)
@@ -165,6 +166,7 @@
         changed_ = true;
     w.token_known = true;
     w.unresponsive_since = -1;
+    w.replaced = false;
     w.answered_at = now;
 }
 
@@ -242,6 +244,7 @@
         if (!index)
             continue;
         auto& m = a.members[*index];
+        m.reported = true;
         if (m.phase == member_phase::adopted || is_unconfirmed(m.phase))
         {
             m.phase = member_phase::running;
--- a/packages/tasks/src/dispatcher_workers.cpp
+++ b/packages/tasks/src/dispatcher_workers.cpp
@@ -7,10 +7,6 @@
 namespace
 {
 
-/// An earlier dispatcher stops within this time after its successor starts.
-constexpr milliseconds handover_ms = 3'000;
-/// Unlisted workers are kept for this time, as they may be listed again.
-constexpr milliseconds unlisted_keep_ms = 60'000;
 /// The quarantine of a worker is this time, doubled for each failure since its
 /// last completed run, up to the maximum.
 constexpr milliseconds quarantine_ms = 4'000;
@@ -48,7 +44,10 @@
     w.info = info;
     w.info.incarnation = incarnation;
     if (is_new)
+    {
         schedule_renewal(info.id, w, now);
+        note_address(w);
+    }
     w.listed = true;
     changed_ = true;
 }
@@ -86,6 +85,7 @@
                                    milliseconds clock_ms,
                                    std::string const& why)
 {
+    w.replaced = true;
     auto const kept = unconfirmed_starts(w);
     for (auto const& [run, o] : kept)
         end_run(now, o.unit, why);
@@ -167,53 +167,6 @@
     check_draining(now);
 }
 
-void dispatcher::check_lost_workers(milliseconds now)
-{
-    for (auto at = workers_.begin(); at != workers_.end();)
-    {
-        auto& w = at->second;
-        bool const never_reached =
-            !w.token_known && w.clock_at_ < 0 &&
-            now - created_at_ >
-                limits_.max_lease_ms + limits_.max_lease_ms / 50 + handover_ms;
-        if (!w.hosted_runs.empty() &&
-            (never_reached || w.is_lease_expired(now)))
-            end_lost_runs(now, w, "its lease expired");
-        bool const gone = !w.listed && w.hosted_runs.empty() &&
-                          now - w.unlisted_since > unlisted_keep_ms;
-        if (gone)
-            renewals_.erase(at->first);
-        at = gone ? workers_.erase(at) : std::next(at);
-    }
-}
-
-void dispatcher::end_lost_runs(milliseconds now, worker_view& w,
-                               std::string const& why,
-                               std::map<task_run, hosted_run> const& kept)
-{
-    std::vector<std::pair<task_run, unit_ref>> lost;
-    for (auto const& [run, o] : w.hosted_runs)
-        if (kept.count(run) == 0)
-            lost.emplace_back(run, o.unit);
-    log_decision("worker.lost", "",
-                 "worker=" + w.info.id + " runs=" +
-                     std::to_string(lost.size()) + " why=\"" + why + "\"");
-    for (auto const& [run, ref] : lost)
-    {
-        auto const at = active_.find(ref);
-        auto const index = at == active_.end()
-                               ? std::nullopt
-                               : member_index(ref, at->second, run);
-        w.remove(run);
-        if (!index)
-            continue;
-        end_run(now, ref, "its worker was lost");
-        if (active_.count(ref) != 0)
-            release_member(now, ref, *index);
-    }
-    changed_ = true;
-}
-
 void dispatcher::on_stop(milliseconds now, stop_reply const& r)
 {
     if (r.result == call_result::fenced)
--- a/packages/tasks/src/worker_view.cpp
+++ b/packages/tasks/src/worker_view.cpp
@@ -111,6 +111,7 @@
     pace = {};
     token_known = false;
     runs_unknown_task = false;
+    replaced = false;
 }
 
 } // namespace jasminetrack::tasks
--- a/tests/support/manual_dispatcher.hpp
+++ b/tests/support/manual_dispatcher.hpp
@@ -20,16 +20,19 @@
     static constexpr milliseconds step_ms = 50;
 
     explicit manual_dispatcher(configuration const& c = two_queues())
-        : dispatcher_(7, {}, now, nullptr)
+        : dispatcher_(7, {}, now,
+                      [this](decision const& d) { decisions.push_back(d); })
     {
         dispatcher_.set_configuration(c);
     }
 
-    void add_worker(std::string const& id, std::int64_t incarnation)
+    /// \param address  that of a worker of its own if empty
+    void add_worker(std::string const& id, std::int64_t incarnation,
+                    std::string const& address = "")
     {
         worker_info w;
         w.id = id;
-        w.address = "10.0.0.1:1";
+        w.address = address.empty() ? "10.0.0.1:" + id : address;
         w.service = "service";
         w.rack = "r1";
         w.capacity = {8'000, 8'000, 8};
@@ -98,6 +101,18 @@
     std::vector<stop_order> stops;
     std::vector<advice_order> advice_requests;
     std::map<std::string, std::set<task_run>> running;
+    std::vector<decision> decisions;
+
+    /// \returns the fields of the newest decision with this step; empty if
+    /// there is none.
+    [[nodiscard]] std::string newest(std::string const& step) const
+    {
+        std::string text;
+        for (auto const& d : decisions)
+            if (d.step == step)
+                text = d.text;
+        return text;
+    }
 
     void answer_advice(advice_reply const& r)
     {
--- /dev/null
+++ b/tests/unit/test_crashes.cpp
@@ -0,0 +1,67 @@
+/// \file
+/// Tasks whose workers crash: what the dispatcher reports of them, when it
+/// suspects a task, and when it gives one up.
+
+#include "manual_dispatcher.hpp"
+#include "section.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace
+{
+
+using namespace support;
+
+/// Longer than the longest lease.
+constexpr milliseconds until_lost_ms = 11'000;
+
+bool has(std::string const& text, std::string const& part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+class test_crashes : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(test_crashes);
+    CPPUNIT_TEST(log_lines_tell_a_crash_from_silence);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void log_lines_tell_a_crash_from_silence()
+    {
+        manual_dispatcher h;
+        h.add_worker("w1", 1, "10.0.0.1:1");
+        h.run_for(500);
+        h.submit("a", "batch");
+        section("a worker that only stops answering",
+                [&]
+                {
+                    h.run_for(1'000);
+                    h.unresponsive.insert("w1");
+                    h.run_for(until_lost_ms);
+                    expect(has(h.newest("worker.lost"), "replaced=0"),
+                           "its process may still run");
+                    expect(has(h.newest("run.lost"), "reported=1"),
+                           "it had reported the run");
+                });
+        section("a worker whose address another one has",
+                [&]
+                {
+                    h.unresponsive.clear();
+                    h.running["w1"].clear();
+                    h.run_for(200);
+                    h.unresponsive.insert("w1");
+                    h.add_worker("w2", 2, "10.0.0.1:1");
+                    h.run_for(until_lost_ms);
+                    expect(has(h.newest("worker.lost"), "replaced=1"),
+                           "its process has ended");
+                    auto const lost = h.newest("run.lost");
+                    expect(has(lost, "reported=0"), "it was just started");
+                    expect(has(lost, "others=0"), "it was alone");
+                });
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(test_crashes);
+
+} // namespace
