Failing test of BUDGET: a task that crashes its workers is started without end

A run whose worker is lost goes back to the queue as if it had no part in it. Change: the simulation around the dispatcher has tasks that crash each worker that starts them, and workers that are back under the same id or another one at their address. It checks the users' rule and that no job fails without a cause.

--- a/tests/support/dispatch_simulation.cpp
+++ b/tests/support/dispatch_simulation.cpp
@@ -77,11 +77,12 @@
 
 void dispatch_simulation::add_worker(std::string const& id,
                                      std::string const& rack,
-                                     resources capacity)
+                                     resources capacity,
+                                     std::string const& address)
 {
     sim_worker w;
     w.info.id = id;
-    w.info.address = id;
+    w.info.address = address.empty() ? id : address;
     w.info.service = "service";
     w.info.rack = rack;
     w.info.labels = {"a", rack};
@@ -158,6 +159,8 @@
 void dispatch_simulation::crash_worker(std::string const& id)
 {
     auto& w = workers_.at(id);
+    for (auto const& [run, s] : w.runs)
+        ++jobs_.at(run.task.job).crashed_under[run.task];
     w.runs.clear();
     w.ends.clear();
     w.highest.clear();
@@ -170,6 +173,11 @@
     w.info.incarnation = w.incarnation;
 }
 
+int dispatch_simulation::crashes(std::string const& job) const
+{
+    return jobs_.at(job).crashes;
+}
+
 void dispatch_simulation::disconnect_worker(std::string const& id,
                                             bool disconnected)
 {
@@ -240,6 +248,7 @@
         if (w.up)
             advance_worker(w);
     advance_gangs();
+    crash_workers_of_crashing_tasks();
     for (std::size_t i = 0; i < nodes_.size(); ++i)
     {
         if (!nodes_[i])
--- a/tests/support/dispatch_simulation.hpp
+++ b/tests/support/dispatch_simulation.hpp
@@ -32,6 +32,16 @@
 {
     milliseconds duration_ms = 1'000;
     bool always_fails = false;
+    /// Index of the task that crashes each worker that starts it; -1: none.
+    std::int64_t crashing_task = -1;
+    milliseconds crash_after_ms = 10; ///< from its start
+};
+
+/// How a crashed worker is back.
+enum class comeback : std::uint8_t
+{
+    same_id,
+    new_id, ///< at the address that it had
 };
 
 /// Runs one or more dispatchers in simulated time; see the file's comment.
@@ -65,8 +75,9 @@
     [[nodiscard]] milliseconds begun_at(std::string const& job) const;
 
     void configure(configuration const& c);
+    /// \param address  the worker's id if empty
     void add_worker(std::string const& id, std::string const& rack,
-                    resources capacity);
+                    resources capacity, std::string const& address = "");
     void submit(std::string const& id, std::string const& queue, job_spec spec,
                 true_work work = {});
     void cancel(std::string const& id);
@@ -77,8 +88,17 @@
     /// refuses its token.
     void take_over();
     void kill_leader();
+    /// \returns how many workers have crashed because of the job.
+    [[nodiscard]] int crashes(std::string const& job) const;
     /// Restarts the worker's process without its runs.
     void crash_worker(std::string const& id);
+    /// Ends the worker's process; it is back some seconds later.
+    void crash_for_a_while(std::string const& id);
+    /// Selects how workers are back that crash from now on.
+    void set_comeback(comeback how) noexcept
+    {
+        comeback_ = how;
+    }
     void disconnect_worker(std::string const& id, bool disconnected);
     void hang_worker(std::string const& id, bool hangs);
     void slow_worker(std::string const& id, double factor);
@@ -138,6 +158,12 @@
         std::map<task_id, int> acknowledged_failures;
         std::set<task_id> acknowledged_done;
         std::set<unit_id> done_units;
+        int failed_ends = 0;
+        int crashes = 0; ///< of workers, caused by it
+        /// Workers that crashed while they ran the task.
+        std::map<task_id, int> crashed_under;
+        /// Starts of the crashing task after the last permitted crash.
+        int starts_too_late = 0;
     };
 
     void step();
@@ -155,6 +181,11 @@
     void advance_worker(sim_worker& w);
     void advance_gangs();
     void end_run(sim_worker& w, task_run const& run, run_end how);
+    [[nodiscard]] bool is_crashing(sim_run const& s) const;
+    void crash_workers_of_crashing_tasks();
+    void bring_back(std::string const& id, comeback how);
+    void check_crash_budget(start_order const& o, std::string const& name);
+    void check_failed_job(log_record const& r);
     void check_start(sim_worker const& w, start_order const& o);
     [[nodiscard]] bool has_ticket(sim_worker const& w,
                                   start_order const& o) const;
@@ -187,6 +218,7 @@
     configuration config_;
     std::map<run_end, int> ended_;
     std::set<std::string> forbidden_;
+    comeback comeback_ = comeback::new_id;
     std::set<task_run>
         stray_starts_; ///< runs started by orders to an earlier incarnation
     std::vector<std::string> violations_;
--- /dev/null
+++ b/tests/support/dispatch_simulation_crashes.cpp
@@ -0,0 +1,111 @@
+/// \file
+/// Workers whose processes crash, by themselves or because of a task, and what
+/// a dispatcher must keep to then.
+
+#include "dispatch_simulation.hpp"
+
+namespace support
+{
+namespace
+{
+
+constexpr milliseconds restart_ms = 3'000;
+/// Three heartbeats.
+constexpr milliseconds unlisted_after_ms = 4'500;
+/// A crashing task may be started `max_late_starts` times after this many
+/// crashes, and its job may be given up after `min_crashes_to_fail`.
+constexpr int max_crashes = 3;
+constexpr int max_late_starts = 2;
+constexpr int min_crashes_to_fail = 2;
+
+} // namespace
+
+bool dispatch_simulation::is_crashing(sim_run const& s) const
+{
+    auto const& work = jobs_.at(s.run.task.job).work;
+    return s.run.task.index == work.crashing_task &&
+           now_ - s.arrived >= work.crash_after_ms;
+}
+
+void dispatch_simulation::crash_workers_of_crashing_tasks()
+{
+    std::vector<std::string> crashing;
+    for (auto const& [id, w] : workers_)
+        for (auto const& [run, s] : w.runs)
+        {
+            if (!is_crashing(s))
+                continue;
+            ++jobs_.at(run.task.job).crashes;
+            crashing.push_back(id);
+            break;
+        }
+    for (auto const& id : crashing)
+        crash_for_a_while(id);
+}
+
+void dispatch_simulation::crash_for_a_while(std::string const& id)
+{
+    auto& w = workers_.at(id);
+    if (!w.up)
+        return;
+    for (auto const& [run, s] : w.runs)
+        ++jobs_.at(run.task.job).crashed_under[run.task];
+    w.up = false;
+    w.runs.clear();
+    schedule(restart_ms, [this, id, how = comeback_] { bring_back(id, how); });
+}
+
+void dispatch_simulation::bring_back(std::string const& id, comeback how)
+{
+    if (how == comeback::same_id)
+    {
+        auto& w = workers_.at(id);
+        w.up = true;
+        crash_worker(id);
+        for (auto const& n : nodes_)
+            if (n)
+                n->put_worker(now_, w.info);
+        return;
+    }
+    auto const old = workers_.at(id).info;
+    auto const fresh = id + "+";
+    add_worker(fresh, old.rack, old.capacity, old.address);
+    schedule(unlisted_after_ms - restart_ms,
+             [this, id]
+             {
+                 for (auto const& n : nodes_)
+                     if (n)
+                         n->unlist_worker(now_, id);
+             });
+}
+
+void dispatch_simulation::check_crash_budget(start_order const& o,
+                                             std::string const& name)
+{
+    auto& j = jobs_.at(o.run.task.job);
+    if (o.run.task.index != j.work.crashing_task ||
+        j.crashed_under[o.run.task] < max_crashes)
+        return;
+    ++j.starts_too_late;
+    if (j.starts_too_late > max_late_starts)
+        report_violation(name + " started again after " +
+                         std::to_string(j.crashed_under[o.run.task]) +
+                         " workers crashed under it");
+}
+
+void dispatch_simulation::check_failed_job(log_record const& r)
+{
+    auto const at = jobs_.find(r.key);
+    auto const summary = decode_summary(r.value);
+    if (at == jobs_.end() || !summary || summary->phase != job_phase::failed)
+        return;
+    auto const& j = at->second;
+    auto const* q = find_queue(config_, j.job.queue);
+    bool has_cause = !q || j.failed_ends >= q->max_attempts;
+    for (auto const& [task, crashes] : j.crashed_under)
+        has_cause = has_cause || crashes >= min_crashes_to_fail;
+    if (!has_cause)
+        report_violation(r.key + " failed without a cause");
+}
+
+} // namespace support
--- a/tests/support/dispatch_simulation_orders.cpp
+++ b/tests/support/dispatch_simulation_orders.cpp
@@ -175,6 +175,7 @@
                  }
                  for (auto const& r : o.records)
                  {
+                     check_failed_job(r);
                      log_[r.key] = r.value;
                      history_[r.key].push_back(r.value);
                  }
--- a/tests/support/dispatch_simulation_workers.cpp
+++ b/tests/support/dispatch_simulation_workers.cpp
@@ -120,6 +120,7 @@
         report_violation(name + " started after the last permitted attempt");
     if (j.cancelled && now_ - j.submitted > 60'000)
         report_violation(name + " started after its job was cancelled");
+    check_crash_budget(o, name);
 }
 
 call_result dispatch_simulation::handle_start(sim_worker& w,
@@ -191,6 +192,8 @@
             ? std::to_string(static_cast<std::int64_t>(s.done_ms))
             : "";
     w.ends.push_back({w.next_end++, run, how, checkpoint});
+    if (how == run_end::failed)
+        ++jobs_.at(run.task.job).failed_ends;
     if (how == run_end::done)
         jobs_.at(run.task.job)
             .done_units.insert({run.task.occurrence, run.task.step,
--- a/tests/unit/test_crashes.cpp
+++ b/tests/unit/test_crashes.cpp
@@ -15,6 +15,19 @@
 /// Longer than the longest lease.
 constexpr milliseconds until_lost_ms = 11'000;
 
+true_work crashing_task(std::int64_t index)
+{
+    true_work work;
+    work.crashing_task = index;
+    return work;
+}
+
+void expect_no_violations(dispatch_simulation const& w)
+{
+    auto const& v = w.violations();
+    expect(v.empty(), v.empty() ? "" : v.front());
+}
+
 bool has(std::string const& text, std::string const& part)
 {
     return text.find(part) != std::string::npos;
@@ -24,6 +37,7 @@
 {
     CPPUNIT_TEST_SUITE(test_crashes);
     CPPUNIT_TEST(log_lines_tell_a_crash_from_silence);
+    CPPUNIT_TEST(a_task_that_crashes_its_workers_is_given_up);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -60,6 +74,27 @@
                     expect(has(lost, "others=0"), "it was alone");
                 });
     }
+
+    void a_task_that_crashes_its_workers_is_given_up()
+    {
+        for (auto const how : {comeback::same_id, comeback::new_id})
+            section(how == comeback::same_id
+                        ? "workers are back under the id that they had"
+                        : "workers are back under another id",
+                    [&]
+                    {
+                        dispatch_simulation w(1);
+                        w.set_comeback(how);
+                        add_racks(w);
+                        w.submit("a", "batch", simple_job(4, 2),
+                                 crashing_task(0));
+                        w.run_for(90'000);
+                        expect_no_violations(w);
+                        expect(w.phase("a") == job_phase::failed,
+                               "its job is shown as failed");
+                        expect(w.crashes("a") == 3, "three crashes show it");
+                    });
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(test_crashes);
