A task that crashes its workers is isolated, and given up after three crashes

Cause: a run whose worker was lost went back to the queue as if it had no part in it. Only ends that a worker reports as failed counted against the attempts, and a crashed worker reports nothing: a retry without a limit. Change: each loss of a worker is kept with the task (worker, incarnation, how strongly it speaks against the task, whether a crash is certain) in the progress record, so that it outlives a change of dispatcher and a restart. crash_history judges: after a suspicious loss nothing is started beside the task; it waits while it is unclear whether silent workers crashed; its job fails after three crashes of which it was isolated in two, or after five. Silence, a lost rack, an announced leave and a run that was there for a while don't count as its fault.

--- a/packages/cli/src/job_causes.cpp
+++ b/packages/cli/src/job_causes.cpp
@@ -95,6 +95,8 @@
         update_placement(t, l);
     else if (l.step == "unit.end_run")
         ++t.reasons[without_ids(l.field("why"))];
+    else if (l.step == "unit.given_up")
+        t.given_up = true;
     else if (l.step == "job.cancel_request")
         t.cancelled = true;
     else if (l.step == "job.final")
@@ -116,6 +118,8 @@
         return "never placed";
     if (t.ended < 0)
         return "not ended within these log lines";
+    if (t.given_up)
+        return t.phase + ": a task crashed the workers that started it";
     if (t.phase != "completed")
         return t.phase + ": " + most_frequent(t.reasons);
     return t.ended - t.first <= t.objective_us ? "in time" : cause_of_delay(t);
--- a/packages/cli/src/job_causes.hpp
+++ b/packages/cli/src/job_causes.hpp
@@ -19,6 +19,7 @@
     std::int64_t ended = -1;
     std::int64_t objective_us = 0; ///< from submission to end
     bool spread = false; ///< a gang that requires one rack ran on several
+    bool given_up = false; ///< a task of it crashed its workers
     bool cancelled = false;
     bool refused = false; ///< and no later submission was stored
     std::string phase;    ///< at its end
--- a/packages/cli/src/job_report.cpp
+++ b/packages/cli/src/job_report.cpp
@@ -78,6 +78,14 @@
                     " run(s) in a row and is quarantined for " +
                     e.field("rest_ms") + " ms.";
          }},
+        {"unit.given_up",
+         [](log_line const& e)
+         {
+             return "The job was given up: " + e.field("crashes") +
+                    " workers crashed while they ran task " + e.field("index") +
+                    " of step " + e.field("step") + " (" + e.field("workers") +
+                    ").";
+         }},
         {"job.final",
          [](log_line const& e)
          {
@@ -128,12 +136,17 @@
              return "Worker " + e.field("worker") + " was lost with " +
                     run_text(e, "task") + ", " + e.field("ran_ms") +
                     " ms after its start was sent" +
-                    (e.number("reported") == 1 ? ""
-                                               : " and before it was "
-                                                 "reported as running") +
+                    (e.number("established") == 1 ? "" : ", while it started") +
                     "; " + e.field("others") +
                     " other run(s) were on that worker.";
          }},
+        {"run.crashed",
+         [](log_line const& e)
+         {
+             return "Worker " + e.field("worker") +
+                    ", lost with a task of step " + e.field("step") +
+                    ", turned out to have crashed.";
+         }},
         {"run.absent",
          [](log_line const& e)
          {
--- /dev/null
+++ b/packages/tasks/include/jasminetrack/tasks/crash_history.hpp
@@ -0,0 +1,64 @@
+#pragma once
+/// \file
+/// Workers that were lost while a task was on them, and what follows for the
+/// next start of the task. Answers a load in which a few tasks crash every
+/// worker that starts them, beside sound tasks on workers that crash by
+/// themselves, with their rack, or are only silent.
+
+#include <jasminetrack/tasks/model.hpp>
+
+namespace jasminetrack::tasks
+{
+
+/// How strongly the loss of a worker speaks against a task that was on it.
+enum class crash_exposure : std::uint8_t
+{
+    /// The task had run there for a while, or the whole rack was lost.
+    established,
+    starting, ///< just started, as other tasks there may have been
+    isolated, ///< just started, and nothing else was
+};
+
+/// A worker that was lost while a task was on it.
+struct worker_loss
+{
+    std::int64_t index = 0; ///< of the task within its unit
+    std::int64_t run = 0;   ///< number of the unit's run
+    std::string worker;
+    std::int64_t incarnation = 0; ///< of the worker
+    crash_exposure exposure = crash_exposure::established;
+    bool crashed = false; ///< false: the worker may only be silent
+
+    friend bool operator==(worker_loss const&, worker_loss const&) = default;
+};
+
+/// What to do with a unit that is to be started again.
+enum class crash_verdict : std::uint8_t
+{
+    none,
+    /// Start it where nothing else is being started, and start nothing beside
+    /// it until it has ended.
+    isolate,
+    wait, ///< until it is known whether silent workers have crashed
+    give_up,
+};
+
+/// \param losses  of one unit; each of its tasks is judged by itself
+/// \returns the strictest verdict on any of its tasks. A sound task is never
+/// given up because of workers that were silent, and only if it was isolated on
+/// two workers that crashed just then, after a third one, or if five crashed.
+[[nodiscard]] crash_verdict judge(std::vector<worker_loss> const& losses);
+
+/// Adds a loss, unless there is one of this run of the task already: the worker
+/// may restart again while it is not known whether it still has the run.
+void add_loss(std::vector<worker_loss>& losses, worker_loss loss);
+
+/// \returns the task of the unit that most crashed workers had.
+[[nodiscard]] std::int64_t
+most_crashed_task(std::vector<worker_loss> const& losses);
+
+/// \returns how many workers have crashed while this task was on them.
+[[nodiscard]] std::int64_t crashes_of(std::vector<worker_loss> const& losses,
+                                      std::int64_t index);
+
+} // namespace jasminetrack::tasks
--- a/packages/tasks/include/jasminetrack/tasks/detail/dispatcher_state.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/detail/dispatcher_state.hpp
@@ -8,6 +8,7 @@
 #include <jasminetrack/tasks/queue_order.hpp>
 #include <jasminetrack/tasks/worker_view.hpp>
 
+#include <limits>
 #include <map>
 #include <set>
 
@@ -32,6 +33,10 @@
     return p == member_phase::starting || p == member_phase::unconfirmed;
 }
 
+/// Later than the start of every worker's process.
+inline constexpr std::int64_t any_incarnation =
+    std::numeric_limits<std::int64_t>::max();
+
 /// One task of a run: the only one, or a member of a gang.
 struct member
 {
@@ -43,12 +48,21 @@
     milliseconds started_ms = 0;
     milliseconds sent_at = 0;      ///< first send of the start
     milliseconds last_sent_at = 0; ///< latest send, retries included
-    bool reported = false;         ///< the worker has listed it as running
+    milliseconds reported_at = -1; ///< when it was last listed as running
     std::int64_t percent = 0;      ///< done, as the worker reports it
     milliseconds progress_at = 0;  ///< when `percent` last rose
     run_progress progress;
 };
 
+/// A run that its worker still reports this long after its start has not
+/// crashed the worker by being started.
+inline constexpr milliseconds established_ms = 1'000;
+
+[[nodiscard]] inline bool is_established(member const& m) noexcept
+{
+    return m.reported_at >= 0 && m.reported_at - m.sent_at >= established_ms;
+}
+
 /// The newest run of a unit, kept while any member may be on a worker.
 struct active_run
 {
@@ -56,6 +70,7 @@
     std::vector<member> members;
     bool over = false;      ///< ended, or its members are being stopped
     bool counted = false;   ///< its failure counts against the attempts
+    bool isolated = false;  ///< nothing may be started beside its members
     std::int64_t batch = 0; ///< log batch that records its places
     milliseconds placed_at = 0;
     milliseconds first_sent = 0; ///< when starts were sent; 0: not yet
--- a/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -190,11 +190,43 @@
                        std::map<task_run, hosted_run> const& kept = {});
     /// Notes which worker is at the address, and that another one has been
     /// replaced there.
-    void note_address(worker_view& w);
+    void note_address(milliseconds now, worker_view& w);
     void forget_address(worker_view const& w);
     void log_lost_run(milliseconds now, worker_view const& w,
                       task_run const& run, unit_ref const& ref) const;
 
+    // dispatcher_crashes.cpp
+    /// Notes for the run's task that its worker was lost.
+    /// \param crashed  false: the worker may only be silent
+    void record_loss(worker_view const& w, task_run const& run,
+                     unit_ref const& ref, bool crashed);
+    [[nodiscard]] crash_exposure exposure_of(worker_view const& w,
+                                             active_run const& a,
+                                             member const& m) const;
+    /// \returns whether most workers of its rack became silent with it.
+    [[nodiscard]] bool lost_with_rack(worker_view const& w) const;
+    /// Earlier losses of the worker were crashes, up to this incarnation.
+    void confirm_losses(milliseconds now, std::string const& worker,
+                        std::int64_t before_incarnation);
+    /// Earlier losses of this incarnation were only silence.
+    void dismiss_losses(std::string const& worker, std::int64_t incarnation);
+    [[nodiscard]] bool has_unclear_loss(unit_ref const& ref,
+                                        std::string const& worker);
+    /// Counts workers as crashed that stay away.
+    void confirm_gone_workers(milliseconds now);
+    /// Notes the loss if the adopted run was sent to an earlier incarnation.
+    void record_loss_before_adoption(worker_view const& w, unit_ref const& ref,
+                                     std::size_t index, std::int64_t sent_to);
+    void adopt_losses(unit_ref const& ref, unit const& u);
+    /// \returns whether it has runs that are not established, or capacity
+    /// reserved for some.
+    [[nodiscard]] bool is_starting_runs(worker_view const& w) const;
+    /// Restricts the need to workers on which nothing is being started.
+    void isolate(std::string const& service, unit_need& need) const;
+    void remove_candidates(std::vector<std::string> const& places);
+    void log_given_up(job_entry const& e, unit_id const& id,
+                      unit const& u) const;
+
     // dispatcher_starts.cpp, dispatcher_runs.cpp, dispatcher_monitor.cpp
     void place(milliseconds now, job_entry& e, unit_ref const& ref,
                std::vector<std::string> const& places);
@@ -229,6 +261,8 @@
     void finish_job(milliseconds now, job_entry& e, job_phase phase);
     /// Takes over the runs that an earlier dispatcher has placed.
     void adopt_runs(milliseconds now, job_entry& e);
+    /// \param incarnation  to which the runs were sent; 0: not known
+    worker_view& adopt_worker(std::string const& id, std::int64_t incarnation);
     /// Ends runs that make no progress and quarantines their workers.
     void check_hanging(milliseconds now);
     /// Ends runs that cannot complete before their draining worker leaves.
@@ -347,6 +381,8 @@
     std::map<std::string, worker_view> workers_;
     /// Id of the worker that was listed last, by address.
     std::map<std::string, std::string> holder_of_address_;
+    /// Units with a loss that may be a crash or only silence, by worker.
+    std::map<std::string, std::set<unit_ref>> unclear_losses_;
     due_queue renewals_; ///< workers without a renewal under way
     /// Workers without runs whose first renewal is under way.
     std::set<std::string> first_contacts_;
--- a/packages/tasks/include/jasminetrack/tasks/placement.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/placement.hpp
@@ -60,6 +60,7 @@
     std::int64_t most_per_worker = 0; ///< 0: no limit
     std::set<std::string> avoid;      ///< workers that must not run it
     verification_level verification = verification_level::none;
+    bool prefer_empty = false; ///< the workers with the most free capacity
     milliseconds waited_ms = 0;
     milliseconds estimate_ms = 1; ///< duration of one task
 
--- a/packages/tasks/include/jasminetrack/tasks/progress.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/progress.hpp
@@ -3,7 +3,7 @@
 /// Progress of a job, and its encoding in the log. A unit is the smallest part
 /// of a job that is started by itself: one task, or all tasks of a gang.
 
-#include <jasminetrack/tasks/model.hpp>
+#include <jasminetrack/tasks/crash_history.hpp>
 
 #include <map>
 
@@ -39,6 +39,9 @@
     std::string checkpoint;      ///< newest; empty: none
     /// Worker of each task of the newest run; empty once the task has left it.
     std::vector<std::string> places;
+    /// Incarnation of each of these workers at the placement; 0: not known.
+    std::vector<std::int64_t> incarnations;
+    std::vector<worker_loss> losses; ///< of all runs
 
     friend bool operator==(unit const&, unit const&) = default;
 };
--- a/packages/tasks/include/jasminetrack/tasks/worker_view.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/worker_view.hpp
@@ -29,6 +29,7 @@
     bool ending = false;           ///< is being stopped, or its run is over
     milliseconds stop_sent = 0;    ///< latest stop order; 0: none
     milliseconds ending_since = 0; ///< when `ending` was set
+    bool isolated = false;         ///< nothing may be started beside it
 };
 
 /// One worker. Times are on the dispatcher's monotonic clock unless their
@@ -55,6 +56,11 @@
     capacity_after_stops(milliseconds since) const noexcept;
     /// \returns whether the worker has answered this dispatcher recently.
     [[nodiscard]] bool answered_recently(milliseconds now) const noexcept;
+    /// \returns whether it hosts a run beside which nothing may be started.
+    [[nodiscard]] bool hosts_isolated_run() const noexcept
+    {
+        return isolated_runs_ > 0;
+    }
 
     /// \param clock  as reported by the worker; ignored if outdated
     void update_clock(milliseconds now, milliseconds clock) noexcept;
@@ -106,6 +112,7 @@
 
 private:
     resources used_;
+    std::int64_t isolated_runs_ = 0;
     milliseconds clock_ms_ = 0;
     milliseconds clock_at_ = -1;
     milliseconds lease_until_ = 0; ///< on the worker's clock
--- /dev/null
+++ b/packages/tasks/src/crash_history.cpp
@@ -0,0 +1,100 @@
+#include <jasminetrack/tasks/crash_history.hpp>
+
+#include <algorithm>
+#include <map>
+
+namespace jasminetrack::tasks
+{
+namespace
+{
+
+/// Crashes after which an isolated task is given up.
+constexpr std::int64_t max_crashes = 3;
+/// Of these, crashes of a worker on which only this task was being started. The
+/// first one may be that of a bystander.
+constexpr std::int64_t min_isolated_crashes = 2;
+/// A task that crashes its workers only after they have reported it never
+/// counts as isolated.
+constexpr std::int64_t max_unclear_crashes = 5;
+/// Losses after which a task is isolated, whatever its part in them.
+constexpr std::int64_t min_losses_to_isolate = 2;
+
+struct loss_counts
+{
+    std::int64_t crashed = 0;
+    std::int64_t isolated = 0; ///< of the crashed ones
+    std::int64_t silent = 0;   ///< not known to have crashed
+    bool suspected = false;    ///< it was just started on one of them
+};
+
+std::map<std::int64_t, loss_counts>
+count_by_task(std::vector<worker_loss> const& losses)
+{
+    std::map<std::int64_t, loss_counts> tasks;
+    for (auto const& l : losses)
+    {
+        auto& c = tasks[l.index];
+        bool const isolated = l.exposure == crash_exposure::isolated;
+        c.crashed += l.crashed ? 1 : 0;
+        c.silent += l.crashed ? 0 : 1;
+        c.isolated += l.crashed && isolated ? 1 : 0;
+        c.suspected = c.suspected || l.exposure != crash_exposure::established;
+    }
+    return tasks;
+}
+
+crash_verdict judge_task(loss_counts const& c)
+{
+    bool const shown =
+        c.crashed >= max_crashes && c.isolated >= min_isolated_crashes;
+    if (shown || c.crashed >= max_unclear_crashes)
+        return crash_verdict::give_up;
+    auto const losses = c.crashed + c.silent;
+    if (c.silent > 0 && losses >= max_crashes)
+        return crash_verdict::wait;
+    if (c.suspected || losses >= min_losses_to_isolate)
+        return crash_verdict::isolate;
+    return crash_verdict::none;
+}
+
+} // namespace
+
+crash_verdict judge(std::vector<worker_loss> const& losses)
+{
+    auto verdict = crash_verdict::none;
+    for (auto const& [index, counts] : count_by_task(losses))
+        verdict = std::max(verdict, judge_task(counts));
+    return verdict;
+}
+
+void add_loss(std::vector<worker_loss>& losses, worker_loss loss)
+{
+    auto const at =
+        std::find_if(losses.begin(), losses.end(),
+                     [&](worker_loss const& l)
+                     { return l.index == loss.index && l.run == loss.run; });
+    if (at == losses.end())
+        losses.push_back(std::move(loss));
+    else
+        at->crashed = at->crashed || loss.crashed;
+}
+
+std::int64_t most_crashed_task(std::vector<worker_loss> const& losses)
+{
+    auto const tasks = count_by_task(losses);
+    auto const at =
+        std::max_element(tasks.begin(), tasks.end(),
+                         [](auto const& a, auto const& b)
+                         { return a.second.crashed < b.second.crashed; });
+    return at == tasks.end() ? 0 : at->first;
+}
+
+std::int64_t crashes_of(std::vector<worker_loss> const& losses,
+                        std::int64_t index)
+{
+    return std::count_if(losses.begin(), losses.end(),
+                         [&](worker_loss const& l)
+                         { return l.index == index && l.crashed; });
+}
+
+} // namespace jasminetrack::tasks
--- a/packages/tasks/src/dispatcher_candidates.cpp
+++ b/packages/tasks/src/dispatcher_candidates.cpp
@@ -53,6 +53,18 @@
         each.accelerators * static_cast<std::int64_t>(places.size());
 }
 
+void dispatcher::remove_candidates(std::vector<std::string> const& places)
+{
+    for (auto& [key, list] : candidates_)
+        for (auto const& id : places)
+            if (auto* const candidate = find_candidate(list.workers, id))
+            {
+                candidate->free = {};
+                candidate->free_after_stops = {};
+                candidate->stoppable.clear();
+            }
+}
+
 void dispatcher::count_same_step(std::vector<worker_candidate>& candidates,
                                  unit_ref const& ref,
                                  unit_need const& need) const
@@ -107,7 +119,7 @@
 {
     return w.listed && !w.info.draining && !w.runs_unknown_task &&
            now >= w.starts_blocked_until && w.unresponsive_since < 0 &&
-           w.answered_recently(now);
+           w.answered_recently(now) && !w.hosts_isolated_run();
 }
 
 void dispatcher::update_candidate(milliseconds now, worker_view const& w,
--- /dev/null
+++ b/packages/tasks/src/dispatcher_crashes.cpp
@@ -0,0 +1,219 @@
+#include <jasminetrack/tasks/dispatcher.hpp>
+
+#include <algorithm>
+#include <cstdlib>
+
+namespace jasminetrack::tasks
+{
+namespace
+{
+
+/// Workers of a rack that is lost become silent within this time: the longest
+/// wait of a renewal and the time until it counts as unanswered.
+constexpr milliseconds rack_loss_ms = 3'000;
+/// A worker that is neither listed nor answers for this time has crashed.
+constexpr milliseconds gone_ms = 20'000;
+
+} // namespace
+
+void dispatcher::record_loss(worker_view const& w, task_run const& run,
+                             unit_ref const& ref, bool crashed)
+{
+    auto const at = active_.find(ref);
+    auto const index =
+        at == active_.end() ? std::nullopt : member_index(ref, at->second, run);
+    if (!index || w.info.draining)
+        return; // a worker that leaves as announced has not crashed
+    auto& u = *find_unit(ref);
+    auto const& m = at->second.members[*index];
+    if (m.phase == member_phase::recorded || u.phase == unit_phase::done)
+        return;
+    add_loss(u.losses,
+             {static_cast<std::int64_t>(*index), run.run, m.worker,
+              w.info.incarnation, exposure_of(w, at->second, m), crashed});
+    if (!crashed)
+        unclear_losses_[m.worker].insert(ref);
+    mark_dirty(ref.job);
+}
+
+crash_exposure dispatcher::exposure_of(worker_view const& w,
+                                       active_run const& a,
+                                       member const& m) const
+{
+    if (detail::is_established(m) || lost_with_rack(w))
+        return crash_exposure::established;
+    // What was started beside an adopted run is not known.
+    bool const isolated = a.isolated && m.phase != member_phase::adopted;
+    return isolated ? crash_exposure::isolated : crash_exposure::starting;
+}
+
+bool dispatcher::lost_with_rack(worker_view const& w) const
+{
+    if (w.unresponsive_since < 0)
+        return false;
+    std::int64_t others = 0;
+    std::int64_t silent = 0;
+    for (auto const& [id, other] : workers_)
+    {
+        if (&other == &w || other.info.rack != w.info.rack ||
+            (!other.listed && other.unresponsive_since < 0))
+            continue;
+        ++others;
+        bool const together = other.unresponsive_since >= 0 &&
+                              std::abs(other.unresponsive_since -
+                                       w.unresponsive_since) <= rack_loss_ms;
+        silent += together ? 1 : 0;
+    }
+    return others > 0 && 2 * silent >= others;
+}
+
+void dispatcher::confirm_losses(milliseconds now, std::string const& worker,
+                                std::int64_t before_incarnation)
+{
+    auto const at = unclear_losses_.find(worker);
+    if (at == unclear_losses_.end())
+        return;
+    auto const refs = at->second;
+    for (auto const& ref : refs)
+    {
+        auto* const u = find_unit(ref);
+        if (!u)
+            continue;
+        bool any = false;
+        for (auto& l : u->losses)
+        {
+            if (l.worker != worker || l.crashed ||
+                l.incarnation >= before_incarnation)
+                continue;
+            l.crashed = any = true;
+            log_decision("run.crashed", ref.job,
+                         "worker=" + worker +
+                             " step=" + std::to_string(ref.unit.step) +
+                             " index=" + std::to_string(ref.unit.index));
+        }
+        if (!any)
+            continue;
+        mark_dirty(ref.job);
+        changed_ = true;
+        update_job_phase(now, *find_job(ref.job));
+    }
+    std::erase_if(unclear_losses_[worker], [&](unit_ref const& ref)
+                  { return !has_unclear_loss(ref, worker); });
+    if (unclear_losses_[worker].empty())
+        unclear_losses_.erase(worker);
+}
+
+void dispatcher::dismiss_losses(std::string const& worker,
+                                std::int64_t incarnation)
+{
+    auto const at = unclear_losses_.find(worker);
+    if (at == unclear_losses_.end())
+        return;
+    for (auto const& ref : at->second)
+    {
+        auto* const u = find_unit(ref);
+        if (!u)
+            continue;
+        std::erase_if(u->losses,
+                      [&](worker_loss const& l) {
+                          return l.worker == worker && !l.crashed &&
+                                 l.incarnation == incarnation;
+                      });
+        mark_dirty(ref.job);
+    }
+    unclear_losses_.erase(at);
+    changed_ = true;
+}
+
+bool dispatcher::has_unclear_loss(unit_ref const& ref,
+                                  std::string const& worker)
+{
+    auto const* const u = find_unit(ref);
+    return u && std::any_of(u->losses.begin(), u->losses.end(),
+                            [&](worker_loss const& l)
+                            { return l.worker == worker && !l.crashed; });
+}
+
+void dispatcher::confirm_gone_workers(milliseconds now)
+{
+    std::vector<std::string> gone;
+    for (auto const& [id, refs] : unclear_losses_)
+    {
+        auto const at = workers_.find(id);
+        bool const is_known = at != workers_.end();
+        if (is_known && at->second.listed)
+            continue;
+        auto const away_since =
+            is_known ? std::max(at->second.unlisted_since, created_at_)
+                     : created_at_;
+        if (now - away_since > gone_ms)
+            gone.push_back(id);
+    }
+    for (auto const& id : gone)
+        confirm_losses(now, id, detail::any_incarnation);
+}
+
+void dispatcher::record_loss_before_adoption(worker_view const& w,
+                                             unit_ref const& ref,
+                                             std::size_t index,
+                                             std::int64_t sent_to)
+{
+    if (sent_to == 0 || w.info.incarnation <= sent_to || w.info.draining)
+        return;
+    auto& u = *find_unit(ref);
+    add_loss(u.losses, {static_cast<std::int64_t>(index), u.run, w.info.id,
+                        sent_to, crash_exposure::starting, true});
+    mark_dirty(ref.job);
+}
+
+void dispatcher::adopt_losses(unit_ref const& ref, unit const& u)
+{
+    for (auto const& l : u.losses)
+        if (!l.crashed)
+            unclear_losses_[l.worker].insert(ref);
+}
+
+bool dispatcher::is_starting_runs(worker_view const& w) const
+{
+    if (w.reserved != resources{})
+        return true;
+    return std::any_of(
+        w.hosted_runs.begin(), w.hosted_runs.end(),
+        [&](auto const& entry)
+        {
+            auto const& [run, o] = entry;
+            auto const at = active_.find(o.unit);
+            if (at == active_.end())
+                return false;
+            auto const index = member_index(o.unit, at->second, run);
+            return index && !detail::is_established(at->second.members[*index]);
+        });
+}
+
+void dispatcher::isolate(std::string const& service, unit_need& need) const
+{
+    need.prefer_empty = true;
+    for (auto const& [id, w] : workers_)
+        if (w.info.service == service && is_starting_runs(w))
+            need.avoid.insert(id);
+}
+
+void dispatcher::log_given_up(job_entry const& e, unit_id const& id,
+                              unit const& u) const
+{
+    auto const task = most_crashed_task(u.losses);
+    std::string workers;
+    for (auto const& l : u.losses)
+        if (l.index == task && l.crashed)
+            workers += (workers.empty() ? "" : ",") + l.worker;
+    bool const is_gang =
+        e.job.spec.steps[static_cast<std::size_t>(id.step)].gang;
+    log_job_decision(
+        "unit.given_up", e,
+        "step=" + std::to_string(id.step) +
+            " index=" + std::to_string(is_gang ? task : id.index) +
+            " crashes=" + std::to_string(crashes_of(u.losses, task)) +
+            " workers=" + workers);
+}
+
+} // namespace jasminetrack::tasks
--- a/packages/tasks/src/dispatcher_losses.cpp
+++ b/packages/tasks/src/dispatcher_losses.cpp
@@ -33,6 +33,7 @@
         }
         at = gone ? workers_.erase(at) : std::next(at);
     }
+    confirm_gone_workers(now);
 }
 
 void dispatcher::end_lost_runs(milliseconds now, worker_view& w,
@@ -50,6 +51,7 @@
     for (auto const& [run, ref] : lost)
     {
         log_lost_run(now, w, run, ref);
+        record_loss(w, run, ref, w.replaced);
         auto const at = active_.find(ref);
         auto const index = at == active_.end()
                                ? std::nullopt
@@ -66,7 +68,7 @@
 
 /// Two workers cannot share an address, so the process of the one that started
 /// earlier has ended.
-void dispatcher::note_address(worker_view& w)
+void dispatcher::note_address(milliseconds now, worker_view& w)
 {
     auto& holder = holder_of_address_[w.info.address];
     auto const other = workers_.find(holder);
@@ -78,7 +80,10 @@
         return;
     }
     if (is_shared)
+    {
         other->second.replaced = true;
+        confirm_losses(now, holder, detail::any_incarnation);
+    }
     holder = w.info.id;
 }
 
@@ -108,7 +113,7 @@
                      " index=" + std::to_string(run.task.index) +
                      " run=" + std::to_string(run.run) +
                      " ran_ms=" + std::to_string(silent_at - m.sent_at) +
-                     " reported=" + (m.reported ? "1" : "0") +
+                     " established=" + (detail::is_established(m) ? "1" : "0") +
                      " others=" + std::to_string(w.hosted_runs.size() - 1));
 }
 
--- a/packages/tasks/src/dispatcher_renewals.cpp
+++ b/packages/tasks/src/dispatcher_renewals.cpp
@@ -135,7 +135,11 @@
                                      call_result result)
 {
     w.idle_pause_ms = 0;
-    w.replaced = w.replaced || result == call_result::other_incarnation;
+    if (result == call_result::other_incarnation && !w.replaced)
+    {
+        w.replaced = true;
+        confirm_losses(now, w.info.id, detail::any_incarnation);
+    }
     schedule_renewal(w.info.id, w, now + unresponsive_retry_ms);
     w.last_unanswered_at = now;
     if (w.unresponsive_since >= 0)
@@ -154,6 +158,7 @@
                           "another incarnation answered");
     if (r.incarnation != 0)
         w.info.incarnation = r.incarnation;
+    confirm_losses(now, r.worker, w.info.incarnation);
     if (w.unresponsive_since >= 0)
         log_decision("worker.answers", "",
                      "worker=" + r.worker + " silent_ms=" +
@@ -167,6 +172,7 @@
     w.token_known = true;
     w.unresponsive_since = -1;
     w.replaced = false;
+    dismiss_losses(r.worker, w.info.incarnation);
     w.answered_at = now;
 }
 
@@ -244,7 +250,7 @@
         if (!index)
             continue;
         auto& m = a.members[*index];
-        m.reported = true;
+        m.reported_at = now;
         if (m.phase == member_phase::adopted || is_unconfirmed(m.phase))
         {
             m.phase = member_phase::running;
--- a/packages/tasks/src/dispatcher_runs.cpp
+++ b/packages/tasks/src/dispatcher_runs.cpp
@@ -152,6 +152,7 @@
     auto& e = *find_job(ref.job);
     auto& u = e.progress.units.at(ref.unit);
     u.places.clear();
+    u.incarnations.clear();
     if (u.phase == unit_phase::active || u.phase == unit_phase::ending)
         set_unit_phase(e, u, unit_phase::waiting);
     update_job_phase(now, e);
@@ -187,6 +188,13 @@
             finish_job(now, e, job_phase::failed);
             return;
         }
+        if (u.phase == unit_phase::waiting &&
+            judge(u.losses) == crash_verdict::give_up)
+        {
+            log_given_up(e, id, u);
+            finish_job(now, e, job_phase::failed);
+            return;
+        }
     }
     auto const phase = p.begun ? job_phase::running : job_phase::queued;
     if (p.phase != phase)
@@ -222,13 +230,28 @@
     changed_ = true;
 }
 
+/// A later incarnation that is listed or answers shows that the worker has
+/// crashed under the runs that an earlier dispatcher placed there.
+worker_view& dispatcher::adopt_worker(std::string const& id,
+                                      std::int64_t incarnation)
+{
+    auto& w = workers_[id];
+    if (!w.info.id.empty())
+        return w;
+    w.info.id = id;
+    w.info.incarnation = incarnation;
+    w.listed = false;
+    return w;
+}
+
 void dispatcher::adopt_runs(milliseconds now, job_entry& e)
 {
     for (auto& [id, u] : e.progress.units)
     {
+        unit_ref const ref{e.job.id, id};
+        adopt_losses(ref, u);
         if (u.phase != unit_phase::active && u.phase != unit_phase::ending)
             continue;
-        unit_ref const ref{e.job.id, id};
         auto const& step = step_of(e, ref);
         auto& a = active_[ref];
         a.run = u.run;
@@ -236,6 +259,7 @@
         a.counted = u.failed_run == u.run;
         a.first_sent = a.placed_at = now;
         a.number = next_number_++;
+        a.isolated = judge(u.losses) == crash_verdict::isolate;
         for (std::size_t i = 0; i < u.places.size(); ++i)
         {
             member m;
@@ -245,11 +269,13 @@
             a.members.push_back(m);
             if (m.phase == member_phase::released)
                 continue;
-            auto& w = workers_[m.worker];
-            if (w.info.id.empty())
-                w.listed = false;
-            w.add(run_of(ref, u.run, i, step.gang),
-                  {ref, held_by(step), a.over, 0, a.over ? now : 0});
+            auto& w = adopt_worker(
+                m.worker, i < u.incarnations.size() ? u.incarnations[i] : 0);
+            w.add(
+                run_of(ref, u.run, i, step.gang),
+                {ref, held_by(step), a.over, 0, a.over ? now : 0, a.isolated});
+            if (i < u.incarnations.size())
+                record_loss_before_adoption(w, ref, i, u.incarnations[i]);
         }
     }
     std::vector<unit_ref> empty;
--- a/packages/tasks/src/dispatcher_schedule.cpp
+++ b/packages/tasks/src/dispatcher_schedule.cpp
@@ -55,6 +55,9 @@
     unit_ref const ref{e.job.id, {w.occurrence, w.step, index}};
     if (reservations_.count(ref) != 0)
         return true;
+    auto const verdict = judge(e.progress.units.at(ref.unit).losses);
+    if (verdict == crash_verdict::wait)
+        return true;
     auto const* q = queue_of(e);
     if (!q)
         return false;
@@ -82,6 +85,8 @@
     {
         place(now, e, ref, choice->places);
         deduct_capacity(q->service, choice->places, need.per_task);
+        if (verdict == crash_verdict::isolate)
+            remove_candidates(choice->places);
         counts_[q->service].held[e.priority] += need.accelerators();
     }
     else
@@ -153,6 +158,8 @@
     need.most_per_worker = step.most_per_worker;
     if (auto const at = e.failed_on.find(ref); at != e.failed_on.end())
         need.avoid = at->second;
+    if (judge(e.progress.units.at(ref.unit).losses) == crash_verdict::isolate)
+        isolate(e.service, need);
     need.verification = verification_for(now, e, ref);
     need.waited_ms = now - e.known_at;
     need.estimate_ms = std::max<milliseconds>(step.estimate_ms, 1);
--- a/packages/tasks/src/dispatcher_starts.cpp
+++ b/packages/tasks/src/dispatcher_starts.cpp
@@ -30,14 +30,20 @@
     a.placed_at = now;
     a.batch = next_batch_;
     a.number = next_number_++;
+    a.isolated = judge(u.losses) == crash_verdict::isolate &&
+                 std::none_of(places.begin(), places.end(),
+                              [&](std::string const& id)
+                              { return is_starting_runs(workers_.at(id)); });
+    u.incarnations.clear();
     for (std::size_t i = 0; i < places.size(); ++i)
     {
         member m;
         m.worker = places[i];
         a.members.push_back(m);
         auto& w = workers_.at(places[i]);
+        u.incarnations.push_back(w.info.incarnation);
         w.add(run_of(ref, u.run, i, step.gang),
-              {ref, held_by(step), false, 0, 0});
+              {ref, held_by(step), false, 0, 0, a.isolated});
         // The lease of an idle worker may have expired.
         if (w.idle_pause_ms > 0)
             schedule_renewal(places[i], w, now);
@@ -55,6 +61,7 @@
                      " wants_rack=" + (step.same_rack ? "1" : "0") +
                      " estimate_ms=" + std::to_string(step.estimate_ms) +
                      " priority=" + std::to_string(e.priority) +
+                     " isolated=" + (a.isolated ? "1" : "0") +
                      " waited_ms=" + std::to_string(now - e.known_at));
 }
 
--- a/packages/tasks/src/dispatcher_workers.cpp
+++ b/packages/tasks/src/dispatcher_workers.cpp
@@ -34,11 +34,12 @@
         log_decision("worker.draining", "",
                      "worker=" + info.id +
                          " remaining_ms=" + std::to_string(info.remaining_ms));
-    if (w.info.id.empty())
+    if (w.info.address.empty())
         log_decision("worker.listed", "",
                      "worker=" + info.id + " address=" + info.address +
                          " rack=" + info.rack +
                          " born=" + std::to_string(incarnation));
+    confirm_losses(now, info.id, incarnation);
     record_remaining_time(now, w, info);
     bool const is_new = w.info.address != info.address;
     w.info = info;
@@ -46,7 +47,7 @@
     if (is_new)
     {
         schedule_renewal(info.id, w, now);
-        note_address(w);
+        note_address(now, w);
     }
     w.listed = true;
     changed_ = true;
@@ -88,7 +89,11 @@
     w.replaced = true;
     auto const kept = unconfirmed_starts(w);
     for (auto const& [run, o] : kept)
+    {
+        log_lost_run(now, w, run, o.unit);
+        record_loss(w, run, o.unit, true);
         end_run(now, o.unit, why);
+    }
     end_lost_runs(now, w, why, kept);
     w.reset_for_incarnation(incarnation);
     if (w.last_unanswered_at >= 0)
--- a/packages/tasks/src/placement.cpp
+++ b/packages/tasks/src/placement.cpp
@@ -52,12 +52,13 @@
 
 /// \returns the key by which workers are filled: lowest penalty first, then
 /// verified workers, the preferred rack, fast workers, and the least free
-/// capacity.
+/// capacity, or the most if the unit prefers empty workers.
 auto fill_order(worker_candidate const& w, unit_need const& need)
 {
+    std::int64_t const sign = need.prefer_empty ? -1 : 1;
     return std::tuple(w.penalty, is_unverified(w, need),
                       !need.rack.empty() && w.rack != need.rack, w.slower,
-                      w.free.accelerators, w.free.memory_mb,
+                      sign * w.free.accelerators, sign * w.free.memory_mb,
                       std::string_view(w.id));
 }
 
--- a/packages/tasks/src/progress.cpp
+++ b/packages/tasks/src/progress.cpp
@@ -35,11 +35,37 @@
     return {bytes.begin(), bytes.end()};
 }
 
+json rows_of(std::vector<worker_loss> const& losses)
+{
+    json rows = json::array();
+    for (auto const& l : losses)
+        rows.push_back(json::array({l.index, l.run, l.worker, l.incarnation,
+                                    static_cast<int>(l.exposure), l.crashed}));
+    return rows;
+}
+
+/// The last two fields are missing if they are empty, and in records of earlier
+/// builds.
 json row_of(unit_id const& id, unit const& u)
 {
-    return json::array({id.occurrence, id.step, id.index,
-                        static_cast<int>(u.phase), u.run, u.failures,
-                        u.failed_run, u.checkpoint, u.places});
+    auto row = json::array({id.occurrence, id.step, id.index,
+                            static_cast<int>(u.phase), u.run, u.failures,
+                            u.failed_run, u.checkpoint, u.places});
+    if (!u.incarnations.empty() || !u.losses.empty())
+        row.push_back(u.incarnations);
+    if (!u.losses.empty())
+        row.push_back(rows_of(u.losses));
+    return row;
+}
+
+std::vector<worker_loss> read_losses(json const& rows)
+{
+    std::vector<worker_loss> losses;
+    for (auto const& row : rows)
+        losses.push_back({row.at(0), row.at(1), row.at(2), row.at(3),
+                          static_cast<crash_exposure>(row.at(4).get<int>()),
+                          row.at(5)});
+    return losses;
 }
 
 void read_row(json const& row, job_progress& into)
@@ -55,6 +81,10 @@
     u.failed_run = row.at(6);
     u.checkpoint = row.at(7);
     u.places = row.at(8).get<std::vector<std::string>>();
+    if (row.size() > 9)
+        u.incarnations = row.at(9).get<std::vector<std::int64_t>>();
+    if (row.size() > 10)
+        u.losses = read_losses(row.at(10));
 }
 
 } // namespace
--- a/packages/tasks/src/worker_view.cpp
+++ b/packages/tasks/src/worker_view.cpp
@@ -73,6 +73,7 @@
 {
     remove(run);
     used_ += o.held;
+    isolated_runs_ += o.isolated ? 1 : 0;
     hosted_runs.emplace(run, std::move(o));
 }
 
@@ -82,6 +83,7 @@
     if (at == hosted_runs.end())
         return;
     used_ -= at->second.held;
+    isolated_runs_ -= at->second.isolated ? 1 : 0;
     hosted_runs.erase(at);
 }
 
@@ -99,6 +101,7 @@
     info.incarnation = incarnation;
     hosted_runs.clear();
     used_ = {};
+    isolated_runs_ = 0;
     clock_ms_ = 0;
     clock_at_ = -1;
     lease_until_ = 0;
--- a/tests/unit/test_job_report.cpp
+++ b/tests/unit/test_job_report.cpp
@@ -32,6 +32,16 @@
 2026-12-04T08:00:06.000000Z level=info node=vm-1 step=job.submit job=cc queue=q team=t steps=1 result=refused took_ms=3
 )";
 
+/// A job whose task crashed its workers.
+constexpr char const* given_up_text = R"(
+2026-12-04T08:00:01.000000Z level=info node=vm-1 step=job.submit job=dd queue=q team=t steps=1 result=stored took_ms=40
+2026-12-04T08:00:01.100000Z level=info node=vm-2 step=unit.place job=dd step=0 index=0 run=3 tasks=1 first=w1 racks=1 wants_rack=0 estimate_ms=900 priority=0 isolated=1 waited_ms=20
+2026-12-04T08:00:07.100000Z level=info node=vm-2 step=run.lost job=dd worker=w1 rack=r1 step=0 index=0 run=3 ran_ms=9 established=0 others=0
+2026-12-04T08:00:07.100001Z level=info node=vm-2 step=unit.end_run job=dd step=0 index=0 run=3 why="its worker was lost" lost_core_s=3
+2026-12-04T08:00:07.100002Z level=info node=vm-2 step=unit.given_up job=dd step=0 index=0 crashes=3 workers=w3,w2,w1
+2026-12-04T08:00:07.100003Z level=info node=vm-2 step=job.final job=dd phase=failed queue=q known_ms=6000 objective_ms=3400
+)";
+
 std::vector<log_line> lines()
 {
     std::istringstream in(log_text);
@@ -51,6 +61,7 @@
     CPPUNIT_TEST_SUITE(test_job_report);
     CPPUNIT_TEST(lines_are_sorted_by_time);
     CPPUNIT_TEST(a_job_is_described_with_its_outcome);
+    CPPUNIT_TEST(a_job_that_was_given_up_names_its_task_and_workers);
     CPPUNIT_TEST(losses_are_counted_by_priority);
     CPPUNIT_TEST(lost_work_is_summed_by_reason);
     CPPUNIT_TEST_SUITE_END();
@@ -93,6 +104,20 @@
                "no report for an unknown id");
     }
 
+    void a_job_that_was_given_up_names_its_task_and_workers()
+    {
+        std::istringstream in(given_up_text);
+        auto const report = describe_job(read_log(in), "dd");
+        expect(has(report, "Worker w1 was lost with run 3 of step 0, task 0, "
+                           "9 ms after its start was sent, while it started"),
+               "the run on the last of them");
+        expect(has(report, "3 workers crashed while they ran task 0 of step 0 "
+                           "(w3,w2,w1)"),
+               "the reason");
+        expect(has(report, "failed: a task crashed the workers that started"),
+               "the outcome");
+    }
+
     void losses_are_counted_by_priority()
     {
         auto const table = count_losses(lines());
