Tests of crashing tasks; an unclear cause takes four crashes instead of five

Change: a task whose part in the crashes stays unclear is given up after four. From two losses on nothing is started beside it, so a bystander hardly gets there. Tests: verdicts without a dispatcher, gangs, bystanders, workers lost alone, with their rack, cut off and restarted, or silent, changes of dispatcher after each crash, random mixes of all with outages of the log.

--- a/packages/tasks/include/jasminetrack/tasks/crash_history.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/crash_history.hpp
@@ -46,7 +46,7 @@
 /// \param losses  of one unit; each of its tasks is judged by itself
 /// \returns the strictest verdict on any of its tasks. A sound task is never
 /// given up because of workers that were silent, and only if it was isolated on
-/// two workers that crashed just then, after a third one, or if five crashed.
+/// two workers that crashed just then, after a third one, or if four crashed.
 [[nodiscard]] crash_verdict judge(std::vector<worker_loss> const& losses);
 
 /// Adds a loss, unless there is one of this run of the task already: the worker
--- a/packages/tasks/src/crash_history.cpp
+++ b/packages/tasks/src/crash_history.cpp
@@ -13,9 +13,9 @@
 /// Of these, crashes of a worker on which only this task was being started. The
 /// first one may be that of a bystander.
 constexpr std::int64_t min_isolated_crashes = 2;
-/// A task that crashes its workers only after they have reported it never
-/// counts as isolated.
-constexpr std::int64_t max_unclear_crashes = 5;
+/// A task that crashes its workers only some time after its start never counts
+/// as isolated.
+constexpr std::int64_t max_unclear_crashes = 4;
 /// Losses after which a task is isolated, whatever its part in them.
 constexpr std::int64_t min_losses_to_isolate = 2;
 
--- a/tests/support/dispatch_simulation.cpp
+++ b/tests/support/dispatch_simulation.cpp
@@ -51,11 +51,19 @@
 {
     int count = 0;
     for (auto const& [id, w] : workers_)
-        for (auto const& [run, r] : w.runs)
-            count += run.task.job == job ? 1 : 0;
+        count += running(job, id);
     return count;
 }
 
+int dispatch_simulation::running(std::string const& job,
+                                 std::string const& worker) const
+{
+    auto const& runs = workers_.at(worker).runs;
+    return static_cast<int>(std::count_if(
+        runs.begin(), runs.end(),
+        [&](auto const& entry) { return entry.first.task.job == job; }));
+}
+
 int dispatch_simulation::ended(run_end how) const
 {
     auto const at = ended_.find(how);
--- a/tests/support/dispatch_simulation.hpp
+++ b/tests/support/dispatch_simulation.hpp
@@ -64,6 +64,9 @@
     [[nodiscard]] int starts(std::string const& job) const;
     /// \returns how many of the job's tasks are on workers now.
     [[nodiscard]] int running(std::string const& job) const;
+    /// \returns how many of the job's tasks are on this worker now.
+    [[nodiscard]] int running(std::string const& job,
+                              std::string const& worker) const;
     /// \returns how many runs have ended in this latency.
     [[nodiscard]] int ended(run_end how) const;
     [[nodiscard]] dispatcher& leader()
--- a/tests/support/manual_dispatcher.hpp
+++ b/tests/support/manual_dispatcher.hpp
@@ -94,6 +94,8 @@
     milliseconds now = 100'000;
     bool answers_starts = true;
     std::set<std::string> unresponsive;
+    /// Result of renewals of these workers.
+    call_result unanswered_result = call_result::no_answer;
     /// Reported progress by worker; 1 for the others.
     std::map<std::string, std::int64_t> percents;
     std::map<std::string, std::vector<renew_order>> renewals; ///< by worker
@@ -139,6 +141,7 @@
         renewals[o.worker].push_back(o);
         renew_reply r;
         r.worker = o.worker;
+        r.result = unanswered_result;
         if (unresponsive.count(o.worker) == 0)
         {
             r.result = call_result::done;
--- /dev/null
+++ b/tests/unit/test_crash_history.cpp
@@ -0,0 +1,116 @@
+/// \file
+/// Verdicts on a task from the workers that were lost while it was on them.
+
+#include "section.hpp"
+
+#include <jasminetrack/tasks/crash_history.hpp>
+
+namespace
+{
+
+using namespace jasminetrack::tasks;
+using support::expect;
+using support::section;
+
+/// A crash of the worker of this run.
+worker_loss crash(std::int64_t run, crash_exposure exposure,
+                  std::int64_t index = 0)
+{
+    return {index, run, "w" + std::to_string(run), 1, exposure, true};
+}
+
+worker_loss silence(std::int64_t run)
+{
+    return {0,    run, "w" + std::to_string(run), 1, crash_exposure::starting,
+            false};
+}
+
+class test_crash_history : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(test_crash_history);
+    CPPUNIT_TEST(a_task_under_suspicion_is_isolated);
+    CPPUNIT_TEST(a_task_is_given_up_after_isolated_crashes);
+    CPPUNIT_TEST(an_unclear_cause_takes_more_crashes);
+    CPPUNIT_TEST(silence_is_no_crash);
+    CPPUNIT_TEST(members_of_a_gang_are_judged_one_by_one);
+    CPPUNIT_TEST(one_run_is_one_loss);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    using exposure = crash_exposure;
+
+    void a_task_under_suspicion_is_isolated()
+    {
+        expect(judge({}) == crash_verdict::none, "nothing was lost");
+        expect(judge({crash(1, exposure::established)}) == crash_verdict::none,
+               "it had run there for a while");
+        expect(judge({crash(1, exposure::starting)}) == crash_verdict::isolate,
+               "it had just been started");
+        expect(judge({crash(1, exposure::established),
+                      crash(2, exposure::established)}) ==
+                   crash_verdict::isolate,
+               "two workers were lost under it");
+    }
+
+    void a_task_is_given_up_after_isolated_crashes()
+    {
+        std::vector<worker_loss> losses{crash(1, exposure::starting),
+                                        crash(2, exposure::isolated)};
+        expect(judge(losses) == crash_verdict::isolate,
+               "two crashes may still be chance");
+        losses.push_back(crash(3, exposure::isolated));
+        expect(judge(losses) == crash_verdict::give_up, "three are not");
+    }
+
+    void an_unclear_cause_takes_more_crashes()
+    {
+        std::vector<worker_loss> losses;
+        for (std::int64_t run = 1; run <= 3; ++run)
+            losses.push_back(crash(run, exposure::established));
+        expect(judge(losses) == crash_verdict::isolate, "three");
+        losses.push_back(crash(4, exposure::established));
+        expect(judge(losses) == crash_verdict::give_up, "four");
+    }
+
+    void silence_is_no_crash()
+    {
+        std::vector<worker_loss> losses;
+        for (std::int64_t run = 1; run <= 2; ++run)
+            losses.push_back(silence(run));
+        expect(judge(losses) == crash_verdict::isolate, "it is suspected");
+        for (std::int64_t run = 3; run <= 9; ++run)
+            losses.push_back(silence(run));
+        expect(judge(losses) == crash_verdict::wait,
+               "it waits until the workers' fate is known");
+    }
+
+    void members_of_a_gang_are_judged_one_by_one()
+    {
+        std::vector<worker_loss> losses;
+        for (std::int64_t run = 1; run <= 3; ++run)
+            losses.push_back(crash(run, exposure::isolated, run));
+        expect(judge(losses) == crash_verdict::isolate,
+               "three members lost one worker each");
+        losses.push_back(crash(4, exposure::isolated, 2));
+        losses.push_back(crash(5, exposure::isolated, 2));
+        expect(judge(losses) == crash_verdict::give_up,
+               "one member lost three");
+        expect(most_crashed_task(losses) == 2, "that member");
+        expect(crashes_of(losses, 2) == 3, "its crashes");
+    }
+
+    void one_run_is_one_loss()
+    {
+        std::vector<worker_loss> losses;
+        auto loss = silence(1);
+        add_loss(losses, loss);
+        loss.crashed = true;
+        add_loss(losses, loss);
+        expect(losses.size() == 1, "the same run");
+        expect(losses[0].crashed, "it is known by now that the worker crashed");
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(test_crash_history);
+
+} // namespace
--- a/tests/unit/test_crashes.cpp
+++ b/tests/unit/test_crashes.cpp
@@ -7,6 +7,9 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <cstdlib>
+#include <random>
+
 namespace
 {
 
@@ -38,6 +41,14 @@
     CPPUNIT_TEST_SUITE(test_crashes);
     CPPUNIT_TEST(log_lines_tell_a_crash_from_silence);
     CPPUNIT_TEST(a_task_that_crashes_its_workers_is_given_up);
+    CPPUNIT_TEST(a_crashing_member_ends_its_gang_but_not_others);
+    CPPUNIT_TEST(work_beside_a_crashing_task_is_not_given_up);
+    CPPUNIT_TEST(sound_work_survives_workers_that_are_lost_again_and_again);
+    CPPUNIT_TEST(crashes_are_known_after_a_change_of_dispatcher);
+    CPPUNIT_TEST(a_worker_that_was_only_silent_is_no_evidence);
+    CPPUNIT_TEST(another_incarnation_at_the_address_is_evidence);
+    CPPUNIT_TEST(nothing_is_started_beside_a_suspected_task);
+    CPPUNIT_TEST(random_crashes_violate_no_invariant);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -95,6 +106,295 @@
                         expect(w.crashes("a") == 3, "three crashes show it");
                     });
     }
+
+    void a_crashing_member_ends_its_gang_but_not_others()
+    {
+        dispatch_simulation w(2);
+        add_racks(w);
+        w.submit("crashing", "batch", gang_job(3, 4), crashing_task(2));
+        for (int i = 0; i < 3; ++i)
+            w.submit("gang" + std::to_string(i), "batch", gang_job(2, 4),
+                     {9'000});
+        w.run_for(120'000);
+        expect_no_violations(w);
+        expect(w.phase("crashing") == job_phase::failed, "given up");
+        expect(w.crashes("crashing") == 3, "after three crashes");
+        expect_completed(w, "gang", 3);
+    }
+
+    void work_beside_a_crashing_task_is_not_given_up()
+    {
+        dispatch_simulation w(3);
+        add_racks(w);
+        for (int i = 0; i < 5; ++i)
+            w.submit("sound" + std::to_string(i), "batch", simple_job(10, 1),
+                     {8'000});
+        for (int i = 0; i < 6; ++i)
+        {
+            w.submit("crashing" + std::to_string(i), "batch", simple_job(2, 1),
+                     crashing_task(1));
+            w.run_for(4'000);
+        }
+        w.run_for(180'000);
+        expect_no_violations(w);
+        expect_completed(w, "sound", 5);
+        for (int i = 0; i < 6; ++i)
+            expect(w.phase("crashing" + std::to_string(i)) == job_phase::failed,
+                   "crashing job " + std::to_string(i) + " is given up");
+    }
+
+    void sound_work_survives_workers_that_are_lost_again_and_again()
+    {
+        using loss = void (*)(dispatch_simulation&, int);
+        struct kind_of_loss
+        {
+            char const* title;
+            loss lose;
+        };
+        constexpr kind_of_loss kinds[] = {
+            {"one worker crashes by itself",
+             [](dispatch_simulation& w, int round)
+             { w.crash_for_a_while(name_of(round % 8)); }},
+            {"a rack crashes",
+             [](dispatch_simulation& w, int round)
+             {
+                 auto const first = round % 2 * 4;
+                 for (int i = first; i < first + 4; ++i)
+                     w.crash_for_a_while(name_of(i));
+             }},
+            {"a worker is cut off, and has crashed when it is back",
+             [](dispatch_simulation& w, int round)
+             {
+                 w.disconnect_worker(name_of(round % 8), true);
+                 w.run_for(5'500);
+                 w.crash_worker(name_of(round % 8));
+                 w.disconnect_worker(name_of(round % 8), false);
+             }},
+            {"a worker is only cut off, for longer than its lease",
+             [](dispatch_simulation& w, int round)
+             {
+                 w.disconnect_worker(name_of(round % 8), true);
+                 w.run_for(12'000);
+                 w.disconnect_worker(name_of(round % 8), false);
+             }},
+        };
+        for (auto const& kind : kinds)
+            section(kind.title,
+                    [&]
+                    {
+                        dispatch_simulation w(4);
+                        w.set_comeback(comeback::same_id);
+                        add_racks(w);
+                        for (int i = 0; i < 6; ++i)
+                            w.submit("sound" + std::to_string(i), "batch",
+                                     i % 2 == 0 ? simple_job(8, 1)
+                                                : gang_job(4, 2),
+                                     {5'000});
+                        for (int round = 0; round < 9; ++round)
+                        {
+                            kind.lose(w, round);
+                            w.run_for(7'000);
+                        }
+                        w.run_for(60'000);
+                        expect_no_violations(w);
+                        expect_completed(w, "sound", 6);
+                    });
+    }
+
+    void crashes_are_known_after_a_change_of_dispatcher()
+    {
+        struct change
+        {
+            char const* title;
+            void (*hand_over)(dispatch_simulation&);
+        };
+        constexpr change changes[] = {
+            {"while the earlier one still runs",
+             [](dispatch_simulation& w) { w.take_over(); }},
+            {"after a while without any",
+             [](dispatch_simulation& w)
+             {
+                 w.kill_leader();
+                 w.run_for(5'000);
+                 w.take_over();
+             }},
+        };
+        for (auto const how : {comeback::same_id, comeback::new_id})
+            for (auto const& change : changes)
+                section(
+                    std::string(change.title) +
+                        (how == comeback::same_id ? ", same id" : ", new id"),
+                    [&]
+                    {
+                        dispatch_simulation w(5);
+                        w.set_comeback(how);
+                        add_racks(w);
+                        w.submit("a", "batch", simple_job(1, 2),
+                                 crashing_task(0));
+                        for (int crashes = 1; crashes <= 5; ++crashes)
+                        {
+                            run_until_crashed(w, "a", crashes);
+                            change.hand_over(w);
+                        }
+                        w.run_for(90'000);
+                        expect_no_violations(w);
+                        expect(w.phase("a") == job_phase::failed, "given up");
+                    });
+    }
+
+    void a_worker_that_was_only_silent_is_no_evidence()
+    {
+        manual_dispatcher h;
+        h.add_worker("w1", 1);
+        h.run_for(500);
+        h.submit("a", "batch");
+        h.run_for(100);
+        h.unresponsive.insert("w1");
+        h.run_for(until_lost_ms);
+        expect(has(h.newest("worker.lost"), "replaced=0"), "it was lost");
+        h.unresponsive.clear();
+        h.running["w1"].clear();
+        h.run_for(200);
+        expect(has(h.newest("unit.place"), "isolated=0"),
+               "its task is not suspected any more");
+    }
+
+    void another_incarnation_at_the_address_is_evidence()
+    {
+        manual_dispatcher h;
+        h.add_worker("w1", 1);
+        h.run_for(500);
+        h.submit("a", "batch");
+        h.run_for(100);
+        h.unresponsive.insert("w1");
+        h.unanswered_result = call_result::other_incarnation;
+        h.add_worker("w2", 1);
+        h.run_for(until_lost_ms);
+        expect(has(h.newest("worker.lost"), "replaced=1"), "it has crashed");
+        expect(has(h.newest("unit.place"), "isolated=1"),
+               "its task is suspected");
+    }
+
+    void nothing_is_started_beside_a_suspected_task()
+    {
+        dispatch_simulation w(6);
+        w.set_comeback(comeback::same_id);
+        w.configure(two_queues());
+        w.add_worker("w0", "r1", {64'000, 128'000, 8});
+        w.add_worker("w1", "r1", {64'000, 128'000, 8});
+        w.submit("a", "batch", simple_job(1, 1), {6'000});
+        w.run_for(300);
+        w.crash_for_a_while(w.running("a", "w0") > 0 ? "w0" : "w1");
+        w.run_for(5'000);
+        expect(w.starts("a") == 2, "it was started again");
+        w.submit("b", "batch", simple_job(1, 1));
+        w.run_for(3'000);
+        expect(w.starts("b") == 0, "another task waits");
+        w.run_for(10'000);
+        expect(w.phase("a") == job_phase::completed, "the first is done");
+        expect(w.phase("b") == job_phase::completed, "then the other");
+        expect_no_violations(w);
+    }
+
+    void random_crashes_violate_no_invariant()
+    {
+        auto const first_seed = from_environment("JASMINETRACK_SEED", 1);
+        auto const seeds = from_environment("JASMINETRACK_SEEDS", 100);
+        for (auto seed = first_seed; seed < first_seed + seeds; ++seed)
+            section("seed " + std::to_string(seed),
+                    [&] { run_random_crashes(seed); });
+    }
+
+private:
+    static std::string name_of(int worker)
+    {
+        return "w" + std::to_string(worker);
+    }
+
+    static unsigned from_environment(char const* name, unsigned fallback)
+    {
+        auto const* text = std::getenv(name);
+        return text ? static_cast<unsigned>(std::atoi(text)) : fallback;
+    }
+
+    static void expect_completed(dispatch_simulation const& w,
+                                 std::string const& jobs, int count)
+    {
+        for (int i = 0; i < count; ++i)
+            expect(w.phase(jobs + std::to_string(i)) == job_phase::completed,
+                   jobs + std::to_string(i) + " is completed");
+    }
+
+    static void run_until_crashed(dispatch_simulation& w,
+                                  std::string const& job, int crashes)
+    {
+        for (int i = 0; i < 4'000 && w.crashes(job) < crashes; ++i)
+            w.run_for(10);
+    }
+
+    /// Crashing and sound jobs, with workers that crash, are cut off, restart
+    /// behind the cut, changes of dispatcher and outages of the log.
+    static void run_random_crashes(unsigned seed)
+    {
+        std::mt19937 random(seed);
+        auto const below = [&](int n)
+        { return std::uniform_int_distribution<>(0, n - 1)(random); };
+        dispatch_simulation w(seed, {0.02, 0.02, 0.02, 0});
+        w.set_comeback(below(2) == 0 ? comeback::same_id : comeback::new_id);
+        add_racks(w);
+        int sound = 0;
+        int crashing = 0;
+        for (int i = 0; i < 40; ++i)
+        {
+            auto const worker = name_of(below(8));
+            switch (below(12))
+            {
+            case 0:
+                w.take_over();
+                break;
+            case 1:
+                w.kill_leader();
+                w.run_for(below(4'000));
+                w.take_over();
+                break;
+            case 2:
+                w.disconnect_worker(worker, true);
+                break;
+            case 3:
+                w.disconnect_worker(worker, false);
+                break;
+            case 4:
+                w.crash_for_a_while(worker);
+                break;
+            case 5:
+                w.log_down(true);
+                w.run_for(below(4'000));
+                w.log_down(false);
+                break;
+            case 6:
+            case 7:
+                w.submit("crashing" + std::to_string(crashing++), "batch",
+                         below(2) == 0 ? gang_job(3, 2) : simple_job(3, 1),
+                         crashing_task(below(3)));
+                break;
+            default:
+                w.submit("sound" + std::to_string(sound++),
+                         below(3) == 0 ? "urgent" : "batch",
+                         below(2) == 0 ? gang_job(1 + below(4), 2)
+                                       : simple_job(1 + below(8), 1),
+                         {200 + below(6'000)});
+            }
+            w.run_for(below(2'000));
+        }
+        for (int i = 0; i < 8; ++i)
+            w.disconnect_worker(name_of(i), false);
+        w.run_for(240'000);
+        expect_no_violations(w);
+        expect_completed(w, "sound", sound);
+        for (int i = 0; i < crashing; ++i)
+            expect(w.phase("crashing" + std::to_string(i)) == job_phase::failed,
+                   "crashing" + std::to_string(i) + " is given up");
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(test_crashes);
--- a/tests/unit/test_task_policies.cpp
+++ b/tests/unit/test_task_policies.cpp
@@ -210,6 +210,9 @@
         u.failed_run = 6;
         u.checkpoint = "c";
         u.places = {"w1", "", "w2", "w1"};
+        u.incarnations = {5, 0, 6, 5};
+        u.losses = {{2, 6, "w9", 4, crash_exposure::isolated, true},
+                    {3, 6, "w8", 4, crash_exposure::starting, false}};
         p.begun = true;
         p.phase = job_phase::running;
         expect(decode_progress(encode(p), spec) == p,
