LIMIT: a start is checked against the worker's capacity when it is sent

Cause: a placement was checked against the capacity when it was decided. Its start waits until the log has stored it, seconds during an outage; a worker whose capacity had shrunk meanwhile got it all the same. Change: can_start refuses a worker whose runs need more than its capacity; the unit goes back to the queue. A stand-in in manual_dispatcher shrinks capacities and holds the log back. Result: test_shrinking_capacity::a_placement_that_waits_for_the_log_is_checked_again and a_task_without_accelerators_counts_as_well were red before, green after.

--- a/packages/tasks/include/jasminetrack/tasks/worker_view.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/worker_view.hpp
@@ -49,6 +49,12 @@
     [[nodiscard]] bool is_lease_expired(milliseconds now) const noexcept;
     /// \returns the capacity that is neither used nor reserved.
     [[nodiscard]] resources free_capacity() const noexcept;
+    /// \returns whether its runs need more than its capacity, which may have
+    /// shrunk.
+    [[nodiscard]] bool is_over_capacity() const noexcept
+    {
+        return !fits(used_, info.capacity);
+    }
     /// \returns the free capacity after all runs that began to end after
     /// `since` have ended. Runs that have been ending for longer are not
     /// counted, as they may keep their capacity until the lease expires.
--- a/packages/tasks/src/dispatcher_starts.cpp
+++ b/packages/tasks/src/dispatcher_starts.cpp
@@ -85,6 +85,7 @@
                            auto const at = workers_.find(m.worker);
                            return at != workers_.end() && at->second.listed &&
                                   !at->second.info.draining &&
+                                  !at->second.is_over_capacity() &&
                                   at->second.answered_recently(now) &&
                                   (!advised || ticket_of(now, ref, m.worker));
                        });
--- a/tests/support/manual_dispatcher.hpp
+++ b/tests/support/manual_dispatcher.hpp
@@ -52,6 +52,39 @@
         dispatcher_.put_worker(now, w);
     }
 
+    void set_capacity(std::string const& id, resources capacity)
+    {
+        auto& w = infos_.at(id);
+        w.capacity = capacity;
+        dispatcher_.put_worker(now, w);
+    }
+
+    void cancel(std::string const& job)
+    {
+        dispatcher_.cancel_job(now, job);
+    }
+
+    /// The worker no longer runs the job's tasks.
+    void end(std::string const& worker, std::string const& job)
+    {
+        std::erase_if(running[worker],
+                      [&](task_run const& run) { return run.task.job == job; });
+    }
+
+    /// Submits a job of one task.
+    void submit(std::string const& id, std::string const& queue,
+                resources const& need)
+    {
+        accepted_job job;
+        job.id = id;
+        job.queue = queue;
+        job.team = "team";
+        job.spec.steps.resize(1);
+        job.spec.steps[0].need = need;
+        job.spec.steps[0].estimate_ms = 20'000;
+        dispatcher_.put_job(now, job, initial_progress(job.spec));
+    }
+
     /// Submits a job of which each task needs a whole worker.
     void submit(std::string const& id, std::string const& queue,
                 std::int64_t members = 1, bool checkpoints = false)
@@ -81,6 +114,13 @@
         }
     }
 
+    /// The log stores what waited for it, and from now on at once.
+    void store_again()
+    {
+        stores = true;
+        dispatcher_.on_stored(now, unstored_);
+    }
+
     void accept_start(start_order const& o)
     {
         starts.push_back(o);
@@ -93,6 +133,7 @@
 
     milliseconds now = 100'000;
     bool answers_starts = true;
+    bool stores = true; ///< false: the log is away
     std::set<std::string> unresponsive;
     /// Result of renewals of these workers.
     call_result unanswered_result = call_result::no_answer;
@@ -133,7 +174,7 @@
         if (auto const* ask = std::get_if<advice_order>(&a))
             advice_requests.push_back(*ask);
         if (auto const* store = std::get_if<store_order>(&a))
-            dispatcher_.on_stored(now, store->batch);
+            on_store(store->batch);
     }
 
     void answer(renew_order const& o)
@@ -154,6 +195,14 @@
         dispatcher_.on_renew(now, r);
     }
 
+    void on_store(std::int64_t batch)
+    {
+        if (stores)
+            dispatcher_.on_stored(now, batch);
+        else
+            unstored_ = batch;
+    }
+
     [[nodiscard]] milliseconds clock_of(std::string const& id) const
     {
         return now - started_at_.at(id) + 1;
@@ -162,6 +211,7 @@
     std::map<std::string, std::int64_t> incarnations_;
     std::map<std::string, milliseconds> started_at_;
     std::map<std::string, worker_info> infos_;
+    std::int64_t unstored_ = 0;
     dispatcher dispatcher_;
 };
 
--- /dev/null
+++ b/tests/unit/test_shrinking_capacity.cpp
@@ -0,0 +1,98 @@
+/// \file
+/// A worker whose capacity shrinks, and grows again, while it runs tasks.
+
+#include "manual_dispatcher.hpp"
+#include "section.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace
+{
+
+using namespace support;
+
+constexpr resources half{4'000, 4'000, 4};
+constexpr resources whole{8'000, 8'000, 8};
+
+class test_shrinking_capacity : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(test_shrinking_capacity);
+    CPPUNIT_TEST(no_start_exceeds_the_capacity_that_is_left);
+    CPPUNIT_TEST(a_placement_that_waits_for_the_log_is_checked_again);
+    CPPUNIT_TEST(a_task_without_accelerators_counts_as_well);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void no_start_exceeds_the_capacity_that_is_left()
+    {
+        manual_dispatcher h;
+        h.add_worker("w1", 1);
+        h.run_for(500);
+        h.submit("a", "batch", half);
+        h.submit("b", "batch", half);
+        h.run_for(200);
+        expect(h.starts.size() == 2, "both fit");
+        h.set_capacity("w1", half);
+        h.submit("c", "batch", half);
+        section("running tasks go on",
+                [&] { expect(h.stops.empty(), "nothing is stopped"); });
+        section("a task that is being stopped still counts",
+                [&]
+                {
+                    h.cancel("a");
+                    h.run_for(5'000);
+                    expect(h.starts.size() == 2, "no start");
+                    expect(!h.stops.empty(), "its stop was sent");
+                });
+        section("the rest is full",
+                [&]
+                {
+                    h.end("w1", "a");
+                    h.run_for(5'000);
+                    expect(h.starts.size() == 2, "no start");
+                });
+        section("it is used once it is back",
+                [&]
+                {
+                    h.set_capacity("w1", whole);
+                    h.run_for(1'000);
+                    expect(h.starts.size() == 3, "started");
+                });
+    }
+
+    void a_placement_that_waits_for_the_log_is_checked_again()
+    {
+        manual_dispatcher h;
+        h.add_worker("w1", 1);
+        h.run_for(500);
+        h.stores = false;
+        h.submit("a", "batch", whole);
+        h.run_for(6'000);
+        expect(h.starts.empty(), "the placement is not stored");
+        h.set_capacity("w1", half);
+        h.run_for(6'000);
+        h.store_again();
+        h.run_for(1'000);
+        expect(h.starts.empty(), "it does not fit any more");
+        h.set_capacity("w1", whole);
+        h.run_for(1'000);
+        expect(h.starts.size() == 1, "it is started when it fits again");
+    }
+
+    void a_task_without_accelerators_counts_as_well()
+    {
+        manual_dispatcher h;
+        h.add_worker("w1", 1);
+        h.run_for(500);
+        h.submit("a", "batch", whole);
+        h.run_for(200);
+        h.set_capacity("w1", {9'000, 9'000, 4});
+        h.submit("b", "batch", {500, 500, 0});
+        h.run_for(5'000);
+        expect(h.starts.size() == 1, "the worker is over its capacity");
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(test_shrinking_capacity);
+
+} // namespace
