LIMIT: a worker over its capacity takes no task of any shape

Cause: placement compared only the resources that a task needs, so a task without accelerators was placed on a worker with too many of them in use, and withdrawn again when its start was due, each time with a record in the log. Change: tasks_in is 0 if any part of the capacity is exceeded. Result: the check for it in test_shrinking_capacity was red before, green after; 157 unit tests green.

--- a/packages/tasks/src/placement.cpp
+++ b/packages/tasks/src/placement.cpp
@@ -35,6 +35,9 @@
 std::int64_t tasks_in(resources const& available, worker_candidate const& w,
                       unit_need const& need)
 {
+    // A worker whose capacity has shrunk takes nothing until its runs fit.
+    if (!fits({}, available))
+        return 0;
     auto n =
         std::min({times_in(need.per_task.millicores, available.millicores),
                   times_in(need.per_task.memory_mb, available.memory_mb),
--- a/tests/unit/test_shrinking_capacity.cpp
+++ b/tests/unit/test_shrinking_capacity.cpp
@@ -14,6 +14,11 @@
 constexpr resources half{4'000, 4'000, 4};
 constexpr resources whole{8'000, 8'000, 8};
 
+bool has(std::string const& text, std::string const& part)
+{
+    return text.find(part) != std::string::npos;
+}
+
 class test_shrinking_capacity : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(test_shrinking_capacity);
@@ -90,6 +95,8 @@
         h.submit("b", "batch", {500, 500, 0});
         h.run_for(5'000);
         expect(h.starts.size() == 1, "the worker is over its capacity");
+        expect(!has(h.newest("unit.place"), "each=0"),
+               "it is not placed there only to be withdrawn");
     }
 };
 
