Runs of a replaced worker start again at once, not when its lease ends

Cause: callers of work on a crashed worker waited for the rest of its lease, up to 6 s, although the process at its address answered within about 3 s that it is another one. Such an answer also shows that no late start can reach the earlier process. Change: an answer of another incarnation ends the runs there. The simulation has such answers now.

--- a/packages/tasks/src/dispatcher_renewals.cpp
+++ b/packages/tasks/src/dispatcher_renewals.cpp
@@ -139,6 +139,9 @@
     {
         w.replaced = true;
         confirm_losses(now, w.info.id, detail::any_incarnation);
+        // It refuses orders to the earlier process, so no start can come late.
+        if (!w.hosted_runs.empty())
+            end_lost_runs(now, w, "another process answers at its address");
     }
     schedule_renewal(w.info.id, w, now + unresponsive_retry_ms);
     w.last_unanswered_at = now;
--- a/tests/support/dispatch_simulation.hpp
+++ b/tests/support/dispatch_simulation.hpp
@@ -186,6 +186,8 @@
     void end_run(sim_worker& w, task_run const& run, run_end how);
     [[nodiscard]] bool is_crashing(sim_run const& s) const;
     void crash_workers_of_crashing_tasks();
+    /// \returns whether a worker with another id answers at its address.
+    [[nodiscard]] bool is_replaced(std::string const& id) const;
     void bring_back(std::string const& id, comeback how);
     void check_crash_budget(start_order const& o, std::string const& name);
     void check_failed_job(log_record const& r);
@@ -200,7 +202,7 @@
     template <typename Reply>
     void deliver(std::string const& worker, std::function<Reply()> execute,
                  std::function<void(Reply)> answer,
-                 std::function<void()> no_answer);
+                 std::function<void(call_result)> no_answer);
     [[nodiscard]] bool chance(double share);
     void report_violation(std::string what);
 
--- a/tests/support/dispatch_simulation_crashes.cpp
+++ b/tests/support/dispatch_simulation_crashes.cpp
@@ -4,6 +4,8 @@
 
 #include "dispatch_simulation.hpp"
 
+#include <algorithm>
+
 namespace support
 {
 namespace
@@ -55,6 +57,19 @@
     schedule(restart_ms, [this, id, how = comeback_] { bring_back(id, how); });
 }
 
+bool dispatch_simulation::is_replaced(std::string const& id) const
+{
+    auto const& lost = workers_.at(id);
+    return !lost.up &&
+           std::any_of(workers_.begin(), workers_.end(),
+                       [&](auto const& entry)
+                       {
+                           auto const& w = entry.second;
+                           return w.up && !w.disconnected &&
+                                  w.info.address == lost.info.address;
+                       });
+}
+
 void dispatch_simulation::bring_back(std::string const& id, comeback how)
 {
     if (how == comeback::same_id)
--- a/tests/support/dispatch_simulation_orders.cpp
+++ b/tests/support/dispatch_simulation_orders.cpp
@@ -17,7 +17,7 @@
 void dispatch_simulation::deliver(std::string const& worker,
                                   std::function<Reply()> execute,
                                   std::function<void(Reply)> answer,
-                                  std::function<void()> no_answer)
+                                  std::function<void(call_result)> no_answer)
 {
     constexpr milliseconds min_late_ms = 2'000;
     constexpr milliseconds max_late_ms = 12'000;
@@ -27,6 +27,8 @@
         return std::uniform_int_distribution<milliseconds>(1, max_latency_ms)(
             random_);
     };
+    auto const lost = [this, no_answer](call_result result)
+    { schedule(call_timeout_ms, [no_answer, result] { no_answer(result); }); };
     auto const reachable = [this, worker]
     {
         auto const& w = workers_.at(worker);
@@ -34,14 +36,14 @@
     };
     if (chance(faults_.lost_orders))
     {
-        schedule(call_timeout_ms, no_answer);
+        lost(call_result::no_answer);
         return;
     }
     if (chance(faults_.late_orders))
     {
         auto const delay = std::uniform_int_distribution<milliseconds>(
             min_late_ms, max_late_ms)(random_);
-        schedule(call_timeout_ms, no_answer);
+        lost(call_result::no_answer);
         schedule(delay,
                  [reachable, execute]
                  {
@@ -53,17 +55,22 @@
     bool const answer_lost = chance(faults_.lost_answers);
     auto const answer_latency = latency();
     schedule(latency(),
-             [this, reachable, execute, answer, no_answer, answer_lost,
-              answer_latency]
+             [this, worker, reachable, execute, answer, no_answer, lost,
+              answer_lost, answer_latency]
              {
+                 if (is_replaced(worker))
+                 {
+                     no_answer(call_result::other_incarnation);
+                     return;
+                 }
                  if (!reachable())
                  {
-                     schedule(call_timeout_ms, no_answer);
+                     lost(call_result::no_answer);
                      return;
                  }
                  auto const reply = execute();
                  if (answer_lost)
-                     schedule(call_timeout_ms, no_answer);
+                     lost(call_result::no_answer);
                  else
                      schedule(answer_latency,
                               [answer, reply] { answer(reply); });
@@ -90,10 +97,11 @@
             if (nodes_[node])
                 nodes_[node]->on_renew(now_, r);
         },
-        [this, node, o]
+        [this, node, o](call_result result)
         {
             renew_reply r;
             r.worker = o.worker;
+            r.result = result;
             if (nodes_[node])
                 nodes_[node]->on_renew(now_, r);
         });
@@ -119,7 +127,7 @@
             auto& w = workers_.at(o.worker);
             return handle_start(w, o, w.incarnation == expected_incarnation);
         },
-        answer, [answer] { answer(call_result::no_answer); });
+        answer, answer);
 }
 
 void dispatch_simulation::send(std::size_t node, stop_order const& o)
@@ -131,7 +139,7 @@
     };
     deliver<call_result>(
         o.worker, [this, o] { return handle_stop(workers_.at(o.worker), o); },
-        answer, [answer] { answer(call_result::no_answer); });
+        answer, answer);
 }
 
 void dispatch_simulation::send(std::size_t node, advice_order const& o)
--- a/tests/unit/test_crashes.cpp
+++ b/tests/unit/test_crashes.cpp
@@ -47,6 +47,7 @@
     CPPUNIT_TEST(crashes_are_known_after_a_change_of_dispatcher);
     CPPUNIT_TEST(a_worker_that_was_only_silent_is_no_evidence);
     CPPUNIT_TEST(another_incarnation_at_the_address_is_evidence);
+    CPPUNIT_TEST(runs_of_a_replaced_worker_start_again_without_delay);
     CPPUNIT_TEST(nothing_is_started_beside_a_suspected_task);
     CPPUNIT_TEST(random_crashes_violate_no_invariant);
     CPPUNIT_TEST_SUITE_END();
@@ -275,6 +276,23 @@
                "its task is suspected");
     }
 
+    void runs_of_a_replaced_worker_start_again_without_delay()
+    {
+        manual_dispatcher h;
+        h.add_worker("w1", 1);
+        h.run_for(500);
+        h.submit("a", "batch");
+        h.run_for(3'000);
+        h.add_worker("w2", 1);
+        h.run_for(500);
+        h.unresponsive.insert("w1");
+        h.run_for(1'000);
+        expect(h.starts.size() == 1, "while its process may still run: no");
+        h.unanswered_result = call_result::other_incarnation;
+        h.run_for(500);
+        expect(h.starts.size() == 2, "once another one answers: yes");
+    }
+
     void nothing_is_started_beside_a_suspected_task()
     {
         dispatch_simulation w(6);
