An idempotent call reaches three targets without an answer, not all of them

Change: max_unanswered_sends; the caller gets 'unknown' with the reason then. Targets that refused the call or were not reached don't count.

--- a/packages/core/include/jasminetrack/core/call_router.hpp
+++ b/packages/core/include/jasminetrack/core/call_router.hpp
@@ -20,6 +20,10 @@
     failed,  ///< no answer, or an error
 };
 
+/// Targets that one idempotent call may reach without an answer. A call that
+/// crashes each target that runs it must not go through all of them.
+inline constexpr int max_unanswered_sends = 3;
+
 /// Name, address and region of a selected target.
 struct target
 {
--- a/packages/daemon/src/call_send.cpp
+++ b/packages/daemon/src/call_send.cpp
@@ -146,7 +146,7 @@
     if (!c.service.idempotent)
         return std::nullopt;
     std::string last_failure = "no target is available";
-    bool sent = false;
+    int unanswered = 0;
     auto const list = workers();
     while (auto const t = try_next(c, list))
     {
@@ -156,7 +156,14 @@
         if (was_not_run(t->answer, t->result) &&
             t->result != core::target_result::failed)
             continue;
-        sent = sent || t->answer.result != delivery::not_sent;
+        if (t->answer.result != delivery::not_sent)
+            ++unanswered;
+        if (unanswered >= core::max_unanswered_sends)
+        {
+            last_failure += "; " + std::to_string(unanswered) +
+                            " targets gave no valid answer";
+            break;
+        }
         if (!routers_.consume_retry_token(c.service.name))
         {
             last_failure += "; the retry budget is exhausted";
@@ -164,7 +171,7 @@
         }
         ++metrics_.retries;
     }
-    if (!sent)
+    if (unanswered == 0)
         return not_run_response(status_unavailable,
                                 make_error("call.send", c.service.name,
                                            last_failure,
--- a/tests/process/test_answers.cpp
+++ b/tests/process/test_answers.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST(lost_append_answers_cause_no_duplicates);
     CPPUNIT_TEST(calls_and_jobs_during_a_log_outage);
     CPPUNIT_TEST(wrong_or_missing_answers_of_targets);
+    CPPUNIT_TEST(a_call_that_fails_everywhere_reaches_three_targets);
     CPPUNIT_TEST(refusals_name_the_exceeded_limit);
     CPPUNIT_TEST_SUITE_END();
 
@@ -193,6 +194,19 @@
                 });
     }
 
+    void a_call_that_fails_everywhere_reaches_three_targets()
+    {
+        cluster c({});
+        c.apply_default_ticket();
+        for (std::size_t i = 0; i < c.workers().size(); ++i)
+            c.set_worker_option(i, "wrong_key=1");
+        auto const a = c.call(0, "receipts", "crash-1");
+        expect(outcome_of(a) == "unknown", a.body);
+        auto const reached = c.call_count("crash-1");
+        expect(reached == 3,
+               "it reached " + std::to_string(reached) + " targets");
+    }
+
     void refusals_name_the_exceeded_limit()
     {
         cluster_settings s;
