A suspected task waits neither for silent workers nor for a quiet one for good

A task with three losses waited until silent workers answered, were replaced or left the list; a worker that stays listed and silent would have held it for good. On a fleet that starts runs on all workers all the time a suspected task found no place at all. Change: verdict_on ends the first wait after 25 s, the second after 20 s. The latest loss of each unit is kept by the dispatcher for this.

--- a/packages/tasks/include/jasminetrack/tasks/detail/dispatcher_state.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/detail/dispatcher_state.hpp
@@ -92,7 +92,8 @@
     std::int64_t unfinished = 0; ///< number of units that are not done
     std::map<unit_ref, std::set<std::string>> failed_on; ///< workers
     std::map<unit_ref, milliseconds> failed_at;          ///< latest failure
-    std::map<std::int64_t, step_durations> durations;    ///< by step
+    std::map<unit_ref, milliseconds> lost_at; ///< latest loss of a worker
+    std::map<std::int64_t, step_durations> durations; ///< by step
 };
 
 /// Workers reserved for a unit until the stops that free them complete.
--- a/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -198,8 +198,13 @@
     // dispatcher_crashes.cpp
     /// Notes for the run's task that its worker was lost.
     /// \param crashed  false: the worker may only be silent
-    void record_loss(worker_view const& w, task_run const& run,
-                     unit_ref const& ref, bool crashed);
+    void record_loss(milliseconds now, worker_view const& w,
+                     task_run const& run, unit_ref const& ref, bool crashed);
+    /// \returns the verdict on a unit that waits for its next run. Neither
+    /// silent workers nor a fleet that starts runs everywhere delay it for
+    /// good.
+    [[nodiscard]] crash_verdict verdict_on(milliseconds now, job_entry const& e,
+                                           unit_ref const& ref) const;
     [[nodiscard]] crash_exposure exposure_of(worker_view const& w,
                                              active_run const& a,
                                              member const& m) const;
--- a/packages/tasks/src/dispatcher_crashes.cpp
+++ b/packages/tasks/src/dispatcher_crashes.cpp
@@ -13,11 +13,36 @@
 constexpr milliseconds rack_loss_ms = 3'000;
 /// A worker that is neither listed nor answers for this time has crashed.
 constexpr milliseconds gone_ms = 20'000;
+/// Longest wait for silent workers: those that are gone are known by then.
+constexpr milliseconds max_silence_wait_ms = gone_ms + 5'000;
+/// Longest wait for a worker on which nothing is being started.
+constexpr milliseconds max_isolation_wait_ms = 20'000;
 
 } // namespace
 
-void dispatcher::record_loss(worker_view const& w, task_run const& run,
-                             unit_ref const& ref, bool crashed)
+crash_verdict dispatcher::verdict_on(milliseconds now, job_entry const& e,
+                                     unit_ref const& ref) const
+{
+    auto const& losses = e.progress.units.at(ref.unit).losses;
+    if (losses.empty())
+        return crash_verdict::none;
+    auto const at = e.lost_at.find(ref);
+    auto const waited = now - (at == e.lost_at.end() ? e.known_at : at->second);
+    auto verdict = judge(losses);
+    if (verdict == crash_verdict::wait && waited > max_silence_wait_ms)
+        verdict = crash_verdict::isolate;
+    auto const isolation_wait = judge(losses) == crash_verdict::wait
+                                    ? waited - max_silence_wait_ms
+                                    : waited;
+    if (verdict == crash_verdict::isolate &&
+        isolation_wait > max_isolation_wait_ms)
+        return crash_verdict::none;
+    return verdict;
+}
+
+void dispatcher::record_loss(milliseconds now, worker_view const& w,
+                             task_run const& run, unit_ref const& ref,
+                             bool crashed)
 {
     auto const at = active_.find(ref);
     auto const index =
@@ -33,6 +58,7 @@
               w.info.incarnation, exposure_of(w, at->second, m), crashed});
     if (!crashed)
         unclear_losses_[m.worker].insert(ref);
+    find_job(ref.job)->lost_at[ref] = now;
     mark_dirty(ref.job);
 }
 
--- a/packages/tasks/src/dispatcher_losses.cpp
+++ b/packages/tasks/src/dispatcher_losses.cpp
@@ -51,7 +51,7 @@
     for (auto const& [run, ref] : lost)
     {
         log_lost_run(now, w, run, ref);
-        record_loss(w, run, ref, w.replaced);
+        record_loss(now, w, run, ref, w.replaced);
         auto const at = active_.find(ref);
         auto const index = at == active_.end()
                                ? std::nullopt
--- a/packages/tasks/src/dispatcher_schedule.cpp
+++ b/packages/tasks/src/dispatcher_schedule.cpp
@@ -55,7 +55,7 @@
     unit_ref const ref{e.job.id, {w.occurrence, w.step, index}};
     if (reservations_.count(ref) != 0)
         return true;
-    auto const verdict = judge(e.progress.units.at(ref.unit).losses);
+    auto const verdict = verdict_on(now, e, ref);
     if (verdict == crash_verdict::wait)
         return true;
     auto const* q = queue_of(e);
@@ -158,7 +158,7 @@
     need.most_per_worker = step.most_per_worker;
     if (auto const at = e.failed_on.find(ref); at != e.failed_on.end())
         need.avoid = at->second;
-    if (judge(e.progress.units.at(ref.unit).losses) == crash_verdict::isolate)
+    if (verdict_on(now, e, ref) == crash_verdict::isolate)
         isolate(e.service, need);
     need.verification = verification_for(now, e, ref);
     need.waited_ms = now - e.known_at;
--- a/packages/tasks/src/dispatcher_starts.cpp
+++ b/packages/tasks/src/dispatcher_starts.cpp
@@ -30,7 +30,7 @@
     a.placed_at = now;
     a.batch = next_batch_;
     a.number = next_number_++;
-    a.isolated = judge(u.losses) == crash_verdict::isolate &&
+    a.isolated = verdict_on(now, e, ref) == crash_verdict::isolate &&
                  std::none_of(places.begin(), places.end(),
                               [&](std::string const& id)
                               { return is_starting_runs(workers_.at(id)); });
--- a/packages/tasks/src/dispatcher_workers.cpp
+++ b/packages/tasks/src/dispatcher_workers.cpp
@@ -91,7 +91,7 @@
     for (auto const& [run, o] : kept)
     {
         log_lost_run(now, w, run, o.unit);
-        record_loss(w, run, o.unit, true);
+        record_loss(now, w, run, o.unit, true);
         end_run(now, o.unit, why);
     }
     end_lost_runs(now, w, why, kept);
--- a/tests/unit/test_crashes.cpp
+++ b/tests/unit/test_crashes.cpp
@@ -49,6 +49,8 @@
     CPPUNIT_TEST(another_incarnation_at_the_address_is_evidence);
     CPPUNIT_TEST(runs_of_a_replaced_worker_start_again_without_delay);
     CPPUNIT_TEST(nothing_is_started_beside_a_suspected_task);
+    CPPUNIT_TEST(a_suspected_task_on_a_busy_fleet_does_not_wait_for_good);
+    CPPUNIT_TEST(workers_that_stay_silent_do_not_hold_a_task_for_good);
     CPPUNIT_TEST(random_crashes_violate_no_invariant);
     CPPUNIT_TEST_SUITE_END();
 
@@ -314,6 +316,48 @@
         expect_no_violations(w);
     }
 
+    void a_suspected_task_on_a_busy_fleet_does_not_wait_for_good()
+    {
+        dispatch_simulation w(7);
+        w.configure(two_queues());
+        w.add_worker("w0", "r1", {64'000, 128'000, 8});
+        w.add_worker("w1", "r1", {64'000, 128'000, 8});
+        w.submit("a", "urgent", simple_job(1, 1), {6'000});
+        w.run_for(300);
+        w.crash_for_a_while(w.running("a", "w0") > 0 ? "w0" : "w1");
+        for (int i = 0; i < 450; ++i)
+        {
+            w.submit("short" + std::to_string(i), "urgent", simple_job(4, 1),
+                     {300});
+            w.run_for(100);
+        }
+        expect(w.phase("a") == job_phase::completed, "it has run");
+        expect_no_violations(w);
+    }
+
+    void workers_that_stay_silent_do_not_hold_a_task_for_good()
+    {
+        manual_dispatcher h;
+        for (int i = 0; i < 4; ++i)
+            h.add_worker(name_of(i), 1);
+        h.run_for(500);
+        h.submit("a", "batch");
+        for (std::size_t starts = 1; starts <= 3; ++starts)
+        {
+            run_until_started(h, starts);
+            h.unresponsive.insert(h.starts.back().worker);
+            h.run_for(until_lost_ms);
+        }
+        section("it waits for them",
+                [&] { expect(h.starts.size() == 3, "no fourth start"); });
+        section("it is started again after a while",
+                [&]
+                {
+                    h.run_for(30'000);
+                    expect(h.starts.size() == 4, "the fourth start");
+                });
+    }
+
     void random_crashes_violate_no_invariant()
     {
         auto const first_seed = from_environment("JASMINETRACK_SEED", 1);
@@ -343,6 +387,12 @@
                    jobs + std::to_string(i) + " is completed");
     }
 
+    static void run_until_started(manual_dispatcher& h, std::size_t starts)
+    {
+        for (int i = 0; i < 200 && h.starts.size() < starts; ++i)
+            h.run_for(100);
+    }
+
     static void run_until_crashed(dispatch_simulation& w,
                                   std::string const& job, int crashes)
     {
