--- a/packages/entry/include/jasminetrack/entry/gauges.hpp
+++ b/packages/entry/include/jasminetrack/entry/gauges.hpp
@@ -20,6 +20,8 @@
     std::int64_t stops = 0;
     std::int64_t batches = 0;
     std::int64_t takeovers = 0;
+    std::int64_t lost_runs = 0;     ///< their worker was lost
+    std::int64_t given_up_jobs = 0; ///< a task of them crashed its workers
     std::map<std::string, tasks::service_utilization>
         utilization; ///< by service
 };
--- a/packages/entry/src/dispatch_loop.cpp
+++ b/packages/entry/src/dispatch_loop.cpp
@@ -203,6 +203,10 @@
 void dispatch_loop::log_decision(tasks::decision const& d)
 {
     write_log(log_level::info, d.step, {{"job", d.job}, {"", d.text}});
+    if (d.step == "run.lost")
+        count(&dispatch_metrics::lost_runs);
+    if (d.step == "unit.given_up")
+        count(&dispatch_metrics::given_up_jobs);
     if (d.accepted_ms == 0)
         return;
     latencies_.record(d.step == "job.begun" ? latency::job_begun
--- a/packages/entry/src/gauges.cpp
+++ b/packages/entry/src/gauges.cpp
@@ -50,7 +50,13 @@
                             &dispatch_metrics::batches},
     gauge<dispatch_metrics>{"jasminetrack_takeovers_total",
                             "Times this process became the dispatcher",
-                            &dispatch_metrics::takeovers}};
+                            &dispatch_metrics::takeovers},
+    gauge<dispatch_metrics>{"jasminetrack_lost_runs_total",
+                            "Runs whose worker was lost",
+                            &dispatch_metrics::lost_runs},
+    gauge<dispatch_metrics>{"jasminetrack_given_up_jobs_total",
+                            "Jobs failed because a task crashed its workers",
+                            &dispatch_metrics::given_up_jobs}};
 
 struct accelerator_gauge
 {
--- a/tests/unit/test_service_utilization.cpp
+++ b/tests/unit/test_service_utilization.cpp
@@ -67,6 +67,8 @@
     void gauges_have_a_series_for_each_priority()
     {
         jasminetrack::entry::dispatch_metrics f;
+        f.lost_runs = 7;
+        f.given_up_jobs = 2;
         f.utilization["s"].capacity = 384;
         f.utilization["s"].priorities[2].kept_out = 5;
         auto const text = jasminetrack::entry::gauges_text(f, 40);
@@ -79,6 +81,8 @@
                    "service=\"s\"} 5"),
                "a series for each priority");
         expect(has("jasminetrack_log_age_ms 40"), "a series of the process");
+        expect(has("jasminetrack_lost_runs_total 7"), "lost runs");
+        expect(has("jasminetrack_given_up_jobs_total 2"), "jobs given up");
     }
 };
 
