--- a/tests/unit/test_gangs.cpp
+++ b/tests/unit/test_gangs.cpp
@@ -35,6 +35,7 @@
     CPPUNIT_TEST(an_owner_without_the_log_stops_renewing_leases);
     CPPUNIT_TEST(members_start_when_the_last_is_prepared);
     CPPUNIT_TEST(a_lost_worker_restarts_the_gang_as_a_whole);
+    CPPUNIT_TEST(a_gang_that_crashes_its_workers_is_given_up);
     CPPUNIT_TEST(running_work_survives_a_log_outage);
     CPPUNIT_TEST(a_failing_worker_is_quarantined);
     CPPUNIT_TEST(a_cancellation_racing_with_the_end_has_one_result);
@@ -374,6 +375,36 @@
         expect_no_gang_faults(w);
     }
 
+    void a_gang_that_crashes_its_workers_is_given_up()
+    {
+        constexpr int max_crashes = 5;
+        cluster_simulation w({});
+        expect(w.run_until([&] { return w.state().workers.size() == 8; },
+                           settle_timeout_ms),
+               "workers are known");
+        shape const whole_worker{1, 8, 0, 0, adjacency::none};
+        (void)w.write(
+            ticket_record{simple_ticket(1, "cork", "bern", 1, whole_worker)});
+        auto const id = w.submit("cork-spare", "crashing", "run_ms=60000");
+        for (int crashes = 0; crashes < max_crashes; ++crashes)
+        {
+            expect(w.run_until(
+                       [&]
+                       {
+                           return has_state(w, id, job_state::running) ||
+                                  has_state(w, id, job_state::ended);
+                       },
+                       60'000),
+                   "it runs, or it has ended");
+            if (has_state(w, id, job_state::ended))
+                break;
+            w.kill_worker(w.state().jobs.at(id).places[0].worker);
+            w.run(20'000);
+        }
+        expect(has_state(w, id, job_state::ended),
+               "it ends after " + std::to_string(max_crashes) + " crashes");
+    }
+
     void running_work_survives_a_log_outage()
     {
         cluster_simulation w({});
