--- a/packages/cli/src/job_causes.hpp
+++ b/packages/cli/src/job_causes.hpp
@@ -18,7 +18,7 @@
     std::int64_t placed_last = -1; ///< last placement of a unit
     std::int64_t ended = -1;
     std::int64_t objective_us = 0; ///< from submission to end
-    bool spread = false; ///< a gang that requires one rack ran on several
+    bool spread = false;   ///< a gang that requires one rack ran on several
     bool given_up = false; ///< a task of it crashed its workers
     bool cancelled = false;
     bool refused = false; ///< and no later submission was stored
--- a/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -139,7 +139,7 @@
                           std::string text) const;
     void mark_dirty(std::string const& job);
 
-    // dispatcher_workers.cpp, dispatcher_renewals.cpp
+    // dispatcher_workers.cpp, dispatcher_renewals.cpp, dispatcher_replies.cpp
     /// Handles a restart of the worker: ends the runs of its earlier
     /// incarnation and delays starts there while late orders may arrive.
     void start_incarnation(milliseconds now, worker_view& w,
--- a/packages/tasks/src/dispatcher_crashes.cpp
+++ b/packages/tasks/src/dispatcher_crashes.cpp
@@ -29,13 +29,15 @@
     auto const at = e.lost_at.find(ref);
     auto const waited = now - (at == e.lost_at.end() ? e.known_at : at->second);
     auto verdict = judge(losses);
-    if (verdict == crash_verdict::wait && waited > max_silence_wait_ms)
+    auto max_wait_ms = max_isolation_wait_ms;
+    if (verdict == crash_verdict::wait)
+    {
+        if (waited <= max_silence_wait_ms)
+            return verdict;
         verdict = crash_verdict::isolate;
-    auto const isolation_wait = judge(losses) == crash_verdict::wait
-                                    ? waited - max_silence_wait_ms
-                                    : waited;
-    if (verdict == crash_verdict::isolate &&
-        isolation_wait > max_isolation_wait_ms)
+        max_wait_ms += max_silence_wait_ms;
+    }
+    if (verdict == crash_verdict::isolate && waited > max_wait_ms)
         return crash_verdict::none;
     return verdict;
 }
