Isolated tasks: which workers start runs is found once a pass, not for each task

Cause: each suspected task looked at all runs of all workers in each pass of 20 ms; when 15 % of 370 workers crash that is about a hundred tasks, more than a VM with a quarter of a core can do (estimated from the loops, not measured). Change: candidates are marked once a pass and service, and as tasks are placed; the unit's need says that it is isolated, in place of a list of workers.

--- a/packages/tasks/include/jasminetrack/tasks/detail/dispatcher_state.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/detail/dispatcher_state.hpp
@@ -118,7 +118,8 @@
 struct candidate_list
 {
     std::vector<worker_candidate> workers;
-    bool current = false; ///< made in this pass
+    bool current = false;        ///< made in this pass
+    bool starting_known = false; ///< which of them are starting runs
 };
 
 /// Accelerators of a service at the start of a scheduling pass.
--- a/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -226,8 +226,8 @@
     /// \returns whether it has runs that are not established, or capacity
     /// reserved for some.
     [[nodiscard]] bool is_starting_runs(worker_view const& w) const;
-    /// Restricts the need to workers on which nothing is being started.
-    void isolate(std::string const& service, unit_need& need) const;
+    void mark_starting_candidates(std::string const& service,
+                                  std::int64_t priority);
     void remove_candidates(std::vector<std::string> const& places);
     void log_given_up(job_entry const& e, unit_id const& id,
                       unit const& u) const;
--- a/packages/tasks/include/jasminetrack/tasks/placement.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/placement.hpp
@@ -35,7 +35,9 @@
     int penalty = 0; ///< workers with a lower penalty are preferred
     /// A run completed there recently and none has failed since.
     bool verified = false;
-    bool slower = false;        ///< too slow for urgent work only
+    bool slower = false; ///< too slow for urgent work only
+    /// Runs are being started there; only known where a unit is isolated.
+    bool starting = false;
     std::int64_t same_step = 0; ///< tasks of the unit's step on this worker
 };
 
@@ -60,7 +62,8 @@
     std::int64_t most_per_worker = 0; ///< 0: no limit
     std::set<std::string> avoid;      ///< workers that must not run it
     verification_level verification = verification_level::none;
-    bool prefer_empty = false; ///< the workers with the most free capacity
+    /// Takes only workers that start nothing, the emptiest ones first.
+    bool isolated = false;
     milliseconds waited_ms = 0;
     milliseconds estimate_ms = 1; ///< duration of one task
 
--- a/packages/tasks/src/dispatcher_candidates.cpp
+++ b/packages/tasks/src/dispatcher_candidates.cpp
@@ -47,12 +47,24 @@
                 continue;
             candidate->free -= each;
             candidate->free_after_stops -= each;
+            candidate->starting = true;
         }
     }
     counts_[service].free -=
         each.accelerators * static_cast<std::int64_t>(places.size());
 }
 
+void dispatcher::mark_starting_candidates(std::string const& service,
+                                          std::int64_t priority)
+{
+    auto& list = candidates_[{service, priority}];
+    if (list.starting_known)
+        return;
+    for (auto& candidate : list.workers)
+        candidate.starting = is_starting_runs(workers_.at(candidate.id));
+    list.starting_known = true;
+}
+
 void dispatcher::remove_candidates(std::vector<std::string> const& places)
 {
     for (auto& [key, list] : candidates_)
@@ -89,6 +101,7 @@
     if (list.current)
         return list.workers;
     list.current = true;
+    list.starting_known = false;
     std::size_t count = 0;
     for (auto const& [id, w] : workers_)
     {
@@ -109,6 +122,7 @@
     {
         if (!list.current)
             continue;
+        list.starting_known = false;
         for (auto const& id : workers)
             if (auto* const candidate = find_candidate(list.workers, id))
                 update_candidate(now, workers_.at(id), key.second, *candidate);
--- a/packages/tasks/src/dispatcher_crashes.cpp
+++ b/packages/tasks/src/dispatcher_crashes.cpp
@@ -218,14 +218,6 @@
         });
 }
 
-void dispatcher::isolate(std::string const& service, unit_need& need) const
-{
-    need.prefer_empty = true;
-    for (auto const& [id, w] : workers_)
-        if (w.info.service == service && is_starting_runs(w))
-            need.avoid.insert(id);
-}
-
 void dispatcher::log_given_up(job_entry const& e, unit_id const& id,
                               unit const& u) const
 {
--- a/packages/tasks/src/dispatcher_schedule.cpp
+++ b/packages/tasks/src/dispatcher_schedule.cpp
@@ -72,6 +72,8 @@
     if (q->advised)
         exclude_unadvised(now, ref, q->service, need);
     auto& candidates = candidates_of(now, q->service, e.priority);
+    if (need.isolated)
+        mark_starting_candidates(q->service, e.priority);
     count_same_step(candidates, ref, need);
     auto const choice = choose_plan(candidates, need, terms_of(e, ref));
     if (!choice && q->advised)
@@ -85,7 +87,7 @@
     {
         place(now, e, ref, choice->places);
         deduct_capacity(q->service, choice->places, need.per_task);
-        if (verdict == crash_verdict::isolate)
+        if (need.isolated)
             remove_candidates(choice->places);
         counts_[q->service].held[e.priority] += need.accelerators();
     }
@@ -159,7 +161,7 @@
     if (auto const at = e.failed_on.find(ref); at != e.failed_on.end())
         need.avoid = at->second;
     if (verdict_on(now, e, ref) == crash_verdict::isolate)
-        isolate(e.service, need);
+        need.isolated = true;
     need.verification = verification_for(now, e, ref);
     need.waited_ms = now - e.known_at;
     need.estimate_ms = std::max<milliseconds>(step.estimate_ms, 1);
--- a/packages/tasks/src/placement_fit.cpp
+++ b/packages/tasks/src/placement_fit.cpp
@@ -10,7 +10,7 @@
 
 bool is_allowed(worker_candidate const& w, unit_need const& need)
 {
-    if (need.avoid.count(w.id) != 0)
+    if (need.avoid.count(w.id) != 0 || (need.isolated && w.starting))
         return false;
     if (need.verification == verification_level::required && !w.verified)
         return false;
