--- a/packages/cli/src/job_report.cpp
+++ b/packages/cli/src/job_report.cpp
@@ -70,22 +70,6 @@
              return "The reclaimed capacity did not become free: " +
                     e.field("why") + ".";
          }},
-        {"worker.doubted",
-         [](log_line const& e)
-         {
-             return "Worker " + e.field("worker") + " failed " +
-                    e.field("failures") +
-                    " run(s) in a row and is quarantined for " +
-                    e.field("rest_ms") + " ms.";
-         }},
-        {"unit.given_up",
-         [](log_line const& e)
-         {
-             return "The job was given up: " + e.field("crashes") +
-                    " workers crashed while they ran task " + e.field("index") +
-                    " of step " + e.field("step") + " (" + e.field("workers") +
-                    ").";
-         }},
         {"job.final",
          [](log_line const& e)
          {
@@ -130,6 +114,28 @@
              return "On worker " + e.field("worker") + ", " +
                     run_text(e, "task") + " ended: " + e.field("how") + ".";
          }},
+        {"run.absent",
+         [](log_line const& e)
+         {
+             return "Worker " + e.field("worker") + " no longer had run " +
+                    e.field("run") + ".";
+         }},
+    };
+    return formatters;
+}
+
+/// Sentences for lines about workers that fail or are lost, by step.
+formatter_table const& worker_formatters()
+{
+    static formatter_table const formatters{
+        {"worker.doubted",
+         [](log_line const& e)
+         {
+             return "Worker " + e.field("worker") + " failed " +
+                    e.field("failures") +
+                    " run(s) in a row and is quarantined for " +
+                    e.field("rest_ms") + " ms.";
+         }},
         {"run.lost",
          [](log_line const& e)
          {
@@ -147,11 +153,13 @@
                     ", lost with a task of step " + e.field("step") +
                     ", turned out to have crashed.";
          }},
-        {"run.absent",
+        {"unit.given_up",
          [](log_line const& e)
          {
-             return "Worker " + e.field("worker") + " no longer had run " +
-                    e.field("run") + ".";
+             return "The job was given up: " + e.field("crashes") +
+                    " workers crashed while they ran task " + e.field("index") +
+                    " of step " + e.field("step") + " (" + e.field("workers") +
+                    ").";
          }},
     };
     return formatters;
@@ -171,7 +179,8 @@
 {
     if (l.step == "unit.end_run" && l.field("job") != job)
         return "A run of job " + l.field("job") + " was stopped for this job.";
-    for (auto const* table : {&job_formatters(), &run_formatters()})
+    for (auto const* table :
+         {&job_formatters(), &run_formatters(), &worker_formatters()})
         if (auto const at = table->find(l.step); at != table->end())
             return at->second(l);
     return plain_text(l);
