--- a/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -213,6 +213,9 @@
     /// Earlier losses of the worker were crashes, up to this incarnation.
     void confirm_losses(milliseconds now, std::string const& worker,
                         std::int64_t before_incarnation);
+    /// \returns whether the unit had such a loss.
+    bool confirm_losses_of(unit_ref const& ref, std::string const& worker,
+                           std::int64_t before_incarnation);
     /// Earlier losses of this incarnation were only silence.
     void dismiss_losses(std::string const& worker, std::int64_t incarnation);
     [[nodiscard]] bool has_unclear_loss(unit_ref const& ref,
--- a/packages/tasks/src/dispatcher_crashes.cpp
+++ b/packages/tasks/src/dispatcher_crashes.cpp
@@ -101,34 +101,39 @@
     auto const at = unclear_losses_.find(worker);
     if (at == unclear_losses_.end())
         return;
-    auto const refs = at->second;
-    for (auto const& ref : refs)
+    for (auto const& ref : at->second)
+        if (confirm_losses_of(ref, worker, before_incarnation))
+            update_job_phase(now, *find_job(ref.job));
+    std::erase_if(at->second, [&](unit_ref const& ref)
+                  { return !has_unclear_loss(ref, worker); });
+    if (at->second.empty())
+        unclear_losses_.erase(at);
+}
+
+bool dispatcher::confirm_losses_of(unit_ref const& ref,
+                                   std::string const& worker,
+                                   std::int64_t before_incarnation)
+{
+    auto* const u = find_unit(ref);
+    if (!u)
+        return false;
+    bool any = false;
+    for (auto& l : u->losses)
     {
-        auto* const u = find_unit(ref);
-        if (!u)
+        if (l.worker != worker || l.crashed ||
+            l.incarnation >= before_incarnation)
             continue;
-        bool any = false;
-        for (auto& l : u->losses)
-        {
-            if (l.worker != worker || l.crashed ||
-                l.incarnation >= before_incarnation)
-                continue;
-            l.crashed = any = true;
-            log_decision("run.crashed", ref.job,
-                         "worker=" + worker +
-                             " step=" + std::to_string(ref.unit.step) +
-                             " index=" + std::to_string(ref.unit.index));
-        }
-        if (!any)
-            continue;
-        mark_dirty(ref.job);
-        changed_ = true;
-        update_job_phase(now, *find_job(ref.job));
+        l.crashed = any = true;
+        log_decision("run.crashed", ref.job,
+                     "worker=" + worker +
+                         " step=" + std::to_string(ref.unit.step) +
+                         " index=" + std::to_string(ref.unit.index));
     }
-    std::erase_if(unclear_losses_[worker], [&](unit_ref const& ref)
-                  { return !has_unclear_loss(ref, worker); });
-    if (unclear_losses_[worker].empty())
-        unclear_losses_.erase(worker);
+    if (!any)
+        return false;
+    mark_dirty(ref.job);
+    changed_ = true;
+    return true;
 }
 
 void dispatcher::dismiss_losses(std::string const& worker,
--- a/packages/tasks/src/dispatcher_losses.cpp
+++ b/packages/tasks/src/dispatcher_losses.cpp
@@ -1,5 +1,7 @@
 #include <jasminetrack/tasks/dispatcher.hpp>
 
+#include <algorithm>
+
 namespace jasminetrack::tasks
 {
 namespace
@@ -107,12 +109,15 @@
         return;
     auto const silent_at =
         w.unresponsive_since >= 0 ? w.unresponsive_since : now;
+    // An earlier dispatcher sent the start of an adopted run.
+    auto const ran_ms =
+        m.sent_at == 0 ? -1 : std::max<milliseconds>(0, silent_at - m.sent_at);
     log_decision("run.lost", run.task.job,
                  "worker=" + w.info.id + " rack=" + w.info.rack +
                      " step=" + std::to_string(run.task.step) +
                      " index=" + std::to_string(run.task.index) +
                      " run=" + std::to_string(run.run) +
-                     " ran_ms=" + std::to_string(silent_at - m.sent_at) +
+                     " ran_ms=" + std::to_string(ran_ms) +
                      " established=" + (detail::is_established(m) ? "1" : "0") +
                      " others=" + std::to_string(w.hosted_runs.size() - 1));
 }
