BUDGET: attempts that were used up before the configuration was read count

Cause: update_job_phase needs the queue for the limit. A new dispatcher may read its jobs, and ends from workers, before the configuration; the job was not judged again when that came, and its task was started. Change: a new configuration has all jobs judged at the next scheduling pass, before anything starts. Result: test_late_configuration::a_task_without_attempts_left_is_not_started red before, green after; all unit tests but the listed one green.

--- a/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -380,6 +380,8 @@
     listener listen_;
     bool deposed_ = false;
     bool changed_ = true; ///< an input of placement since the last pass
+    /// The configuration is new: some jobs may have no attempts left.
+    bool attempts_changed_ = false;
     milliseconds scheduled_at_ = 0;
     std::int64_t next_batch_ = 1;
     std::int64_t stored_batch_ = 0;
--- a/packages/tasks/src/dispatcher.cpp
+++ b/packages/tasks/src/dispatcher.cpp
@@ -129,6 +129,7 @@
         return;
     config_ = c;
     changed_ = true;
+    attempts_changed_ = true;
     for (auto& [id, e] : jobs_)
         apply_queue(e);
 }
--- a/packages/tasks/src/dispatcher_schedule.cpp
+++ b/packages/tasks/src/dispatcher_schedule.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 namespace jasminetrack::tasks
 {
@@ -25,6 +26,9 @@
         return;
     scheduled_at_ = now;
     changed_ = false;
+    if (std::exchange(attempts_changed_, false))
+        for (auto& [id, e] : jobs_)
+            update_job_phase(now, e);
     process_reservations(now);
     for (auto& [key, list] : candidates_)
         list.current = false;
