review: an accepted job is lost after an outage of the store

What the case shows: a client gets 200 for a job that is never stored. It follows an append whose answer was lost through a reset connection and whose hidden repeat by the HTTP library got 503: the batch counts as not stored, its sequence number is used again for other records, and the store takes these for a repeat. The job of the first batch runs although all attempts to hand it in were refused.

--- /dev/null
+++ b/review/standins/record.hpp
@@ -0,0 +1,42 @@
+#pragma once
+/// \file
+/// The record of a run of a case: what was sent, answered and run.
+
+#include "http.hpp"
+
+#include <fstream>
+#include <mutex>
+#include <string>
+
+namespace jasminetrack::review
+{
+
+/// Writes lines with the seconds since its construction. Safe to use from
+/// several threads.
+class record
+{
+public:
+    explicit record(std::string const& file) : out_(file), begun_ms_(now_ms())
+    {
+    }
+
+    [[nodiscard]] milliseconds elapsed_ms() const
+    {
+        return now_ms() - begun_ms_;
+    }
+    void write(std::string const& line)
+    {
+        std::lock_guard<std::mutex> const lock(mutex_);
+        char time[16];
+        std::snprintf(time, sizeof time, "%8.3f ",
+                      static_cast<double>(elapsed_ms()) / 1'000);
+        out_ << time << line << std::endl;
+    }
+
+private:
+    std::mutex mutex_;
+    std::ofstream out_;
+    milliseconds begun_ms_;
+};
+
+} // namespace jasminetrack::review
