review: the restart case needs no second disruption

All processes are killed and start again, and nothing else fails; the store only holds 2,600 jobs that wait for their time. Reading them takes seven entry VMs, which share the store's read_mb_s, longer than the 1.6 s after which the role is claimed, so the new dispatcher knows no job: it acknowledges ends without storing them, and 60 tasks that had ended as done start again.

--- a/review/standins/cluster.cpp
+++ b/review/standins/cluster.cpp
@@ -278,6 +278,12 @@
                     "\",\"steps\":" + steps + "}");
 }
 
+client_answer cluster::submit_body(entry_vm const& at, std::string const& id,
+                                   std::string const& body)
+{
+    return call(at, "POST", id, body);
+}
+
 client_answer cluster::state(entry_vm const& at, std::string const& id)
 {
     return call(at, "GET", id, "");
--- a/review/standins/cluster.hpp
+++ b/review/standins/cluster.hpp
@@ -112,6 +112,9 @@
     /// \param task_ms  time that each of its tasks takes
     client_answer submit(entry_vm const& at, std::string const& id,
                          milliseconds task_ms, std::string const& steps);
+    /// Submits a job whose body the case makes.
+    client_answer submit_body(entry_vm const& at, std::string const& id,
+                              std::string const& body);
     client_answer state(entry_vm const& at, std::string const& id);
     client_answer cancel(entry_vm const& at, std::string const& id);
 
--- a/review/standins/store.cpp
+++ b/review/standins/store.cpp
@@ -123,6 +123,31 @@
     changed_.notify_all();
 }
 
+void store::set_read_cost(milliseconds answer_ms, std::int64_t bytes_per_ms)
+{
+    std::lock_guard<std::mutex> const lock(mutex_);
+    answer_ms_ = answer_ms;
+    bytes_per_ms_ = bytes_per_ms;
+}
+
+void store::take_time(std::size_t bytes)
+{
+    auto const now = now_ms();
+    auto until = now;
+    {
+        std::lock_guard<std::mutex> const lock(mutex_);
+        until += answer_ms_;
+        if (bytes_per_ms_ > 0)
+        {
+            reads_until_ms_ =
+                std::max(reads_until_ms_, static_cast<double>(now)) +
+                static_cast<double>(bytes) / static_cast<double>(bytes_per_ms_);
+            until = std::max(until, static_cast<milliseconds>(reads_until_ms_));
+        }
+    }
+    sleep_ms(until - now);
+}
+
 bool store::contains(std::string const& topic, std::string const& key)
 {
     std::lock_guard<std::mutex> const lock(mutex_);
@@ -155,6 +180,8 @@
         response = read(request);
     if (request.path == "/api/log-newest")
         response = read_newest(request);
+    if (request.method == "GET")
+        take_time(response.body.size());
     if (action == store_action::lose_answer)
         response.delivery = delivery::reset;
     return response;
--- a/review/standins/store.hpp
+++ b/review/standins/store.hpp
@@ -49,6 +49,9 @@
              std::string const& value);
     /// Sets what is done with each call from now on.
     void set_chooser(chooser choose);
+    /// Limits the reads of all machines together, and delays each answer.
+    /// \param bytes_per_ms  0: no limit
+    void set_read_cost(milliseconds answer_ms, std::int64_t bytes_per_ms);
     /// \returns whether the topic holds a record with this key.
     [[nodiscard]] bool contains(std::string const& topic,
                                 std::string const& key);
@@ -86,11 +89,16 @@
     [[nodiscard]] http_response read(http_request const& request);
     [[nodiscard]] http_response read_newest(http_request const& request);
     void add(topic_state& topic, entry e);
+    /// Waits as long as reading so many bytes takes.
+    void take_time(std::size_t bytes);
 
     std::mutex mutex_;
     std::condition_variable changed_;
     bool stopping_ = false;
     chooser choose_;
+    milliseconds answer_ms_ = 0;
+    std::int64_t bytes_per_ms_ = 0;
+    double reads_until_ms_ = 0; ///< when the reads so far are through
     std::map<std::string, topic_state> topics_;
     http_server server_;
 };
--- a/review/standins/workers.cpp
+++ b/review/standins/workers.cpp
@@ -123,10 +123,20 @@
     return false;
 }
 
+void worker::check_lease()
+{
+    bool const lapsed = clock() > lease_until_;
+    if (lapsed && !lease_lapsed_)
+        ++lapses_;
+    lease_lapsed_ = lapsed;
+}
+
 void worker::extend_lease(std::int64_t until)
 {
+    check_lease();
     auto const most = clock() + hold_max_ms_;
     lease_until_ = std::max(lease_until_, std::min<std::int64_t>(until, most));
+    lease_lapsed_ = clock() > lease_until_;
 }
 
 http_response worker::handle(http_request const& request)
@@ -221,7 +231,7 @@
     extend_lease(body.value("until_ms", std::int64_t{0}));
     auto const seen = body.value("last_seen", std::int64_t{0});
     for (auto const& e : ended_)
-        if (e.number <= seen)
+        if (e.number <= seen && e.lapses == lapses_)
             book_.note(e.index);
     std::erase_if(ended_, [&](ended const& e) { return e.number <= seen; });
     auto const wait =
@@ -258,7 +268,7 @@
     running_.erase(at);
     auto& closed = closed_[task];
     closed = std::max(closed, r.run);
-    ended_.push_back({++ends_, task, r.run, how, r.index});
+    ended_.push_back({++ends_, task, r.run, how, r.index, lapses_});
     book_.end(r.index, how);
     log_.write("worker " + id_ + ": " + task + " run " + std::to_string(r.run) +
                " ends as " + how);
@@ -270,7 +280,8 @@
     std::unique_lock<std::mutex> lock(mutex_);
     while (!stopping_)
     {
-        bool const lapsed = clock() > lease_until_;
+        check_lease();
+        bool const lapsed = lease_lapsed_;
         std::vector<std::pair<std::string, char const*>> over;
         for (auto const& [task, r] : running_)
             if (lapsed)
--- a/review/standins/workers.hpp
+++ b/review/standins/workers.hpp
@@ -28,7 +28,8 @@
     milliseconds begun_ms = 0;
     milliseconds ended_ms = -1; ///< -1: it still runs
     std::string how;            ///< empty while it runs
-    /// When its end was taken note of: `last_seen` has reached it; -1: never.
+    /// When its end was taken note of: `last_seen` has reached it, and the
+    /// worker's lease had not lapsed since the end; -1: never.
     milliseconds noted_ms = -1;
 };
 
@@ -94,6 +95,7 @@
         std::int64_t run = 0;
         std::string how;
         std::size_t index = 0; ///< in the run book
+        int lapses = 0;        ///< of the worker's lease, up to the end
     };
 
     [[nodiscard]] milliseconds clock() const;
@@ -106,6 +108,8 @@
     /// \returns whether the token is below one that was seen.
     [[nodiscard]] bool is_fenced(std::int64_t token);
     void extend_lease(std::int64_t until);
+    /// Counts a lapse of the lease if it has just come to its end.
+    void check_lease();
     void finish(std::string const& task, std::string const& how);
     /// Ends tasks whose time has come and all tasks when the lease expires.
     void run();
@@ -123,6 +127,8 @@
     bool stopping_ = false;
     std::int64_t token_ = 0;
     milliseconds lease_until_ = 0;
+    bool lease_lapsed_ = true;
+    int lapses_ = 0; ///< of the lease
     std::map<std::string, running> running_;
     std::vector<ended> ended_;
     std::int64_t ends_ = 0;
