review: the region is cut off with all entry VMs up

What the case shows: as before, two runs of a task at the same time while a region is cut off, but entry-2 and entry-3 start before the cut now: proxies stand between entry-1 and the other entry VMs, too.

--- a/review/4/scenario.cpp
+++ b/review/4/scenario.cpp
@@ -18,7 +18,8 @@
 /// Time after which the platform's list drops a silent worker: three
 /// heartbeats.
 constexpr milliseconds unlisted_after_ms = 4'500;
-constexpr milliseconds cut_ms = 40'000;
+constexpr milliseconds cut_ms = 30'000;
+constexpr milliseconds start_limit_ms = 15'000;
 constexpr milliseconds after_cut_ms = 5'000;
 constexpr std::size_t workers_on_first_side = 2;
 
@@ -46,10 +47,15 @@
 std::optional<bool> run(cluster& c, record& log, bool trouble)
 {
     auto& first = *c.vms().front();
+    auto const peer_links = c.make_peer_links(first);
     first.start();
-    if (!c.await_dispatcher(15'000))
+    if (!c.await_dispatcher(start_limit_ms))
         return std::nullopt;
-    sleep_ms(3'000);
+    for (std::size_t i = 1; i < c.vms().size(); ++i)
+        c.vms()[i]->start();
+    if (!c.await_ready(start_limit_ms) || !first.is_dispatcher())
+        return std::nullopt;
+    sleep_ms(contact_ms);
     if (c.submit(first, job_id(1), task_ms, one_step(tasks)).status != 200)
         return std::nullopt;
     sleep_ms(2'000);
@@ -83,6 +89,8 @@
     {
         is_cut = true;
         first.store_link().cut(true);
+        for (auto const& link : peer_links)
+            link->cut(true);
         log.write("the region of " + first.name() + ", " + near[0] + " and " +
                   near[1] + " is cut off from the others");
         sleep_ms(unlisted_after_ms);
@@ -90,12 +98,12 @@
             c.store().put("keyed.servers", id, "");
         log.write("their entries in the platform's list expire");
     }
-    for (std::size_t i = 1; i < c.vms().size(); ++i)
-        c.vms()[i]->start();
     sleep_ms(cut_ms - unlisted_after_ms);
     log.write("the cut ends");
     is_cut = false;
     first.store_link().cut(false);
+    for (auto const& link : peer_links)
+        link->cut(false);
     if (trouble)
         for (auto const& w : c.workers())
             if (std::count(near.begin(), near.end(), w->id()) > 0)
--- a/review/standins/cluster.cpp
+++ b/review/standins/cluster.cpp
@@ -92,7 +92,8 @@
 entry_vm::entry_vm(std::string name, std::string const& store,
                    std::string const& dir, record& log)
     : name_(std::move(name)), dir_(dir), log_(log),
-      address_(loopback(free_port())), ready_(loopback(free_port()))
+      address_(loopback(free_port())), ready_(loopback(free_port())),
+      mesh_(loopback(free_port()))
 {
     auto const link = loopback(free_port());
     store_link_ = std::make_unique<proxy>(link, store);
@@ -104,7 +105,7 @@
                     {"listen_addrs.frontend", address_},
                     {"listen_addrs.readiness", ready_},
                     {"ip", "127.0.0.1"},
-                    {"internal_ports.0", std::to_string(free_port())},
+                    {"internal_ports.0", mesh_.substr(mesh_.find(':') + 1)},
                     {"platform.address", link},
                     {"advice", ""},
                     {"limits.cpu_share", "0.25"},
@@ -250,6 +251,22 @@
     return nullptr;
 }
 
+std::vector<std::unique_ptr<proxy>> cluster::make_peer_links(entry_vm& vm)
+{
+    std::vector<std::unique_ptr<proxy>> links;
+    for (auto const& other : vms_)
+    {
+        if (other.get() == &vm)
+            continue;
+        auto const address = loopback(free_port());
+        if (address.size() != other->mesh().size())
+            throw std::runtime_error("ports of different lengths");
+        links.push_back(std::make_unique<proxy>(address, other->mesh()));
+        vm.store_link().rewrite(other->mesh(), address);
+    }
+    return links;
+}
+
 client_answer cluster::call(entry_vm const& at, std::string const& method,
                             std::string const& id, std::string const& body)
 {
--- a/review/standins/cluster.hpp
+++ b/review/standins/cluster.hpp
@@ -46,6 +46,11 @@
     {
         return address_;
     }
+    /// \returns the address at which other entry VMs call it.
+    [[nodiscard]] std::string const& mesh() const noexcept
+    {
+        return mesh_;
+    }
     /// \returns the proxy between this VM and the store.
     [[nodiscard]] proxy& store_link() noexcept
     {
@@ -65,6 +70,7 @@
     record& log_;
     std::string address_;
     std::string ready_;
+    std::string mesh_;
     std::unique_ptr<proxy> store_link_;
     pid_t pid_ = -1;
 };
@@ -108,6 +114,11 @@
     [[nodiscard]] entry_vm* dispatcher();
     [[nodiscard]] entry_vm* await_dispatcher(milliseconds limit_ms);
 
+    /// Puts proxies between the VM and the others. It has to know before the
+    /// others start, as it learns their addresses through the store.
+    [[nodiscard]] std::vector<std::unique_ptr<proxy>>
+    make_peer_links(entry_vm& vm);
+
     /// Submits a job; `steps` is the JSON text of its steps.
     /// \param task_ms  time that each of its tasks takes
     client_answer submit(entry_vm const& at, std::string const& id,
--- a/review/standins/proxy.cpp
+++ b/review/standins/proxy.cpp
@@ -4,9 +4,11 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <array>
 #include <condition_variable>
 #include <list>
+#include <map>
 #include <mutex>
 #include <set>
 #include <sys/socket.h>
@@ -85,15 +87,29 @@
             sockets.insert(client);
             sockets.insert(server);
         }
-        std::thread back([this, client, server] { forward(server, client); });
-        forward(client, server);
+        std::thread back([this, client, server]
+                         { forward(server, client, true); });
+        forward(client, server, false);
         back.join();
         std::lock_guard<std::mutex> const lock(mutex);
         sockets.erase(client);
         sockets.erase(server);
     }
 
-    void forward(socket_ptr const& from, socket_ptr const& to)
+    void apply_rewrites(char* data, std::size_t size)
+    {
+        std::lock_guard<std::mutex> const lock(mutex);
+        for (auto const& [from, to] : rewrites)
+            for (auto* at = data; at != data + size; ++at)
+            {
+                at = std::search(at, data + size, from.begin(), from.end());
+                if (at == data + size)
+                    break;
+                std::copy(to.begin(), to.end(), at);
+            }
+    }
+
+    void forward(socket_ptr const& from, socket_ptr const& to, bool is_answer)
     {
         std::array<char, 16'384> buffer;
         boost::system::error_code error;
@@ -102,6 +118,8 @@
             auto const size = from->read_some(asio::buffer(buffer), error);
             if (!pass())
                 return;
+            if (is_answer)
+                apply_rewrites(buffer.data(), size);
             boost::system::error_code write_error;
             asio::write(*to, asio::buffer(buffer, size), write_error);
             if (write_error)
@@ -118,6 +136,7 @@
     std::condition_variable changed;
     bool stopping = false;
     bool is_cut = false;
+    std::map<std::string, std::string> rewrites;
     std::set<socket_ptr> sockets;
     std::list<std::thread> threads;
     std::thread acceptor_thread;
@@ -143,6 +162,12 @@
     impl_->changed.notify_all();
 }
 
+void proxy::rewrite(std::string const& from, std::string const& to)
+{
+    std::lock_guard<std::mutex> const lock(impl_->mutex);
+    impl_->rewrites[from] = to;
+}
+
 void proxy::reset_connections()
 {
     std::lock_guard<std::mutex> const lock(impl_->mutex);
--- a/review/standins/proxy.hpp
+++ b/review/standins/proxy.hpp
@@ -23,6 +23,10 @@
     /// Cuts the sides off, or ends that. Meanwhile nothing is forwarded or
     /// closed, as behind a network partition; it is forwarded afterwards.
     void cut(bool is_cut);
+    /// Replaces `from` by `to`, a text of the same length, in what the target
+    /// sends. So a caller that learns an address through this proxy calls
+    /// another proxy there.
+    void rewrite(std::string const& from, std::string const& to);
     /// Resets all connections; new ones are forwarded.
     void reset_connections();
     void stop();
