--- a/review/standins/cluster.cpp
+++ b/review/standins/cluster.cpp
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include <csignal>
+#include <cstdio>
 #include <cstdlib>
 #include <fcntl.h>
 #include <fstream>
--- a/review/standins/cluster.hpp
+++ b/review/standins/cluster.hpp
@@ -38,10 +38,12 @@
              record& log);
     ~entry_vm();
 
+    /// \returns its node name.
     [[nodiscard]] std::string const& name() const noexcept
     {
         return name_;
     }
+    /// \returns the address for callers.
     [[nodiscard]] std::string const& address() const noexcept
     {
         return address_;
@@ -56,6 +58,7 @@
     {
         return *store_link_;
     }
+    /// Starts the process.
     void start();
     /// Kills the process.
     void kill();
@@ -89,18 +92,22 @@
     cluster(int vms, int workers, std::string const& dir, record& log);
     ~cluster();
 
+    /// \returns the stand-in for the platform's store.
     [[nodiscard]] review::store& store() noexcept
     {
         return *store_;
     }
+    /// \returns the runs of all workers.
     [[nodiscard]] run_book& runs() noexcept
     {
         return runs_;
     }
+    /// \returns the entry VMs, in the order of their names.
     [[nodiscard]] std::vector<std::unique_ptr<entry_vm>>& vms() noexcept
     {
         return vms_;
     }
+    /// \returns the workers, in the order of their ids.
     [[nodiscard]] std::vector<std::unique_ptr<worker>>& workers() noexcept
     {
         return workers_;
@@ -112,6 +119,7 @@
     [[nodiscard]] bool await_ready(milliseconds limit_ms);
     /// \returns the VM that dispatches, or nullptr.
     [[nodiscard]] entry_vm* dispatcher();
+    /// \returns the VM that dispatches within the time, or nullptr.
     [[nodiscard]] entry_vm* await_dispatcher(milliseconds limit_ms);
 
     /// Puts proxies between the VM and the others. It has to know before the
@@ -126,7 +134,9 @@
     /// Submits a job whose body the case makes.
     client_answer submit_body(entry_vm const& at, std::string const& id,
                               std::string const& body);
+    /// Asks for the state of a job.
     client_answer state(entry_vm const& at, std::string const& id);
+    /// Cancels a job.
     client_answer cancel(entry_vm const& at, std::string const& id);
 
 private:
--- a/review/standins/proxy.hpp
+++ b/review/standins/proxy.hpp
@@ -29,6 +29,7 @@
     void rewrite(std::string const& from, std::string const& to);
     /// Resets all connections; new ones are forwarded.
     void reset_connections();
+    /// Ends all connections.
     void stop();
 
 private:
--- a/review/standins/record.hpp
+++ b/review/standins/record.hpp
@@ -4,6 +4,7 @@
 
 #include "http.hpp"
 
+#include <cstdio>
 #include <fstream>
 #include <mutex>
 #include <string>
@@ -16,14 +17,17 @@
 class record
 {
 public:
+    /// \param file  path of the record; it is written anew
     explicit record(std::string const& file) : out_(file), begun_ms_(now_ms())
     {
     }
 
+    /// \returns the time since the construction.
     [[nodiscard]] milliseconds elapsed_ms() const
     {
         return now_ms() - begun_ms_;
     }
+    /// Writes a line with the time before it.
     void write(std::string const& line)
     {
         std::lock_guard<std::mutex> const lock(mutex_);
--- a/review/standins/store.hpp
+++ b/review/standins/store.hpp
@@ -55,6 +55,7 @@
     /// \returns whether the topic holds a record with this key.
     [[nodiscard]] bool contains(std::string const& topic,
                                 std::string const& key);
+    /// Ends its server; calls that wait are answered first.
     void stop();
 
 private:
--- a/review/standins/workers.hpp
+++ b/review/standins/workers.hpp
@@ -37,9 +37,13 @@
 class run_book
 {
 public:
+    /// \returns the index of the new run.
     std::size_t begin(run_history history);
+    /// The run has ended now.
     void end(std::size_t index, std::string const& how);
+    /// The end of the run is taken note of now, if it was not before.
     void note(std::size_t index);
+    /// \returns all runs, in the order in which they began.
     [[nodiscard]] std::vector<run_history> all();
 
 private:
@@ -70,13 +74,16 @@
            run_book& book, record& log);
     ~worker();
 
+    /// \returns its id in the platform's list.
     [[nodiscard]] std::string const& id() const noexcept
     {
         return id_;
     }
     /// \returns the worker's entry in the platform's list.
     [[nodiscard]] std::string list_entry() const;
+    /// Sets what is done with each call from now on.
     void set_chooser(chooser choose);
+    /// Ends its server; its runs stay as they are.
     void stop();
 
 private:
