Logs: changes of a worker's capacity, outages of all topics that are read

Cause: a change of a worker's capacity left no log line, and read failures of the topics of jobs and work were swallowed; for the configuration the begin and the end of an outage were noted by two objects, so that only the first outage of a process was logged and never its end. Change: worker.capacity (before, now, used); log_outages() wraps every listener, one object a topic; workers.read.failed, which came each 200 ms, becomes log.read.lost topic=workers.

--- a/packages/cli/src/job_report.cpp
+++ b/packages/cli/src/job_report.cpp
@@ -191,9 +191,8 @@
 bool is_context(log_line const& l)
 {
     static std::set<std::string> const steps{
-        "role.taken",         "role.lost",     "log.append.failing",
-        "log.append.back",    "log.read.lost", "log.read.back",
-        "workers.read.failed"};
+        "role.taken",      "role.lost",     "log.append.failing",
+        "log.append.back", "log.read.lost", "log.read.back"};
     return steps.count(l.step) != 0;
 }
 
--- a/packages/entry/src/dispatch_loop.cpp
+++ b/packages/entry/src/dispatch_loop.cpp
@@ -1,6 +1,7 @@
 #include <jasminetrack/entry/dispatch_loop.hpp>
 
 #include "log_keys.hpp"
+#include "read_outage_log.hpp"
 
 #include <jasminetrack/runtime/logging.hpp>
 
@@ -39,19 +40,15 @@
                              latencies& l)
     : settings_(settings), incarnation_(std::move(incarnation)), ports_(ports),
       table_(table), timers_(timers), latencies_(l),
-      workers_follower_(ports.log, topic::workers,
-                        {workers_long_poll_ms, workers_interval_ms},
-                        {[this](std::vector<log_entry> const& entries,
-                                std::int64_t, bool reloaded) {
-                             post([this, entries, reloaded]
-                                  { on_workers(entries, reloaded); });
-                         },
-                         [](std::string const& reason)
-                         {
-                             write_log(log_level::warning,
-                                       "workers.read.failed",
-                                       {{"reason", reason}});
-                         }}),
+      workers_follower_(
+          ports.log, topic::workers,
+          {workers_long_poll_ms, workers_interval_ms},
+          log_outages("workers", {[this](std::vector<log_entry> const& entries,
+                                         std::int64_t, bool reloaded) {
+                                      post([this, entries, reloaded]
+                                           { on_workers(entries, reloaded); });
+                                  },
+                                  [](std::string const&) {}})),
       first_sequence_(first_sequence(incarnation_)),
       claim_order_(settings.node, settings.processor_share),
       leadership_(incarnation_, claim_order_.delay())
--- a/packages/entry/src/entry_node.cpp
+++ b/packages/entry/src/entry_node.cpp
@@ -1,6 +1,7 @@
 #include <jasminetrack/entry/entry_node.hpp>
 
 #include "log_keys.hpp"
+#include "read_outage_log.hpp"
 
 #include <jasminetrack/runtime/logging.hpp>
 
@@ -32,36 +33,6 @@
 
 constexpr milliseconds publish_timeout_ms = 800;
 
-/// Logs the first failed read of a topic and the first successful one after
-/// it.
-class read_outage_log
-{
-public:
-    explicit read_outage_log(std::string topic) : topic_(std::move(topic)) {}
-
-    void on_success()
-    {
-        if (lost_since_ms_ >= 0)
-            write_log(
-                log_level::info, "log.read.back",
-                {{"topic", topic_},
-                 {"lost_ms", std::to_string(monotonic_ms() - lost_since_ms_)}});
-        lost_since_ms_ = -1;
-    }
-    void on_failure(std::string const& reason)
-    {
-        if (lost_since_ms_ >= 0)
-            return;
-        lost_since_ms_ = monotonic_ms();
-        write_log(log_level::warning, "log.read.lost",
-                  {{"topic", topic_}, {"reason", reason}});
-    }
-
-private:
-    std::string topic_;
-    milliseconds lost_since_ms_ = -1;
-};
-
 std::string new_incarnation(std::string const& node)
 {
     return node + "-" + std::to_string(runtime::wall_ms());
@@ -80,32 +51,34 @@
                 table_, timers_, latencies_),
       config_follower_(
           log_, topic::configuration, {long_poll_ms, config_interval_ms},
-          {[this, outage = std::make_shared<read_outage_log>("configuration")](
-               std::vector<log_entry> const& entries, std::int64_t, bool)
-           {
-               outage->on_success();
-               config_age_.record_contact(monotonic_ms());
-               apply_configuration(entries);
-           },
-           [outage = std::make_shared<read_outage_log>("configuration")](
-               std::string const& reason) { outage->on_failure(reason); }}),
-      jobs_follower_(log_, topic::jobs, {long_poll_ms, standby_intervals.jobs},
-                     {[this](std::vector<log_entry> const& entries,
-                             std::int64_t, bool) { apply_jobs(entries); },
-                      [](std::string const&) {}}),
-      work_follower_(log_, topic::work, {long_poll_ms, standby_intervals.work},
-                     {[this](std::vector<log_entry> const& entries,
-                             std::int64_t next, bool reloaded)
-                      {
-                          if (!entries.empty())
-                              work_age_.record_contact(monotonic_ms());
-                          for (auto const& e : entries)
-                              (void)table_.apply_progress(e);
-                          dispatch_.on_work(entries, next, reloaded);
-                          set_poll_intervals();
-                      },
-                      [this](std::string const&)
-                      { dispatch_.on_work_read_failed(); }})
+          log_outages(
+              "configuration",
+              {[this](std::vector<log_entry> const& entries, std::int64_t, bool)
+               {
+                   config_age_.record_contact(monotonic_ms());
+                   apply_configuration(entries);
+               },
+               [](std::string const&) {}})),
+      jobs_follower_(
+          log_, topic::jobs, {long_poll_ms, standby_intervals.jobs},
+          log_outages("jobs",
+                      {[this](std::vector<log_entry> const& entries,
+                              std::int64_t, bool) { apply_jobs(entries); },
+                       [](std::string const&) {}})),
+      work_follower_(
+          log_, topic::work, {long_poll_ms, standby_intervals.work},
+          log_outages("work", {[this](std::vector<log_entry> const& entries,
+                                      std::int64_t next, bool reloaded)
+                               {
+                                   if (!entries.empty())
+                                       work_age_.record_contact(monotonic_ms());
+                                   for (auto const& e : entries)
+                                       (void)table_.apply_progress(e);
+                                   dispatch_.on_work(entries, next, reloaded);
+                                   set_poll_intervals();
+                               },
+                               [this](std::string const&)
+                               { dispatch_.on_work_read_failed(); }}))
 {
 }
 
--- a/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -145,6 +145,7 @@
     void start_incarnation(milliseconds now, worker_view& w,
                            std::int64_t incarnation, milliseconds clock_ms,
                            std::string const& why);
+    void log_capacity(worker_view const& w, worker_info const& info) const;
     static void record_remaining_time(milliseconds now, worker_view& w,
                                       worker_info const& info);
     [[nodiscard]] std::map<task_run, hosted_run>
--- a/packages/tasks/include/jasminetrack/tasks/model.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/model.hpp
@@ -56,6 +56,9 @@
            need.accelerators <= available.accelerators;
 }
 
+/// \returns "MILLICORES/MEMORY_MB/ACCELERATORS", as in log lines.
+[[nodiscard]] std::string to_text(resources const& r);
+
 /// A step of a job: tasks that are alike.
 struct step_spec
 {
--- a/packages/tasks/include/jasminetrack/tasks/worker_view.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/worker_view.hpp
@@ -47,6 +47,11 @@
     /// \returns whether the worker's lease has certainly expired, so that it
     /// has ended all its runs.
     [[nodiscard]] bool is_lease_expired(milliseconds now) const noexcept;
+    /// \returns what its runs occupy, those that are being stopped included.
+    [[nodiscard]] resources const& used() const noexcept
+    {
+        return used_;
+    }
     /// \returns the capacity that is neither used nor reserved.
     [[nodiscard]] resources free_capacity() const noexcept;
     /// \returns whether its runs need more than its capacity, which may have
--- a/packages/tasks/src/dispatcher_workers.cpp
+++ b/packages/tasks/src/dispatcher_workers.cpp
@@ -39,6 +39,7 @@
                      "worker=" + info.id + " address=" + info.address +
                          " rack=" + info.rack +
                          " born=" + std::to_string(incarnation));
+    log_capacity(w, info);
     confirm_losses(now, info.id, incarnation);
     record_remaining_time(now, w, info);
     bool const is_new = w.info.address != info.address;
@@ -53,6 +54,17 @@
     changed_ = true;
 }
 
+void dispatcher::log_capacity(worker_view const& w,
+                              worker_info const& info) const
+{
+    if (w.info.address.empty() || info.capacity == w.info.capacity)
+        return;
+    log_decision("worker.capacity", "",
+                 "worker=" + info.id + " before=" + to_text(w.info.capacity) +
+                     " now=" + to_text(info.capacity) +
+                     " used=" + to_text(w.used()));
+}
+
 /// A worker reports the remaining time again and again. Each report is older
 /// than it seems by the time that it took to arrive, so the earliest time
 /// counts.
--- a/packages/tasks/src/model.cpp
+++ b/packages/tasks/src/model.cpp
@@ -6,6 +6,12 @@
 namespace jasminetrack::tasks
 {
 
+std::string to_text(resources const& r)
+{
+    return std::to_string(r.millicores) + "/" + std::to_string(r.memory_mb) +
+           "/" + std::to_string(r.accelerators);
+}
+
 char const* to_text(job_phase p) noexcept
 {
     constexpr std::array names{"queued", "running", "completed", "failed",
