--- a/tests/support/memory_platform.cpp
+++ b/tests/support/memory_platform.cpp
@@ -136,7 +136,7 @@
                       [&]
                       { return topics_[call.topic].entries.size() > from; });
     entry::read_answer answer;
-    if (down_)
+    if (down_ || unreadable_.count(call.topic) != 0)
         return answer;
     auto const& entries = topics_[call.topic].entries;
     answer.result = read_result::page;
@@ -151,7 +151,7 @@
 {
     std::lock_guard<std::mutex> const lock(mutex_);
     entry::newest_answer answer;
-    if (down_)
+    if (down_ || unreadable_.count(t) != 0)
         return answer;
     std::map<std::string, entry::log_entry> newest;
     for (auto const& e : topics_[t].entries)
@@ -172,6 +172,15 @@
     changed_.notify_all();
 }
 
+void memory_log::fail_reads(entry::topic t, bool fail)
+{
+    std::lock_guard<std::mutex> const lock(mutex_);
+    if (fail)
+        unreadable_.insert(t);
+    else
+        unreadable_.erase(t);
+}
+
 void memory_log::refuse_appends(bool refuse)
 {
     std::lock_guard<std::mutex> const lock(mutex_);
--- a/tests/support/memory_platform.hpp
+++ b/tests/support/memory_platform.hpp
@@ -39,6 +39,8 @@
     void delay_append_answers(entry::topic t, tasks::milliseconds ms);
     /// \returns how many appends have repeated an earlier sequence.
     [[nodiscard]] int repeated_appends() const;
+    /// While reads of a topic fail, appends to it and other topics go on.
+    void fail_reads(entry::topic t, bool fail);
     /// While the log refuses appends, reads go on.
     void refuse_appends(bool refuse);
     /// While the log is down, every call fails.
@@ -69,6 +71,7 @@
     std::map<entry::topic, partition> topics_;
     bool down_ = false;
     bool refuses_appends_ = false;
+    std::set<entry::topic> unreadable_;
     std::map<entry::topic, tasks::milliseconds> answer_delays_ms_;
     int repeated_appends_ = 0;
     struct delayed_answer
