LIMIT: nothing is started on a list of workers that may be out of date

What callers saw: a worker given more than it has room for. Cause: the dispatcher took the list as it was last read for the present, however long ago that was; while the log is away a capacity shrinks unseen, and starts that waited for the log go out before the list was read again (or before the workers have reported again). Class: a view of unknown age taken for current. Change: list_currency knows the time for which the list certainly holds: the last read in a row of reads without a gap, or one heartbeat and 800 ms after a gap. Beyond unseen_change (the platform's contact_ms) nothing is placed or sent. Both times come from the settings. Why it works: LIMIT counts a shrink contact_ms and a heartbeat after it; a start relies on a state that is at most contact_ms old.

--- a/packages/entry/include/jasminetrack/entry/dispatch_loop.hpp
+++ b/packages/entry/include/jasminetrack/entry/dispatch_loop.hpp
@@ -94,6 +94,8 @@
     void append_if_due(milliseconds now);
     [[nodiscard]] tasks::log_record heartbeat_record() const;
     void on_workers(std::vector<log_entry> const& entries, bool reloaded);
+    void unlist_workers_except(milliseconds now,
+                               std::set<std::string> const& seen);
 
     entry_settings settings_;
     std::string incarnation_;
--- a/packages/entry/src/dispatch_loop.cpp
+++ b/packages/entry/src/dispatch_loop.cpp
@@ -362,8 +362,14 @@
         dispatcher_->put_worker(now, *info);
         listed_workers_.insert(e.key);
     }
-    if (!reloaded)
-        return;
+    if (reloaded)
+        unlist_workers_except(now, seen);
+    dispatcher_->on_list_read(now);
+}
+
+void dispatch_loop::unlist_workers_except(milliseconds now,
+                                          std::set<std::string> const& seen)
+{
     std::vector<std::string> unlisted;
     for (auto const& id : listed_workers_)
         if (seen.count(id) == 0)
--- a/packages/entry/src/settings.cpp
+++ b/packages/entry/src/settings.cpp
@@ -15,6 +15,8 @@
     b.gang_wait_ms = in.duration("gang_wait", b.gang_wait_ms);
     b.max_reclaim_ms = in.duration("reclaim", b.max_reclaim_ms);
     b.far_factor = in.integer("far_factor", b.far_factor, 1, 1'000);
+    b.heartbeat_ms = in.duration("heartbeat", b.heartbeat_ms);
+    b.unseen_change_ms = in.duration("unseen_change", b.unseen_change_ms);
     in.check_unknown_keys();
 }
 
--- a/packages/tasks/include/jasminetrack/tasks/dispatch_limits.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatch_limits.hpp
@@ -19,6 +19,11 @@
     /// Slowdown of a gang that spans racks, and of a task whose data is in
     /// another rack.
     std::int64_t far_factor = 3;
+    /// Interval at which workers report their state to the list.
+    milliseconds heartbeat_ms = 1'500;
+    /// A start may rely on a capacity that has changed within this time and a
+    /// heartbeat, as the list may not show the change before.
+    milliseconds unseen_change_ms = 4'000;
 
     friend bool operator==(dispatch_limits const&,
                            dispatch_limits const&) = default;
--- a/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -9,6 +9,7 @@
 #include <jasminetrack/tasks/dispatch_limits.hpp>
 #include <jasminetrack/tasks/due_queue.hpp>
 #include <jasminetrack/tasks/headroom.hpp>
+#include <jasminetrack/tasks/list_currency.hpp>
 #include <jasminetrack/tasks/placement_advice.hpp>
 #include <jasminetrack/tasks/service_utilization.hpp>
 
@@ -96,6 +97,9 @@
     /// offer the job again.
     void on_final_record_read(std::string const& id);
     void put_worker(milliseconds now, worker_info const& info);
+    /// The platform's list was read to its end, and all that it says was passed
+    /// on. Nothing is started without a recent read.
+    void on_list_read(milliseconds now);
     /// The platform's list no longer contains the worker.
     void unlist_worker(milliseconds now, std::string const& id);
     void on_renew(milliseconds now, renew_reply const& reply);
@@ -307,8 +311,8 @@
     /// Updates the candidates of these workers for the rest of the pass.
     void update_candidates(milliseconds now,
                            std::set<std::string> const& workers);
-    [[nodiscard]] static bool may_start_on(milliseconds now,
-                                           worker_view const& w);
+    [[nodiscard]] bool may_start_on(milliseconds now,
+                                    worker_view const& w) const;
     void deduct_capacity(std::string const& service,
                          std::vector<std::string> const& places,
                          resources const& each);
@@ -390,6 +394,7 @@
     configuration config_;
     std::map<std::string, job_entry> jobs_;
     std::map<std::string, worker_view> workers_;
+    list_currency list_currency_;
     /// Id of the worker that was listed last, by address.
     std::map<std::string, std::string> holder_of_address_;
     /// Units with a loss that may be a crash or only silence, by worker.
--- /dev/null
+++ b/packages/tasks/include/jasminetrack/tasks/list_currency.hpp
@@ -0,0 +1,34 @@
+#pragma once
+/// \file
+/// Whether the list of workers, as it was read, still holds for capacities.
+
+#include <jasminetrack/tasks/dispatch_limits.hpp>
+
+namespace jasminetrack::tasks
+{
+
+/// Tracks the time for which the list of workers is certainly current. While
+/// the list cannot be read, a worker may change unseen. After such a gap, an
+/// entry may still be that of before, until its worker has reported again. All
+/// times are on one monotonic clock.
+class list_currency
+{
+public:
+    list_currency(dispatch_limits const& limits, milliseconds now) noexcept;
+
+    /// The list was read to its end.
+    void on_read(milliseconds now) noexcept;
+    /// \returns whether every change of a worker that counts by now is known.
+    [[nodiscard]] bool is_current(milliseconds now) const noexcept;
+
+private:
+    milliseconds heartbeat_ms_;
+    milliseconds unseen_change_ms_;
+    milliseconds read_at_;
+    /// End of the wait for the workers' reports after a gap.
+    milliseconds settled_at_ = 0;
+    /// Latest time for which the list is certainly current.
+    milliseconds current_at_;
+};
+
+} // namespace jasminetrack::tasks
--- a/packages/tasks/src/dispatcher.cpp
+++ b/packages/tasks/src/dispatcher.cpp
@@ -9,7 +9,7 @@
 dispatcher::dispatcher(std::int64_t token, dispatch_limits limits,
                        milliseconds now, listener listen)
     : token_(token), limits_(limits), created_at_(now),
-      listen_(std::move(listen))
+      listen_(std::move(listen)), list_currency_(limits, now)
 {
 }
 
--- a/packages/tasks/src/dispatcher_workers.cpp
+++ b/packages/tasks/src/dispatcher_workers.cpp
@@ -79,6 +79,16 @@
     w.leaves_at = w.leaves_at < 0 ? at : std::min(w.leaves_at, at);
 }
 
+void dispatcher::on_list_read(milliseconds now)
+{
+    bool const was_current = list_currency_.is_current(now);
+    list_currency_.on_read(now);
+    if (was_current || !list_currency_.is_current(now))
+        return;
+    changed_ = true;
+    log_decision("workers.current", "", "");
+}
+
 void dispatcher::unlist_worker(milliseconds now, std::string const& id)
 {
     auto const at = workers_.find(id);
--- /dev/null
+++ b/packages/tasks/src/list_currency.cpp
@@ -0,0 +1,40 @@
+#include <jasminetrack/tasks/list_currency.hpp>
+
+namespace jasminetrack::tasks
+{
+namespace
+{
+
+/// Longest time between two reads of a list that is being followed: a long
+/// poll, and the pauses around it.
+constexpr milliseconds max_read_interval_ms = 1'600;
+/// Time for a worker's report to be stored and read.
+constexpr milliseconds report_delay_ms = 800;
+/// Time for a start to reach its worker.
+constexpr milliseconds start_delay_ms = 300;
+
+} // namespace
+
+list_currency::list_currency(dispatch_limits const& limits,
+                             milliseconds now) noexcept
+    : heartbeat_ms_(limits.heartbeat_ms),
+      unseen_change_ms_(limits.unseen_change_ms), read_at_(now),
+      current_at_(now)
+{
+}
+
+void list_currency::on_read(milliseconds now) noexcept
+{
+    if (now - read_at_ > max_read_interval_ms)
+        settled_at_ = now + heartbeat_ms_ + report_delay_ms;
+    read_at_ = now;
+    if (now >= settled_at_)
+        current_at_ = now;
+}
+
+bool list_currency::is_current(milliseconds now) const noexcept
+{
+    return now - current_at_ <= unseen_change_ms_ - start_delay_ms;
+}
+
+} // namespace jasminetrack::tasks
--- a/tests/support/dispatch_simulation.cpp
+++ b/tests/support/dispatch_simulation.cpp
@@ -261,6 +261,7 @@
     {
         if (!nodes_[i])
             continue;
+        nodes_[i]->on_list_read(now_);
         nodes_[i]->tick(now_, now_);
         perform(i);
         if (nodes_[i]->deposed())
--- a/tests/support/manual_dispatcher.hpp
+++ b/tests/support/manual_dispatcher.hpp
@@ -108,6 +108,8 @@
     {
         for (auto const until = now + ms; now < until; now += step_ms)
         {
+            if (list_readable)
+                dispatcher_.on_list_read(now);
             dispatcher_.tick(now, now);
             for (auto const& a : dispatcher_.take_actions())
                 handle(a);
@@ -134,6 +136,7 @@
     milliseconds now = 100'000;
     bool answers_starts = true;
     bool stores = true; ///< false: the log is away
+    bool list_readable = true;
     std::set<std::string> unresponsive;
     /// Result of renewals of these workers.
     call_result unanswered_result = call_result::no_answer;
--- a/tests/unit/test_shrinking_capacity.cpp
+++ b/tests/unit/test_shrinking_capacity.cpp
@@ -25,6 +25,7 @@
     CPPUNIT_TEST(no_start_exceeds_the_capacity_that_is_left);
     CPPUNIT_TEST(a_placement_that_waits_for_the_log_is_checked_again);
     CPPUNIT_TEST(a_task_without_accelerators_counts_as_well);
+    CPPUNIT_TEST(a_list_that_was_not_read_for_long_is_not_relied_on);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -84,6 +85,43 @@
         expect(h.starts.size() == 1, "it is started when it fits again");
     }
 
+    void a_list_that_was_not_read_for_long_is_not_relied_on()
+    {
+        manual_dispatcher h;
+        h.add_worker("w1", 1);
+        h.run_for(500);
+        h.list_readable = false;
+        h.run_for(dispatch_limits{}.unseen_change_ms);
+        h.submit("a", "batch", half);
+        section("no start while it cannot be read",
+                [&]
+                {
+                    h.run_for(2'000);
+                    expect(h.starts.empty(), "no start");
+                });
+        section("nor before the workers have reported again",
+                [&]
+                {
+                    h.list_readable = true;
+                    h.run_for(dispatch_limits{}.heartbeat_ms);
+                    expect(h.starts.empty(), "no start");
+                });
+        section("then the task is started",
+                [&]
+                {
+                    h.run_for(1'500);
+                    expect(h.starts.size() == 1, "started");
+                });
+        section("a short gap delays nothing",
+                [&]
+                {
+                    h.list_readable = false;
+                    h.submit("b", "batch", half);
+                    h.run_for(1'000);
+                    expect(h.starts.size() == 2, "started");
+                });
+    }
+
     void a_task_without_accelerators_counts_as_well()
     {
         manual_dispatcher h;
