tasks: a refusal after a lost answer does not release a run

Cause: start_failed() took a start for sent once if its latest send was in the millisecond of the first. A repeat within that millisecond (a reset connection answers at once) whose answer is a refusal released the run, which was placed again while the first send of it may run (TWICE).

Change: the member keeps whether a send got no answer. After that no refusal releases the run; renewals show whether it is there.

--- a/packages/tasks/include/jasminetrack/tasks/detail/dispatcher_state.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/detail/dispatcher_state.hpp
@@ -48,6 +48,8 @@
     milliseconds started_ms = 0;
     milliseconds sent_at = 0;      ///< first send of the start
     milliseconds last_sent_at = 0; ///< latest send, retries included
+    /// A send of the start got no answer; the worker may have carried it out.
+    bool answer_missing = false;
     milliseconds reported_at = -1; ///< when it was last listed as running
     std::int64_t percent = 0;      ///< done, as the worker reports it
     milliseconds progress_at = 0;  ///< when `percent` last rose
--- a/packages/tasks/src/dispatcher_starts.cpp
+++ b/packages/tasks/src/dispatcher_starts.cpp
@@ -191,6 +191,7 @@
                      " result=" + to_text(result));
     if (result == call_result::no_answer)
     {
+        m.answer_missing = true;
         w.last_unanswered_at = now;
         if (now - m.sent_at < start_window_ms - min_retry_window_ms)
             send_start(now, *find_job(ref.job), ref, index);
@@ -200,8 +201,7 @@
     }
     w.quarantined_until =
         std::max(w.quarantined_until, now + refused_quarantine_ms);
-    bool const sent_once = m.last_sent_at == m.sent_at;
-    if (result == call_result::old_run || !sent_once)
+    if (result == call_result::old_run || m.answer_missing)
     {
         // An earlier send of the order may have started the run.
         m.phase = member_phase::unconfirmed;
--- a/tests/support/manual_dispatcher.hpp
+++ b/tests/support/manual_dispatcher.hpp
@@ -4,6 +4,7 @@
 
 #include "small_jobs.hpp"
 
+#include <deque>
 #include <map>
 #include <set>
 
@@ -114,6 +115,16 @@
         }
     }
 
+    /// Runs the dispatcher without time passing, until it has no actions left.
+    void run_now()
+    {
+        dispatcher_.tick(now, now);
+        for (auto list = dispatcher_.take_actions(); !list.empty();
+             list = dispatcher_.take_actions())
+            for (auto const& a : list)
+                handle(a);
+    }
+
     /// The log stores what waited for it, and from now on at once.
     void store_again()
     {
@@ -124,6 +135,14 @@
     void accept_start(start_order const& o)
     {
         starts.push_back(o);
+        if (!start_results.empty())
+        {
+            auto const result = start_results.front();
+            start_results.pop_front();
+            dispatcher_.on_start(now,
+                                 {o.worker, o.run, result, clock_of(o.worker)});
+            return;
+        }
         if (!answers_starts)
             return;
         running[o.worker].insert(o.run);
@@ -133,6 +152,8 @@
 
     milliseconds now = 100'000;
     bool answers_starts = true;
+    /// Results of the next starts; the worker runs none of them.
+    std::deque<call_result> start_results;
     bool stores = true; ///< false: the log is away
     std::set<std::string> unresponsive;
     /// Result of renewals of these workers.
