entry: test that a sequence of unknown outcome is not used again

record_writer keeps a batch whose append got no answer, whatever its repeats get. The new test has three refusals after the missing answer and a record that is written meanwhile.

--- a/tests/unit/test_record_writer.cpp
+++ b/tests/unit/test_record_writer.cpp
@@ -80,6 +80,7 @@
     CPPUNIT_TEST(an_answer_within_the_call_does_not_block);
     CPPUNIT_TEST(a_refused_record_was_not_stored);
     CPPUNIT_TEST(an_unknown_append_is_repeated_as_it_was);
+    CPPUNIT_TEST(a_sequence_of_unknown_outcome_is_not_used_again);
     CPPUNIT_TEST(a_failing_log_refuses_at_once);
     CPPUNIT_TEST(a_log_that_is_back_is_used_again);
     CPPUNIT_TEST(a_failing_path_is_avoided_and_retried);
@@ -181,6 +182,33 @@
         timers.stop();
     }
 
+    /// The log confirms an append under a sequence that it has, whatever its
+    /// records are.
+    void a_sequence_of_unknown_outcome_is_not_used_again()
+    {
+        scripted_log log;
+        runtime::timer_service timers;
+        record_writer writer(log, topic::jobs, "node-1", timers);
+        std::deque<append_result> answers(3, append_result::refused);
+        answers.push_front(append_result::unknown);
+        log.set_answers(answers);
+        constexpr milliseconds short_wait_ms = 50;
+        expect(writer.write({"a", "v"}, short_wait_ms, short_wait_ms) ==
+                   write_result::unknown,
+               "the caller is not told that the record was refused");
+        expect(writer.write({"b", "v"}, wait_ms, wait_ms) ==
+                   write_result::stored,
+               "the next record is stored");
+        auto const calls = log.calls();
+        auto const first = calls.front().writer.sequence;
+        for (auto const& c : calls)
+            expect(c.writer.sequence ==
+                       first + (c.records.front().key == "a" ? 0 : 1),
+                   "record " + c.records.front().key);
+        expect(calls.back().records.front().key == "b", "after the other one");
+        timers.stop();
+    }
+
     void a_failing_log_refuses_at_once()
     {
         scripted_log log;
