runtime: no I/O thread of an HTTP server waits for a peer

Cause: on_request() answered requests that are rejected before their body is read (411, 413, 431, 503) by send(), which waited on a thread of the HTTP library for the response to be written. The library's listener has more of the kind, seen on the old program: it sends the response only when the request's body has ended, has no time limit, and buffers without one: a client that sent without an end for 1.5 s took 537 MB (Content-Length), 1,466 MB (one chunk) and 528 MB (header).

Ruled out: a reply that is not waited for. It still waits for the end of the body, and neither the buffers nor the sockets of the listener can be reached.

Change: servers use Boost.Beast. One I/O thread a server, which does nothing that blocks; limits of time for head, body, response and idle connections, of the bytes of all bodies and of connections. Incomplete requests do not count in limits.requests. Rejected input is discarded for 2 s at most, so that the client can read the answer. The handler's threads no longer wait until a response is written. A drain still waits for the responses to all requests whose head was read. Handshakes of the web-socket mesh may have a body of 4 KB, not 32 MB.

--- a/packages/runtime/include/jasminetrack/runtime/http_server.hpp
+++ b/packages/runtime/include/jasminetrack/runtime/http_server.hpp
@@ -1,9 +1,11 @@
 #pragma once
 /// \file
-/// HTTP server that handles requests on a fixed number of threads.
+/// HTTP server that handles requests on a fixed number of threads. A thread of
+/// its own reads and writes; it waits neither for a peer nor for the handler.
 
 #include <jasminetrack/runtime/http.hpp>
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 
@@ -17,7 +19,9 @@
     int threads = 32; ///< that run the handler
     std::int64_t body_bytes = 1024 * 1024;
     std::int64_t header_bytes = 16 * 1024; ///< of path and headers together
-    std::int64_t requests = 256;           ///< running or queued at once
+    std::int64_t requests = 256; ///< running, queued or answered at once
+    std::int64_t buffered_bytes = 32 * 1024 * 1024; ///< of all bodies together
+    std::size_t connections = 2'048;
 
     friend bool operator==(server_limits const&,
                            server_limits const&) = default;
@@ -41,8 +45,7 @@
     /// \returns false and sets `reason` if it cannot listen on the address.
     [[nodiscard]] bool start(std::string& reason);
     /// Accepts no new connections and waits until all requests are answered.
-    /// Requests on open connections are still handled: a closed cpprest
-    /// listener would answer them with 404 although the path exists.
+    /// Requests on open connections are still handled.
     /// \returns false if requests are left after `drain_ms`.
     bool drain(std::int64_t drain_ms);
     /// Drains the server, then closes it.
@@ -55,8 +58,8 @@
     std::unique_ptr<impl> impl_;
 };
 
-/// Sets the number of threads of the HTTP library. Must be called before any
-/// other use of the library, so at the start of main().
+/// Sets the number of threads of the HTTP client library. Must be called before
+/// any other use of the library, so at the start of main().
 void limit_http_threads(int count);
 
 } // namespace jasminetrack::runtime
--- a/packages/runtime/src/http_server.cpp
+++ b/packages/runtime/src/http_server.cpp
@@ -1,10 +1,14 @@
 #include <jasminetrack/runtime/http_server.hpp>
 
+#include "http_connection.hpp"
 #include "socket_options.hpp"
 
+#include <jasminetrack/runtime/logging.hpp>
+
+#include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/thread_pool.hpp>
-#include <cpprest/http_listener.h>
 #include <pplx/threadpool.h>
 #include <xxhash.h>
 
@@ -13,157 +17,126 @@
 #include <chrono>
 #include <condition_variable>
 #include <mutex>
+#include <thread>
 
 namespace jasminetrack::runtime
 {
 namespace
 {
 
-namespace listener = web::http::experimental::listener;
+using boost::asio::ip::tcp;
+using connection = std::shared_ptr<detail::http_connection>;
 
-/// cpprest reports a response as sent once it is handed to the kernel. Before
-/// the listener closes, the kernel needs this long to send the rest over a link
-/// between regions.
+/// A response counts as written once it is handed to the kernel. Before the
+/// connections are closed, the kernel needs this long to send the rest over a
+/// link between regions.
 constexpr std::chrono::milliseconds reply_flush_time{200};
+/// Until the next attempt after a connection could not be accepted.
+constexpr std::chrono::milliseconds accept_retry_interval{50};
 
-std::string to_lower(std::string text)
-{
-    std::transform(text.begin(), text.end(), text.begin(),
-                   [](unsigned char c)
-                   { return static_cast<char>(std::tolower(c)); });
-    return text;
-}
-
-http_request to_request(web::http::http_request const& message)
+tcp::endpoint endpoint_of(std::string const& address)
 {
-    http_request r;
-    r.method = message.method();
-    r.path = web::uri::decode(message.request_uri().path());
-    for (auto const& [name, value] :
-         web::uri::split_query(message.request_uri().query()))
-        r.query[web::uri::decode(name)] = web::uri::decode(value);
-    for (auto const& [name, value] : message.headers())
-        r.headers[to_lower(name)] = value;
-    return r;
-}
-
-web::http::http_response make_message(http_response const& response)
-{
-    web::http::http_response message(
-        static_cast<web::http::status_code>(response.status));
-    message.set_body(response.body, response.content_type);
-    for (auto const& [name, value] : response.headers)
-        message.headers().add(name, value);
-    return message;
-}
-
-http_response rejection(int status, std::string const& reason,
-                        std::string const& remedy)
-{
-    return {status,
-            "{\"outcome\":\"not_run\",\"step\":\"request.accept\","
-            "\"reason\":\"" +
-                reason + "\",\"remedy\":\"" + remedy + "\"}",
-            "application/json",
-            {}};
-}
-
-std::int64_t header_size(http_request const& r)
-{
-    std::size_t size = r.path.size();
-    for (auto const& [name, value] : r.headers)
-        size += name.size() + value.size();
-    return static_cast<std::int64_t>(size);
+    auto const colon = address.rfind(':');
+    return {boost::asio::ip::make_address(address.substr(0, colon)),
+            static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1)))};
 }
 
 } // namespace
 
+/// Connections are served on one I/O thread, which never waits for a peer or
+/// for the handler; the handler runs on the threads of `pool`.
 struct http_server::impl
 {
-    impl(std::string listen_address, server_limits l, handler h)
-        : address(std::move(listen_address)), limits(l), handle(std::move(h)),
-          pool(static_cast<std::size_t>(l.threads)),
-          server(web::uri("http://" + address))
+    impl(std::string listen_address, server_limits const& limits, handler h)
+        : address(std::move(listen_address)), handle(std::move(h)),
+          pool(static_cast<std::size_t>(limits.threads))
     {
-        server.support([this](web::http::http_request m) { on_request(m); });
+        registry.limits = limits;
+        registry.limits.buffered_bytes =
+            std::max(limits.buffered_bytes, 2 * limits.body_bytes);
+        registry.on_request = [this](connection const& c, http_request r)
+        { run_handler(c, std::move(r)); };
+        registry.on_begin = [this] { begin_request(); };
+        registry.on_end = [this] { end_request(); };
     }
 
-    /// Checks limits that are known before the body is read.
-    /// \returns whether the request is rejected; `response` is then set.
-    bool reject_early(http_request const& r, http_response& response) const
+    void listen()
     {
-        if (header_size(r) > limits.header_bytes)
-        {
-            response =
-                rejection(431,
-                          "path and headers exceed limits.headers of " +
-                              std::to_string(limits.header_bytes) + " bytes",
-                          "send fewer or shorter headers");
-            return true;
-        }
-        auto const length = header_value(r.headers, "content-length");
-        if (length.empty() && r.headers.count("transfer-encoding") != 0)
-        {
-            response =
-                rejection(411, "the request has a body but no Content-Length",
-                          "send Content-Length");
-            return true;
-        }
-        if (!length.empty() &&
-            std::strtoll(length.c_str(), nullptr, 10) > limits.body_bytes)
-        {
-            response =
-                rejection(413,
-                          "request body exceeds limits.body of " +
-                              std::to_string(limits.body_bytes) + " bytes",
-                          "send a smaller body");
-            return true;
-        }
-        return false;
+        auto const endpoint = endpoint_of(address);
+        acceptor.open(endpoint.protocol());
+        acceptor.set_option(tcp::acceptor::reuse_address(true));
+        acceptor.bind(endpoint);
+        acceptor.listen();
+        accept();
+        thread = std::thread([this] { run_io(); });
     }
 
-    void on_request(web::http::http_request message)
+    void run_io()
     {
-        auto request = std::make_shared<http_request>(to_request(message));
-        http_response rejected;
-        if (reject_early(*request, rejected))
-        {
-            // The body stays unread, so the connection cannot be reused.
-            rejected.headers["Connection"] = "close";
-            send(message, rejected);
-            return;
-        }
-        if (in_flight.fetch_add(1) >= limits.requests)
-        {
-            send(message, rejection(503,
-                                    "limits.requests of " +
-                                        std::to_string(limits.requests) +
-                                        " requests at once is reached",
-                                    "try again later or at another entry VM"));
-            finish_request();
-            return;
-        }
-        message.extract_vector().then(
-            [this, message,
-             request](pplx::task<std::vector<unsigned char>> body)
+        while (!context.stopped())
+            try
             {
-                try
-                {
-                    auto const data = body.get();
-                    request->body.assign(data.begin(), data.end());
-                }
-                catch (std::exception const&)
+                context.run();
+            }
+            catch (std::exception const& e)
+            {
+                write_log(log_level::warning, "http.serve",
+                          {{"listen", address}, {"reason", e.what()}});
+            }
+    }
+
+    void accept()
+    {
+        acceptor.async_accept(
+            [this](boost::system::error_code code, tcp::socket socket)
+            {
+                if (!acceptor.is_open())
+                    return;
+                if (code)
                 {
-                    finish_request();
+                    retry_accept();
                     return;
                 }
-                boost::asio::post(pool, [this, message, request]
-                                  { handle_request(message, *request); });
+                accept();
+                add_connection(std::move(socket));
             });
     }
 
-    void handle_request(web::http::http_request message,
-                        http_request const& request)
+    /// The process may have no descriptor left.
+    void retry_accept()
+    {
+        (void)registry.close_longest_waiting();
+        accept_timer.expires_after(accept_retry_interval);
+        accept_timer.async_wait(
+            [this](boost::system::error_code code)
+            {
+                if (!code && acceptor.is_open())
+                    accept();
+            });
+    }
+
+    void add_connection(tcp::socket socket)
+    {
+        if (registry.size() >= registry.limits.connections &&
+            !registry.close_longest_waiting())
+            return;
+        std::make_shared<detail::http_connection>(std::move(socket), registry)
+            ->start();
+    }
+
+    void run_handler(connection const& c, http_request r)
+    {
+        boost::asio::post(
+            pool,
+            [this, c, request = std::move(r)]
+            {
+                boost::asio::post(
+                    context, [c, response = call_handler(request)]() mutable
+                    { c->respond(std::move(response)); });
+            });
+    }
+
+    http_response call_handler(http_request const& request)
     {
         http_response response;
         try
@@ -181,37 +154,10 @@
         }
         if (closing)
             response.headers["Connection"] = "close";
-        send(message, response);
-        finish_request();
+        return response;
     }
 
-    static void send(web::http::http_request message,
-                     http_response const& response)
-    {
-        try
-        {
-            message.reply(make_message(response))
-                .then(
-                    [](pplx::task<void> done)
-                    {
-                        try
-                        {
-                            done.get();
-                        }
-                        catch (std::exception const&)
-                        {
-                            // The client has closed the connection.
-                        }
-                    })
-                .wait();
-        }
-        catch (std::exception const&)
-        {
-            // The client closed the connection before the response.
-        }
-    }
-
-    /// Waits until no request was in flight for `reply_flush_time`, because an
+    /// Waits until no request was open for `reply_flush_time`, because an
     /// accepted connection may hold a request that is not read yet.
     bool wait_until_idle(std::int64_t drain_ms)
     {
@@ -220,36 +166,64 @@
         auto const until = clock::now() + std::chrono::milliseconds(drain_ms);
         while (clock::now() < until)
         {
-            if (!idle.wait_until(lock, until, [&] { return in_flight == 0; }))
+            if (!idle.wait_until(lock, until,
+                                 [&] { return open_requests == 0; }))
                 return false;
-            auto const seen = finished_requests;
-            if (!idle.wait_for(
-                    lock, reply_flush_time,
-                    [&] { return in_flight > 0 || finished_requests != seen; }))
+            auto const seen = ended_requests;
+            if (!idle.wait_for(lock, reply_flush_time,
+                               [&] {
+                                   return open_requests > 0 ||
+                                          ended_requests != seen;
+                               }))
                 return true;
         }
         return false;
     }
 
-    void finish_request()
+    void begin_request()
+    {
+        std::lock_guard<std::mutex> const lock(mutex);
+        ++open_requests;
+        idle.notify_all();
+    }
+
+    void end_request()
     {
         std::lock_guard<std::mutex> const lock(mutex);
-        --in_flight;
-        ++finished_requests;
+        --open_requests;
+        ++ended_requests;
         idle.notify_all();
     }
 
+    void close()
+    {
+        boost::asio::post(context,
+                          [this]
+                          {
+                              boost::system::error_code ignored;
+                              acceptor.close(ignored);
+                              accept_timer.cancel();
+                              registry.close_all();
+                          });
+        pool.join();
+        context.stop();
+        thread.join();
+    }
+
     std::string address;
-    server_limits limits;
     handler handle;
-    boost::asio::thread_pool pool;
-    listener::http_listener server;
-    std::atomic<std::int64_t> in_flight{0};
+    detail::connection_registry registry;
     std::mutex mutex;
     std::condition_variable idle;
-    std::uint64_t finished_requests = 0; ///< guarded by `mutex`
+    std::int64_t open_requests = 0;   ///< guarded by `mutex`
+    std::uint64_t ended_requests = 0; ///< guarded by `mutex`
     std::atomic<bool> closing{false};
     bool open = false;
+    boost::asio::io_context context{1};
+    tcp::acceptor acceptor{context};
+    boost::asio::steady_timer accept_timer{context};
+    boost::asio::thread_pool pool;
+    std::thread thread;
 };
 
 http_server::http_server(std::string address, server_limits limits,
@@ -266,15 +240,14 @@
 
 std::int64_t http_server::in_flight() const noexcept
 {
-    return impl_->in_flight;
+    return impl_->registry.running;
 }
 
 bool http_server::start(std::string& reason)
 {
     try
     {
-        impl_->server.open().wait();
-        (void)detail::disable_send_delay(impl_->address);
+        impl_->listen();
         impl_->open = true;
         return true;
     }
@@ -290,7 +263,7 @@
     impl_->closing = true;
     if (drain_ms <= 0)
         return false;
-    (void)detail::refuse_new_connections(impl_->address);
+    (void)detail::drop_new_connections(impl_->acceptor.native_handle());
     return impl_->wait_until_idle(drain_ms);
 }
 
@@ -300,8 +273,7 @@
         return true;
     impl_->open = false;
     bool const drained = drain(drain_ms);
-    impl_->server.close().wait();
-    impl_->pool.join();
+    impl_->close();
     return drained;
 }
 
--- a/packages/runtime/src/peer_mesh.cpp
+++ b/packages/runtime/src/peer_mesh.cpp
@@ -21,6 +21,7 @@
 constexpr int max_unanswered_pings = 4; ///< before a connection is closed
 constexpr long open_timeout_ms = 1000;
 constexpr std::size_t max_message_bytes = 4 * 1024 * 1024;
+constexpr std::size_t max_handshake_body_bytes = 4 * 1024;
 constexpr std::size_t max_buffered_bytes = 1024 * 1024; ///< unsent, per peer
 
 /// The connection that this node opened to one peer.
@@ -49,6 +50,7 @@
         connector.init_asio(&context);
         acceptor.set_reuse_addr(true);
         acceptor.set_max_message_size(max_message_bytes);
+        acceptor.set_max_http_body_size(max_handshake_body_bytes);
         acceptor.set_message_handler(
             [this](connection_hdl, server::message_ptr m)
             {
--- /dev/null
+++ b/tests/process/raw_connection.cpp
@@ -0,0 +1,89 @@
+#include "raw_connection.hpp"
+
+#include <array>
+#include <cerrno>
+#include <sstream>
+#include <stdexcept>
+#include <sys/socket.h>
+#include <sys/time.h>
+
+namespace process_tests
+{
+namespace
+{
+
+constexpr int ms_per_second = 1'000;
+constexpr int us_per_ms = 1'000;
+
+bool timed_out()
+{
+    return errno == EAGAIN || errno == EWOULDBLOCK;
+}
+
+} // namespace
+
+raw_connection::raw_connection(std::string const& address, int timeout_ms)
+    : socket_(context_)
+{
+    auto const colon = address.rfind(':');
+    boost::system::error_code code;
+    socket_.connect(
+        {boost::asio::ip::make_address(address.substr(0, colon)),
+         static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1)))},
+        code);
+    if (code)
+        throw std::runtime_error(address + ": " + code.message());
+    timeval const limit{timeout_ms / ms_per_second,
+                        timeout_ms % ms_per_second * us_per_ms};
+    auto const handle = socket_.native_handle();
+    ::setsockopt(handle, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+    ::setsockopt(handle, SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof limit);
+}
+
+bool raw_connection::send(std::string const& data)
+{
+    std::size_t sent = 0;
+    while (sent < data.size())
+    {
+        auto const n = ::send(socket_.native_handle(), data.data() + sent,
+                              data.size() - sent, MSG_NOSIGNAL);
+        if (n <= 0)
+            return false;
+        sent += static_cast<std::size_t>(n);
+    }
+    return true;
+}
+
+int raw_connection::read_status()
+{
+    std::string head;
+    std::array<char, 4096> piece{};
+    while (head.find("\r\n") == std::string::npos)
+    {
+        auto const n =
+            ::recv(socket_.native_handle(), piece.data(), piece.size(), 0);
+        if (n < 0 && timed_out())
+            return -1;
+        if (n <= 0)
+            return 0;
+        head.append(piece.data(), static_cast<std::size_t>(n));
+    }
+    int status = 0;
+    std::string version;
+    std::istringstream(head) >> version >> status;
+    return status;
+}
+
+bool raw_connection::is_closed_by_peer()
+{
+    std::array<char, 4096> piece{};
+    for (;;)
+    {
+        auto const n =
+            ::recv(socket_.native_handle(), piece.data(), piece.size(), 0);
+        if (n <= 0)
+            return n == 0 || !timed_out();
+    }
+}
+
+} // namespace process_tests
--- /dev/null
+++ b/tests/process/raw_connection.hpp
@@ -0,0 +1,37 @@
+#pragma once
+/// \file
+/// TCP connections whose bytes a test writes itself, such as incomplete
+/// requests, which an HTTP client does not send.
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <string>
+
+namespace process_tests
+{
+
+/// A blocking client connection with a time limit on each operation.
+class raw_connection
+{
+public:
+    /// \param address IP:port
+    /// \throws std::runtime_error if the connect fails
+    raw_connection(std::string const& address, int timeout_ms);
+
+    /// \returns false if the peer closed the connection or took nothing for
+    /// the time limit.
+    bool send(std::string const& data);
+    /// Reads the head of a response, or all until the connection is closed.
+    /// \returns the status; 0 if the peer closed the connection without one,
+    /// -1 after the time limit.
+    int read_status();
+    /// \returns whether the peer closes the connection within the time limit.
+    bool is_closed_by_peer();
+
+private:
+    boost::asio::io_context context_;
+    boost::asio::ip::tcp::socket socket_;
+};
+
+} // namespace process_tests
