daemon: signals are masked before the first thread starts

Cause: the threads of the HTTP library started before SIGHUP was blocked, and the own interface never blocked it. A SIGHUP while the main thread was not in sigwait() took its default action in another thread and ended the process. Besides, sigwait() returns SIGHUP before SIGTERM, so SIGHUPs sent without a pause could put off a stop for as long as they were sent.

Change: SIGTERM, SIGINT and SIGHUP are blocked and SIGPIPE is ignored as the first step of main(). The own interface checks its settings file on SIGHUP, too.

--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -2,13 +2,14 @@
 #include "jobs_api.hpp"
 #include "node_driver.hpp"
 #include "operator_api.hpp"
+#include "process_signals.hpp"
 #include "run_entry.hpp"
+#include "settings_check.hpp"
 
 #include <jasminetrack/runtime/http_server.hpp>
 #include <jasminetrack/runtime/logging.hpp>
 
 #include <CLI/CLI.hpp>
-#include <csignal>
 #include <fstream>
 #include <iostream>
 #include <sstream>
@@ -82,22 +83,7 @@
             s.limits.requests};
 }
 
-void block_signals(sigset_t& set)
-{
-    sigemptyset(&set);
-    sigaddset(&set, SIGTERM);
-    sigaddset(&set, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &set, nullptr);
-    std::signal(SIGPIPE, SIG_IGN);
-}
-
-void wait_for_signal(sigset_t const& set)
-{
-    int caught = 0;
-    sigwait(&set, &caught);
-}
-
-int run(protocol::daemon_settings const& settings, sigset_t const& signals)
+int run(protocol::daemon_settings const& settings, std::string const& path)
 {
     node_driver driver(settings);
     request_router router(driver);
@@ -114,7 +100,8 @@
     }
     write_log(log_level::info, "start",
               {{"listen", settings.listen}, {"mesh", settings.mesh}});
-    wait_for_signal(signals);
+    wait_for_stop(
+        [&] { log_settings_check(settings, path, protocol::parse_settings); });
     write_log(log_level::info, "stop.drain", {});
     auto const until = runtime::monotonic_ms() + settings.drain_ms;
     bool const handed_over = driver.drain(until);
@@ -137,9 +124,8 @@
 }
 
 template <typename Settings>
-void prepare_process(Settings const& settings, sigset_t& signals, int threads)
+void prepare_process(Settings const& settings, int threads)
 {
-    block_signals(signals);
     runtime::limit_http_threads(threads);
     runtime::open_log(settings.node, settings.log_level);
 }
@@ -153,9 +139,8 @@
         return exit_settings;
     if (check_only)
         return 0;
-    sigset_t signals;
-    prepare_process(parsed.value, signals, library_threads);
-    auto const code = run(parsed.value, signals);
+    prepare_process(parsed.value, library_threads);
+    auto const code = run(parsed.value, path);
     runtime::close_log();
     return code;
 }
@@ -169,18 +154,15 @@
         return exit_settings;
     if (check_only)
         return 0;
-    sigset_t signals;
-    sigemptyset(&signals);
-    prepare_process(parsed.value, signals, entry_library_threads);
-    sigaddset(&signals, SIGHUP);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-    return run_entry(parsed.value, path, signals);
+    prepare_process(parsed.value, entry_library_threads);
+    return run_entry(parsed.value, path);
 }
 
 } // namespace
 
 int main(int argc, char** argv)
 {
+    block_signals();
     CLI::App app{"jasminetrackd: one entry VM of jasminetrack.\n"
                  "Example: jasminetrackd --settings entry-1.yaml\n"
                  "Exit codes: 0 stopped cleanly, 2 invalid settings, "
--- a/packages/daemon/src/run_entry.cpp
+++ b/packages/daemon/src/run_entry.cpp
@@ -1,13 +1,14 @@
 #include "run_entry.hpp"
 
+#include "process_signals.hpp"
+#include "settings_check.hpp"
+
 #include <jasminetrack/platform/adapter.hpp>
 #include <jasminetrack/runtime/http_server.hpp>
 #include <jasminetrack/runtime/logging.hpp>
 
 #include <chrono>
 #include <cstdlib>
-#include <fstream>
-#include <sstream>
 #include <thread>
 
 namespace jasminetrack::daemon
@@ -33,36 +34,9 @@
 constexpr std::int64_t max_header_bytes = 16 * 1024;
 constexpr std::int64_t max_open_requests = 512;
 
-/// Waits for a signal other than SIGHUP; on SIGHUP, logs whether the settings
-/// file is valid and has changed.
-void serve_until_stopped(entry::entry_settings const& settings,
-                         std::string const& path, sigset_t const& signals)
-{
-    for (;;)
-    {
-        int caught = 0;
-        sigwait(&signals, &caught);
-        if (caught != SIGHUP)
-            return;
-        std::ifstream file(path);
-        std::stringstream text;
-        text << file.rdbuf();
-        auto const parsed = entry::parse_entry_settings(text.str(), path);
-        bool const same = parsed && parsed.value == settings;
-        write_log(
-            log_level::info, "reload",
-            {{"valid", parsed ? "yes" : "no"},
-             {"changed", same ? "no" : "yes"},
-             {"remedy",
-              same ? ""
-                   : "restart the process to apply the changed settings"}});
-    }
-}
-
 } // namespace
 
-int run_entry(entry::entry_settings const& settings, std::string const& path,
-              sigset_t const& signals)
+int run_entry(entry::entry_settings const& settings, std::string const& path)
 {
     platform::adapter adapter(settings);
     entry::entry_node node(settings, adapter.ports());
@@ -99,7 +73,9 @@
               {{"listen", settings.listen},
                {"ready", settings.ready},
                {"log", settings.log}});
-    serve_until_stopped(settings, path, signals);
+    wait_for_stop(
+        [&]
+        { log_settings_check(settings, path, entry::parse_entry_settings); });
     write_log(log_level::info, "stop.drain", {});
     node.drain();
     std::this_thread::sleep_for(std::chrono::milliseconds(balancer_removal_ms));
--- a/packages/daemon/src/run_entry.hpp
+++ b/packages/daemon/src/run_entry.hpp
@@ -4,15 +4,14 @@
 
 #include <jasminetrack/entry/settings.hpp>
 
-#include <csignal>
+#include <string>
 
 namespace jasminetrack::daemon
 {
 
-/// Serves until it receives one of `signals`, which the caller has blocked.
-/// SIGHUP does not end it: the settings file is read again and checked.
+/// Serves until it receives SIGTERM or SIGINT; see block_signals(). On SIGHUP
+/// the settings file is read again and checked.
 /// \returns the process's exit code.
-int run_entry(entry::entry_settings const& settings, std::string const& path,
-              sigset_t const& signals);
+int run_entry(entry::entry_settings const& settings, std::string const& path);
 
 } // namespace jasminetrack::daemon
