--- a/tests/process/raw_connection.cpp
+++ b/tests/process/raw_connection.cpp
@@ -15,7 +15,7 @@
 constexpr int ms_per_second = 1'000;
 constexpr int us_per_ms = 1'000;
 
-bool timed_out()
+bool is_timeout()
 {
     return errno == EAGAIN || errno == EWOULDBLOCK;
 }
@@ -54,36 +54,31 @@
     return true;
 }
 
-int raw_connection::read_status()
+std::string raw_connection::read_until(std::string const& text)
 {
-    std::string head;
+    std::string data;
     std::array<char, 4096> piece{};
-    while (head.find("\r\n") == std::string::npos)
+    while (data.find(text) == std::string::npos)
     {
         auto const n =
             ::recv(socket_.native_handle(), piece.data(), piece.size(), 0);
-        if (n < 0 && timed_out())
-            return -1;
+        timed_out_ = n < 0 && is_timeout();
         if (n <= 0)
-            return 0;
-        head.append(piece.data(), static_cast<std::size_t>(n));
+            break;
+        data.append(piece.data(), static_cast<std::size_t>(n));
     }
-    int status = 0;
-    std::string version;
-    std::istringstream(head) >> version >> status;
-    return status;
+    return data;
 }
 
-bool raw_connection::is_closed_by_peer()
+int raw_connection::read_status()
 {
-    std::array<char, 4096> piece{};
-    for (;;)
-    {
-        auto const n =
-            ::recv(socket_.native_handle(), piece.data(), piece.size(), 0);
-        if (n <= 0)
-            return n == 0 || !timed_out();
-    }
+    auto const line = read_until("\r\n");
+    if (line.empty() && timed_out_)
+        return -1;
+    int status = 0;
+    std::string version;
+    std::istringstream(line) >> version >> status;
+    return status;
 }
 
 } // namespace process_tests
--- a/tests/process/raw_connection.hpp
+++ b/tests/process/raw_connection.hpp
@@ -22,16 +22,19 @@
     /// \returns false if the peer closed the connection or took nothing for
     /// the time limit.
     bool send(std::string const& data);
-    /// Reads the head of a response, or all until the connection is closed.
+    /// Reads until a text is received, the peer closes the connection or the
+    /// time limit is over.
+    /// \returns what was read.
+    std::string read_until(std::string const& text);
+    /// Reads the first line of a response.
     /// \returns the status; 0 if the peer closed the connection without one,
     /// -1 after the time limit.
     int read_status();
-    /// \returns whether the peer closes the connection within the time limit.
-    bool is_closed_by_peer();
 
 private:
     boost::asio::io_context context_;
     boost::asio::ip::tcp::socket socket_;
+    bool timed_out_ = false; ///< the last read
 };
 
 } // namespace process_tests
--- a/tests/process/test_http.cpp
+++ b/tests/process/test_http.cpp
@@ -1,9 +1,10 @@
 /// \file
-/// The HTTP library repeats a POST on a reused connection and answers 404 once
-/// its listener is closed. Calls of http_client on a fresh connection and a
-/// draining http_server must do neither.
+/// The HTTP client library repeats a POST on a reused connection; calls of
+/// http_client on a fresh connection must not. http_server answers each request
+/// on a connection in turn, while it drains, too.
 
 #include "cluster.hpp"
+#include "raw_connection.hpp"
 #include "section.hpp"
 
 #include <jasminetrack/runtime/http_server.hpp>
@@ -171,6 +172,32 @@
     jasminetrack::runtime::http_server server_;
 };
 
+/// Answers every request with its path and its body.
+class echo_server
+{
+public:
+    echo_server()
+        : server_(address_, {},
+                  [](jasminetrack::runtime::http_request const& r)
+                  {
+                      return jasminetrack::runtime::http_response{
+                          200, r.path + ";" + r.body, "text/plain", {}};
+                  })
+    {
+        std::string reason;
+        CPPUNIT_ASSERT_MESSAGE(reason, server_.start(reason));
+    }
+
+    [[nodiscard]] std::string const& address() const noexcept
+    {
+        return address_;
+    }
+
+private:
+    std::string address_ = "127.0.0.1:" + std::to_string(free_port());
+    jasminetrack::runtime::http_server server_;
+};
+
 class test_http : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(test_http);
@@ -181,6 +208,8 @@
     CPPUNIT_TEST(a_malformed_address_is_a_failed_call);
     CPPUNIT_TEST(a_failing_response_handler_ends_no_process);
     CPPUNIT_TEST(malformed_requests_do_not_stop_the_server);
+    CPPUNIT_TEST(pipelined_requests_are_answered_in_order);
+    CPPUNIT_TEST(a_client_may_wait_before_it_sends_its_body);
     CPPUNIT_TEST_SUITE_END();
 
     static http_client_result post(http_client& client,
@@ -232,8 +261,7 @@
         }
     }
 
-    /// After its listener is closed, the library answers 404 on connections
-    /// that are still open.
+    /// Requests on connections that are still open are handled.
     void a_draining_server_sends_no_false_answers()
     {
         accepting_server server;
@@ -308,6 +336,38 @@
         }
     }
 
+    void pipelined_requests_are_answered_in_order()
+    {
+        echo_server server;
+        raw_connection c(server.address(), 5'000);
+        expect(c.send("POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\n"
+                      "abcGET /2 HTTP/1.1\r\nHost: h\r\n\r\n"
+                      "HEAD /3 HTTP/1.1\r\nHost: h\r\n\r\n"
+                      "GET /4 HTTP/1.0\r\n\r\n"),
+               "sent");
+        auto const all = c.read_until("/4;");
+        std::size_t at = 0;
+        for (std::string const body : {"/1;abc", "/2;", "/4;"})
+        {
+            at = all.find("\r\n\r\n" + body, at);
+            expect(at != std::string::npos, body + " in " + all);
+        }
+        expect(all.find("/3;") == std::string::npos, "HEAD gets no body");
+    }
+
+    void a_client_may_wait_before_it_sends_its_body()
+    {
+        echo_server server;
+        raw_connection c(server.address(), 5'000);
+        expect(c.send("POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+                      "Expect: 100-continue\r\n\r\n"),
+               "sent");
+        expect(c.read_status() == 100, "the server asks for the body");
+        expect(c.send("abc"), "the body is sent");
+        expect(c.read_until("/1;abc").find("200 OK") != std::string::npos,
+               "answered");
+    }
+
     void not_sent_means_the_connect_failed()
     {
         http_client client;
