dispatcher: leases end with the proof of the role

Cause: a dispatcher whose appends fail kept the role without limit until it read a higher epoch or a worker refused it. check_lost_workers() counted on the opposite, with a time of its own. A claim whose answer was handled late, as after a pause, was taken for the role as well.

Change: lease_bounds.hpp has the bound for both sides. Lease ends lie at most the platform's longest lease and 6 s after the first send of the newest append that the log confirmed; starts need such a proof, too. The successor waits for the same bound, with the drift of the workers' clocks. It holds as a successor's claim was stored after that append was sent, and it has seen nothing of its predecessor for 1.6 s then. Lease ends are absolute on the worker's clock, so pauses and late deliveries do not move them. The existing test of an outage of 15 s (leases_are_renewed_during_a_log_outage) stays as it is.

The simulation confirms the role of its dispatcher, and can cut it off with some workers.

--- a/packages/entry/src/dispatch_loop.cpp
+++ b/packages/entry/src/dispatch_loop.cpp
@@ -188,6 +188,7 @@
     dispatcher_ = std::make_unique<tasks::dispatcher>(
         epoch_, settings_.limits, now,
         [this](tasks::decision const& d) { log_decision(d); });
+    dispatcher_->on_role_confirmed(claim_sent_ms_);
     if (config_)
         dispatcher_->set_configuration(*config_);
     auto const ids = table_.unfinished();
--- a/packages/entry/src/dispatch_loop_log.cpp
+++ b/packages/entry/src/dispatch_loop_log.cpp
@@ -31,6 +31,7 @@
                {"at", std::to_string(work_next_)},
                {"previous", leadership_.newest().holder}});
     leadership_.on_claim_sent(now);
+    claim_sent_ms_ = now;
     append_call call;
     call.topic = topic::work;
     call.records.push_back({role_key, encode(role)});
@@ -49,7 +50,8 @@
               {{"epoch", std::to_string(role.epoch)},
                {"result", to_text(a.result)},
                {"reason", a.reason}});
-    if (a.result != append_result::stored)
+    if (a.result != append_result::stored ||
+        !tasks::leadership::confirms_role(now, claim_sent_ms_))
     {
         leadership_.on_claim_lost(now);
         return;
@@ -159,6 +161,7 @@
     append_timeout_.on_answer(now - append_sent_ms_);
     latencies_.record(latency::append, now - append_started_ms_);
     last_append_ms_ = now;
+    dispatcher_->on_role_confirmed(append_started_ms_);
 }
 
 tasks::log_record dispatch_loop::heartbeat_record() const
--- a/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -9,6 +9,7 @@
 #include <jasminetrack/tasks/dispatch_limits.hpp>
 #include <jasminetrack/tasks/due_queue.hpp>
 #include <jasminetrack/tasks/headroom.hpp>
+#include <jasminetrack/tasks/lease_bounds.hpp>
 #include <jasminetrack/tasks/placement_advice.hpp>
 #include <jasminetrack/tasks/service_utilization.hpp>
 
@@ -104,6 +105,10 @@
     void on_advice(milliseconds now, advice_reply const& reply);
     /// The log has stored this batch and all earlier ones.
     void on_stored(milliseconds now, std::int64_t batch);
+    /// The log has confirmed an append of this dispatcher that was first sent
+    /// at `sent_at`, so that it held the role then. Leases end a limited time
+    /// after that; the caller calls this again and again.
+    void on_role_confirmed(milliseconds sent_at) noexcept;
     /// Runs all periodic work.
     /// \param wall  wall-clock time, milliseconds since 1970
     void tick(milliseconds now, milliseconds wall);
@@ -151,6 +156,9 @@
     unconfirmed_starts(worker_view const& w);
     void send_due_renewals(milliseconds now);
     void send_renewal(milliseconds now, worker_view& w, bool wait);
+    /// \returns how long a lease that is granted now may last, as successors
+    /// rely on its end; not positive if no lease may be granted.
+    [[nodiscard]] milliseconds grantable_lease(milliseconds now) const noexcept;
     /// Sends the worker's next renewal at `due`, or after the answer to the one
     /// that is under way.
     void schedule_renewal(std::string const& worker, worker_view const& w,
@@ -377,6 +385,8 @@
     std::int64_t token_;
     dispatch_limits limits_;
     milliseconds created_at_;
+    /// Send time of the newest append that shows that it holds the role.
+    milliseconds confirmed_at_;
     listener listen_;
     bool deposed_ = false;
     bool changed_ = true; ///< an input of placement since the last pass
--- a/packages/tasks/include/jasminetrack/tasks/leadership.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/leadership.hpp
@@ -75,13 +75,13 @@
     void on_record(milliseconds now, role_record const& r);
     void on_claim_sent(milliseconds now) noexcept;
     void on_claim_stored(milliseconds now, role_record const& r);
-    /// Another claim won, or the outcome of this one is unknown.
     /// \returns whether the log's confirmation of an append that was sent at
     /// `sent_at` shows that this node holds the role now. It does not if it is
     /// handled so late, as after a pause of the process, that another node may
     /// have taken the role since.
     [[nodiscard]] static bool confirms_role(milliseconds now,
                                             milliseconds sent_at) noexcept;
+    /// Another claim won, or the outcome of this one is unknown.
     void on_claim_lost(milliseconds now) noexcept;
     void set_delay(milliseconds delay) noexcept;
     /// Gives up the role.
--- /dev/null
+++ b/packages/tasks/include/jasminetrack/tasks/lease_bounds.hpp
@@ -0,0 +1,42 @@
+#pragma once
+/// \file
+/// How long the leases of a dispatcher may last. Dispatchers keep to these
+/// bounds, and their successors rely on them.
+
+#include <jasminetrack/tasks/dispatch_limits.hpp>
+
+namespace jasminetrack::tasks
+{
+
+/// A node claims the role after this time without a heartbeat of the holder:
+/// three missed heartbeats, which are sent every 500 ms.
+inline constexpr milliseconds holder_timeout_ms = 1'600;
+
+/// Time for which a dispatcher may grant leases while the log confirms none of
+/// its appends, as during an outage of the log.
+inline constexpr milliseconds unconfirmed_grant_ms = 6'000;
+
+/// The dispatcher's proof of the role is the send time of its newest append
+/// that the log has confirmed: a successor's claim was stored later.
+/// \returns how long after that its leases end at the latest, but for the drift
+/// of the workers' clocks.
+[[nodiscard]] constexpr milliseconds
+max_lease_after_proof(dispatch_limits const& limits) noexcept
+{
+    return limits.max_lease_ms + unconfirmed_grant_ms;
+}
+
+/// A new dispatcher has claimed the role `holder_timeout_ms` or more after the
+/// newest append of every earlier one, unless that one resigned and so grants
+/// no more leases.
+/// \returns how long after its start the leases of all earlier dispatchers have
+/// ended.
+[[nodiscard]] constexpr milliseconds
+max_earlier_lease(dispatch_limits const& limits) noexcept
+{
+    constexpr milliseconds clock_drift_divisor = 50; // 2 %
+    auto const longest = max_lease_after_proof(limits);
+    return longest + longest / clock_drift_divisor - holder_timeout_ms;
+}
+
+} // namespace jasminetrack::tasks
--- a/packages/tasks/src/dispatcher.cpp
+++ b/packages/tasks/src/dispatcher.cpp
@@ -8,7 +8,7 @@
 
 dispatcher::dispatcher(std::int64_t token, dispatch_limits limits,
                        milliseconds now, listener listen)
-    : token_(token), limits_(limits), created_at_(now),
+    : token_(token), limits_(limits), created_at_(now), confirmed_at_(now),
       listen_(std::move(listen))
 {
 }
@@ -227,6 +227,11 @@
     emit_batch();
 }
 
+void dispatcher::on_role_confirmed(milliseconds sent_at) noexcept
+{
+    confirmed_at_ = sent_at;
+}
+
 void dispatcher::tick(milliseconds now, milliseconds wall)
 {
     monitor(now);
--- a/packages/tasks/src/dispatcher_losses.cpp
+++ b/packages/tasks/src/dispatcher_losses.cpp
@@ -7,8 +7,6 @@
 namespace
 {
 
-/// An earlier dispatcher stops within this time after its successor starts.
-constexpr milliseconds handover_ms = 3'000;
 /// Unlisted workers are kept for this time, as they may be listed again.
 constexpr milliseconds unlisted_keep_ms = 60'000;
 
@@ -21,8 +19,7 @@
         auto& w = at->second;
         bool const never_reached =
             !w.token_known && w.clock_at_ < 0 &&
-            now - created_at_ >
-                limits_.max_lease_ms + limits_.max_lease_ms / 50 + handover_ms;
+            now - created_at_ > max_earlier_lease(limits_);
         if (!w.hosted_runs.empty() &&
             (never_reached || w.is_lease_expired(now)))
             end_lost_runs(now, w, "its lease expired");
--- a/packages/tasks/src/dispatcher_renewals.cpp
+++ b/packages/tasks/src/dispatcher_renewals.cpp
@@ -15,6 +15,9 @@
 /// Longest wait of a renewal at its worker. A third of the lease, so that two
 /// renewals may be lost.
 constexpr milliseconds renewal_wait_ms = 2'000;
+constexpr milliseconds renewals_per_lease = 3;
+/// A shorter lease may end before its renewal arrives.
+constexpr milliseconds min_lease_ms = 500;
 constexpr milliseconds unacknowledged_renewal_ms = 1'000;
 constexpr milliseconds unresponsive_retry_ms = 300;
 /// Renewals of idle workers that may take up processor time of the busy ones.
@@ -81,6 +84,12 @@
     return now + w.idle_pause_ms;
 }
 
+milliseconds dispatcher::grantable_lease(milliseconds now) const noexcept
+{
+    auto const left = confirmed_at_ + max_lease_after_proof(limits_) - now;
+    return std::min({lease_ms, limits_.max_lease_ms, left});
+}
+
 void dispatcher::send_renewal(milliseconds now, worker_view& w, bool wait)
 {
     if (w.processed_batch <= stored_batch_)
@@ -90,11 +99,13 @@
     // The lease of an unresponsive worker is not extended: it may still carry
     // out the renewal, which would delay the time after which its runs are
     // certain to have ended.
-    if (w.clock_at_ >= 0 && w.unresponsive_since < 0)
+    auto const lease = grantable_lease(now);
+    if (w.clock_at_ >= 0 && w.unresponsive_since < 0 && lease >= min_lease_ms)
     {
-        auto const wanted = w.info.draining ? draining_lease_ms : lease_ms;
+        order.wait_ms = std::min(order.wait_ms, lease / renewals_per_lease);
         order.until_ms =
-            w.clock_floor(now) + std::min(wanted, limits_.max_lease_ms);
+            w.clock_floor(now) +
+            (w.info.draining ? std::min(lease, draining_lease_ms) : lease);
         w.extend_lease(order.until_ms);
     }
     w.renewal_sent = true;
--- a/packages/tasks/src/dispatcher_starts.cpp
+++ b/packages/tasks/src/dispatcher_starts.cpp
@@ -77,6 +77,8 @@
 bool dispatcher::can_start(milliseconds now, unit_ref const& ref,
                            active_run const& a) const
 {
+    if (grantable_lease(now) < start_window_ms)
+        return false;
     auto const* q = queue_of(jobs_.at(ref.job));
     bool const advised = q && q->advised;
     return std::all_of(a.members.begin(), a.members.end(),
--- a/packages/tasks/src/leadership.cpp
+++ b/packages/tasks/src/leadership.cpp
@@ -1,5 +1,7 @@
 #include <jasminetrack/tasks/leadership.hpp>
 
+#include <jasminetrack/tasks/lease_bounds.hpp>
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -11,8 +13,6 @@
 namespace
 {
 
-/// Three missed heartbeats of the holder, which sends one every 500 ms.
-constexpr milliseconds holder_timeout_ms = 1'600;
 /// Wait after a lost claim, for the first records of the winner.
 constexpr milliseconds lost_claim_wait_ms = 400;
 /// Delay between the claims of nodes of successive ranks. Nodes of `max_rank`
--- a/tests/support/dispatch_simulation.cpp
+++ b/tests/support/dispatch_simulation.cpp
@@ -256,6 +256,7 @@
         if (w.up)
             advance_worker(w);
     advance_gangs();
+    confirm_role();
     crash_workers_of_crashing_tasks();
     for (std::size_t i = 0; i < nodes_.size(); ++i)
     {
--- a/tests/support/dispatch_simulation.hpp
+++ b/tests/support/dispatch_simulation.hpp
@@ -8,6 +8,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -87,6 +88,10 @@
     /// Submits the job again to the dispatcher, with progress that is
     /// `records_behind` records old.
     void repeat(std::string const& id, std::size_t records_behind);
+    /// Cuts the dispatcher and the workers in `near` off from the log, from all
+    /// other workers and from later dispatchers.
+    void cut_off_leader(std::set<std::string> near);
+    void end_cut();
     /// Starts a new dispatcher. The old one continues until a worker or the log
     /// refuses its token.
     void take_over();
@@ -170,6 +175,14 @@
     };
 
     void step();
+    /// Confirms the role of the dispatcher that holds it, unless the log is not
+    /// reachable for it.
+    void confirm_role();
+    /// \returns whether the dispatcher and the worker are on different sides of
+    /// a cut.
+    [[nodiscard]] bool is_cut_off(std::size_t node,
+                                  std::string const& worker) const;
+    [[nodiscard]] bool is_cut_from_log(std::size_t node) const;
     void perform(std::size_t node);
     void send(std::size_t node, renew_order const& o);
     void send(std::size_t node, start_order const& o);
@@ -200,7 +213,8 @@
     void schedule(milliseconds delay, std::function<void()> work);
     /// Delivers an order, or delays or drops it or its answer by the faults.
     template <typename Reply>
-    void deliver(std::string const& worker, std::function<Reply()> execute,
+    void deliver(std::size_t node, std::string const& worker,
+                 std::function<Reply()> execute,
                  std::function<void(Reply)> answer,
                  std::function<void(call_result)> no_answer);
     [[nodiscard]] bool chance(double share);
@@ -217,6 +231,8 @@
     std::size_t leader_ = 0;
     std::int64_t epoch_ = 0;
     bool log_down_ = false;
+    std::optional<std::size_t> cut_node_;    ///< dispatcher behind a cut
+    std::set<std::string> cut_workers_;      ///< on its side
     std::map<std::string, std::string> log_; ///< newest record of each key
     std::map<std::string, std::vector<std::string>>
         history_; ///< all records of each key
--- a/tests/support/dispatch_simulation_orders.cpp
+++ b/tests/support/dispatch_simulation_orders.cpp
@@ -14,7 +14,7 @@
 } // namespace
 
 template <typename Reply>
-void dispatch_simulation::deliver(std::string const& worker,
+void dispatch_simulation::deliver(std::size_t node, std::string const& worker,
                                   std::function<Reply()> execute,
                                   std::function<void(Reply)> answer,
                                   std::function<void(call_result)> no_answer)
@@ -29,10 +29,10 @@
     };
     auto const lost = [this, no_answer](call_result result)
     { schedule(call_timeout_ms, [no_answer, result] { no_answer(result); }); };
-    auto const reachable = [this, worker]
+    auto const reachable = [this, node, worker]
     {
         auto const& w = workers_.at(worker);
-        return w.up && !w.disconnected;
+        return w.up && !w.disconnected && !is_cut_off(node, worker);
     };
     if (chance(faults_.lost_orders))
     {
@@ -55,10 +55,10 @@
     bool const answer_lost = chance(faults_.lost_answers);
     auto const answer_latency = latency();
     schedule(latency(),
-             [this, worker, reachable, execute, answer, no_answer, lost,
+             [this, node, worker, reachable, execute, answer, no_answer, lost,
               answer_lost, answer_latency]
              {
-                 if (is_replaced(worker))
+                 if (is_replaced(worker) && !is_cut_off(node, worker))
                  {
                      no_answer(call_result::other_incarnation);
                      return;
@@ -82,7 +82,7 @@
     auto const expected_incarnation =
         nodes_[node]->find_worker(o.worker)->info.incarnation;
     deliver<renew_reply>(
-        o.worker,
+        node, o.worker,
         [this, o, expected_incarnation]
         {
             // The dispatcher is not held to ends that an order to an earlier
@@ -119,7 +119,7 @@
     auto const expected_incarnation =
         nodes_[node]->find_worker(o.worker)->info.incarnation;
     deliver<call_result>(
-        o.worker,
+        node, o.worker,
         [this, o, expected_incarnation]
         {
             // A sender cannot know that its order arrives at a later
@@ -138,8 +138,9 @@
             nodes_[node]->on_stop(now_, {o.worker, o.run, result});
     };
     deliver<call_result>(
-        o.worker, [this, o] { return handle_stop(workers_.at(o.worker), o); },
-        answer, answer);
+        node, o.worker,
+        [this, o] { return handle_stop(workers_.at(o.worker), o); }, answer,
+        answer);
 }
 
 void dispatch_simulation::send(std::size_t node, advice_order const& o)
@@ -166,7 +167,7 @@
 void dispatch_simulation::send(std::size_t node, store_order const& o)
 {
     constexpr milliseconds append_ms = 8;
-    if (log_down_)
+    if (is_cut_from_log(node))
     {
         schedule(100, [this, node, o] { send(node, o); });
         return;
--- a/tests/support/manual_dispatcher.hpp
+++ b/tests/support/manual_dispatcher.hpp
@@ -19,8 +19,9 @@
 public:
     static constexpr milliseconds step_ms = 50;
 
-    explicit manual_dispatcher(configuration const& c = two_queues())
-        : dispatcher_(7, {}, now,
+    explicit manual_dispatcher(configuration const& c = two_queues(),
+                               dispatch_limits const& limits = {})
+        : dispatcher_(7, limits, now,
                       [this](decision const& d) { decisions.push_back(d); })
     {
         dispatcher_.set_configuration(c);
@@ -59,6 +60,36 @@
         dispatcher_.put_worker(now, w);
     }
 
+    /// Replaces the worker's entry in the platform's list.
+    void put_entry(worker_info const& w)
+    {
+        dispatcher_.put_worker(now, w);
+    }
+
+    [[nodiscard]] worker_info const& entry_of(std::string const& id) const
+    {
+        return infos_.at(id);
+    }
+
+    [[nodiscard]] worker_view const& view_of(std::string const& id) const
+    {
+        return *dispatcher_.find_worker(id);
+    }
+
+    /// Answers an order in the place of the worker.
+    void reply(renew_reply const& r)
+    {
+        dispatcher_.on_renew(now, r);
+    }
+    void reply(stop_reply const& r)
+    {
+        dispatcher_.on_stop(now, r);
+    }
+    void reply(start_reply const& r)
+    {
+        dispatcher_.on_start(now, r);
+    }
+
     void cancel(std::string const& job)
     {
         dispatcher_.cancel_job(now, job);
@@ -85,6 +116,11 @@
         dispatcher_.put_job(now, job, initial_progress(job.spec));
     }
 
+    void submit(accepted_job const& job)
+    {
+        dispatcher_.put_job(now, job, initial_progress(job.spec));
+    }
+
     /// Submits a job of which each task needs a whole worker.
     void submit(std::string const& id, std::string const& queue,
                 std::int64_t members = 1, bool checkpoints = false)
@@ -108,6 +144,8 @@
     {
         for (auto const until = now + ms; now < until; now += step_ms)
         {
+            if (stores)
+                dispatcher_.on_role_confirmed(now);
             dispatcher_.tick(now, now);
             for (auto const& a : dispatcher_.take_actions())
                 handle(a);
@@ -121,6 +159,13 @@
         dispatcher_.on_stored(now, unstored_);
     }
 
+    /// The log has stored what waited for it, which does not show that the
+    /// dispatcher holds the role.
+    void confirm_batch()
+    {
+        dispatcher_.on_stored(now, unstored_);
+    }
+
     void accept_start(start_order const& o)
     {
         starts.push_back(o);
@@ -135,6 +180,7 @@
     bool answers_starts = true;
     bool stores = true; ///< false: the log is away
     std::set<std::string> unresponsive;
+    std::set<std::string> held; ///< renewals of these stay without an answer
     /// Result of renewals of these workers.
     call_result unanswered_result = call_result::no_answer;
     /// Reported progress by worker; 1 for the others.
@@ -157,6 +203,12 @@
         return text;
     }
 
+    /// \returns the worker's own clock.
+    [[nodiscard]] milliseconds clock_of(std::string const& id) const
+    {
+        return now - started_at_.at(id) + 1;
+    }
+
     void answer_advice(advice_reply const& r)
     {
         dispatcher_.on_advice(now, r);
@@ -180,6 +232,8 @@
     void answer(renew_order const& o)
     {
         renewals[o.worker].push_back(o);
+        if (held.count(o.worker) != 0)
+            return;
         renew_reply r;
         r.worker = o.worker;
         r.result = unanswered_result;
@@ -203,11 +257,6 @@
             unstored_ = batch;
     }
 
-    [[nodiscard]] milliseconds clock_of(std::string const& id) const
-    {
-        return now - started_at_.at(id) + 1;
-    }
-
     std::map<std::string, std::int64_t> incarnations_;
     std::map<std::string, milliseconds> started_at_;
     std::map<std::string, worker_info> infos_;
