dispatcher: starts over a worker's restart are waited for

Two runs of one task were possible when a worker restarted under its id while a start to it had no answer. Two faults: * check_lost_workers() measured the time of a worker that was never reached from the dispatcher's own start, also after a later incarnation was listed. A dispatcher older than that dropped the runs that might be on the new incarnation 50 ms after the restart, as "its lease expired". * Such a start counted as not carried out once the new incarnation's clock was past 5 s. When the restart was noticed late, its first answer was enough, although the start could come for up to 12 s.

Change: the run keeps the time until which its start may come late, 13 s after the latest send if that had no answer. Only a renewal sent after that can show it to be absent, or one sent after the new incarnation has answered a stop of it, as it refuses the start from then on. An incarnation that does not answer at all may run it for the longest lease after that time.

--- a/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -148,8 +148,11 @@
     /// Handles a restart of the worker: ends the runs of its earlier
     /// incarnation and delays starts there while late orders may arrive.
     void start_incarnation(milliseconds now, worker_view& w,
-                           std::int64_t incarnation, milliseconds clock_ms,
-                           std::string const& why);
+                           std::int64_t incarnation, std::string const& why);
+    /// \returns the run as it counts at the worker's next incarnation, which
+    /// may carry out its start.
+    [[nodiscard]] static hosted_run
+    stray_run(milliseconds now, hosted_run const& o, member const& m);
     static void record_remaining_time(milliseconds now, worker_view& w,
                                       worker_info const& info);
     [[nodiscard]] std::map<task_run, hosted_run>
--- a/packages/tasks/include/jasminetrack/tasks/lease_bounds.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/lease_bounds.hpp
@@ -12,6 +12,9 @@
 /// three missed heartbeats, which are sent every 500 ms.
 inline constexpr milliseconds holder_timeout_ms = 1'600;
 
+/// A worker's clock may be slow by one part in this many.
+inline constexpr milliseconds clock_drift_divisor = 50;
+
 /// Time for which a dispatcher may grant leases while the log confirms none of
 /// its appends, as during an outage of the log.
 inline constexpr milliseconds unconfirmed_grant_ms = 6'000;
@@ -34,7 +37,6 @@
 [[nodiscard]] constexpr milliseconds
 max_earlier_lease(dispatch_limits const& limits) noexcept
 {
-    constexpr milliseconds clock_drift_divisor = 50; // 2 %
     auto const longest = max_lease_after_proof(limits);
     return longest + longest / clock_drift_divisor - holder_timeout_ms;
 }
--- a/packages/tasks/include/jasminetrack/tasks/worker_view.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/worker_view.hpp
@@ -30,6 +30,11 @@
     milliseconds stop_sent = 0;    ///< latest stop order; 0: none
     milliseconds ending_since = 0; ///< when `ending` was set
     bool isolated = false;         ///< nothing may be started beside it
+    /// Its start may be carried out at the worker's next incarnation until
+    /// then.
+    milliseconds late_start_until = 0;
+    /// The answer to a stop shows that its start is no longer carried out.
+    bool stop_settles = false;
 };
 
 /// One worker. Times are on the dispatcher's monotonic clock unless their
@@ -94,7 +99,8 @@
     /// Another process is at its address, so its own process has ended.
     bool replaced = false;
 
-    bool renewal_sent = false; ///< a renewal awaits its answer
+    bool renewal_sent = false;   ///< a renewal awaits its answer
+    milliseconds renewal_at = 0; ///< when the latest one was sent
     /// Pause before the next renewal, while the worker hosts no run.
     milliseconds idle_pause_ms = 0;
     std::int64_t last_seen = 0;     ///< newest end whose effects are in the log
@@ -115,6 +121,8 @@
     milliseconds last_unanswered_at = -1; ///< latest order without an answer
     /// End of the wait for late orders after the worker restarted.
     milliseconds starts_blocked_until = 0;
+    /// Late starts may run at an incarnation that has not answered until then.
+    milliseconds late_runs_until = 0;
 
 private:
     resources used_;
--- a/packages/tasks/src/dispatcher_losses.cpp
+++ b/packages/tasks/src/dispatcher_losses.cpp
@@ -17,9 +17,10 @@
     for (auto at = workers_.begin(); at != workers_.end();)
     {
         auto& w = at->second;
+        auto const runs_until = std::max(
+            created_at_ + max_earlier_lease(limits_), w.late_runs_until);
         bool const never_reached =
-            !w.token_known && w.clock_at_ < 0 &&
-            now - created_at_ > max_earlier_lease(limits_);
+            !w.token_known && w.clock_at_ < 0 && now > runs_until;
         if (!w.hosted_runs.empty() &&
             (never_reached || w.is_lease_expired(now)))
             end_lost_runs(now, w, "its lease expired");
--- a/packages/tasks/src/dispatcher_renewals.cpp
+++ b/packages/tasks/src/dispatcher_renewals.cpp
@@ -109,6 +109,7 @@
         w.extend_lease(order.until_ms);
     }
     w.renewal_sent = true;
+    w.renewal_at = now;
     out_.push_back(order);
 }
 
@@ -165,7 +166,7 @@
 {
     if (r.incarnation != 0 && w.info.incarnation != 0 &&
         r.incarnation != w.info.incarnation)
-        start_incarnation(now, w, r.incarnation, r.clock_ms,
+        start_incarnation(now, w, r.incarnation,
                           "another incarnation answered");
     if (r.incarnation != 0)
         w.info.incarnation = r.incarnation;
--- a/packages/tasks/src/dispatcher_replies.cpp
+++ b/packages/tasks/src/dispatcher_replies.cpp
@@ -145,7 +145,7 @@
         listed.insert(t.run);
     std::vector<std::pair<task_run, unit_ref>> missing;
     for (auto const& [run, o] : w.hosted_runs)
-        if (listed.count(run) == 0)
+        if (listed.count(run) == 0 && w.renewal_at >= o.late_start_until)
             missing.emplace_back(run, o.unit);
     for (auto const& [run, ref] : missing)
     {
--- a/packages/tasks/src/dispatcher_workers.cpp
+++ b/packages/tasks/src/dispatcher_workers.cpp
@@ -13,9 +13,6 @@
 constexpr milliseconds max_quarantine_ms = 32'000;
 /// An order without an answer may still be carried out within this time.
 constexpr milliseconds late_order_ms = 13'000;
-/// How long a start that was sent to an earlier incarnation is stopped at the
-/// next one before it counts as not carried out.
-constexpr milliseconds stray_start_ms = 5'000;
 /// Far below the times that are monitored.
 constexpr milliseconds monitor_interval_ms = 50;
 
@@ -28,8 +25,7 @@
         w.info.incarnation != 0 && info.incarnation > w.info.incarnation;
     auto const incarnation = std::max(w.info.incarnation, info.incarnation);
     if (restarted)
-        start_incarnation(now, w, incarnation, 0,
-                          "a new incarnation is listed");
+        start_incarnation(now, w, incarnation, "a new incarnation is listed");
     if (info.draining && !w.info.draining)
         log_decision("worker.draining", "",
                      "worker=" + info.id +
@@ -83,7 +79,6 @@
 /// there until no late order can arrive.
 void dispatcher::start_incarnation(milliseconds now, worker_view& w,
                                    std::int64_t incarnation,
-                                   milliseconds clock_ms,
                                    std::string const& why)
 {
     w.replaced = true;
@@ -96,6 +91,8 @@
     }
     end_lost_runs(now, w, why, kept);
     w.reset_for_incarnation(incarnation);
+    auto const longest_lease =
+        limits_.max_lease_ms + limits_.max_lease_ms / clock_drift_divisor;
     if (w.last_unanswered_at >= 0)
         w.starts_blocked_until = w.last_unanswered_at + late_order_ms;
     for (auto const& [run, o] : kept)
@@ -107,13 +104,32 @@
         if (!index)
             continue;
         auto& m = at->second.members[*index];
+        auto stray = stray_run(now, o, m);
+        w.late_runs_until =
+            std::max(w.late_runs_until,
+                     std::max(now, stray.late_start_until) + longest_lease);
         m.phase = member_phase::unconfirmed;
-        m.until_ms = clock_ms + stray_start_ms;
-        w.add(run, {o.unit, o.held, true, 0, now});
+        m.until_ms = 0;
+        w.add(run, std::move(stray));
         send_stop(now, w, run);
     }
 }
 
+/// A start that has been answered, and was sent once, is not carried out again.
+/// One of an earlier dispatcher is refused by a worker that has answered this
+/// one.
+hosted_run dispatcher::stray_run(milliseconds now, hosted_run const& o,
+                                 member const& m)
+{
+    bool const may_come_late =
+        m.phase != member_phase::adopted &&
+        (is_unconfirmed(m.phase) || m.last_sent_at != m.sent_at);
+    hosted_run stray{o.unit, o.held, true, 0, now};
+    stray.late_start_until = may_come_late ? m.last_sent_at + late_order_ms : 0;
+    stray.stop_settles = o.stop_sent == 0;
+    return stray;
+}
+
 /// \returns the runs whose starts may reach, or may have reached, a later
 /// incarnation than the one they were sent to.
 std::map<task_run, hosted_run>
@@ -180,8 +196,15 @@
         return;
     }
     auto const at = workers_.find(r.worker);
-    if (r.result == call_result::done || at == workers_.end())
+    if (at == workers_.end())
         return;
+    if (r.result == call_result::done)
+    {
+        auto const o = at->second.hosted_runs.find(r.run);
+        if (o != at->second.hosted_runs.end() && o->second.stop_settles)
+            o->second.late_start_until = now;
+        return;
+    }
     log_decision("stop.failed", r.run.task.job,
                  "worker=" + r.worker + " run=" + std::to_string(r.run.run) +
                      " result=" + to_text(r.result));
