dispatcher: a wrong list entry ends no runs

Two runs of one task, and a worker given more than it has room for, were possible when the platform's list named a wrong address for a worker, as in an entry of another writer: the process at that address refused the renewal as not meant for it, and all runs of the worker were ended at once and started elsewhere, while its own process ran them under its lease. The same refusal, to a renewal sent before the worker was listed elsewhere, dropped starts that might be carried out.

Change: such a refusal shows that the worker's process has ended only where this incarnation has answered this dispatcher. Otherwise its lease is no longer renewed, its runs keep their room, and it is renewed again if the entry is right in time; else its runs are over when its lease has expired. This makes the loss of a worker that a new dispatcher never reached known by its lease only. An entry with a service that no queue uses, for a worker whose service is used, is ignored: a worker does not change its service.

--- a/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -153,6 +153,8 @@
     /// may carry out its start.
     [[nodiscard]] static hosted_run
     stray_run(milliseconds now, hosted_run const& o, member const& m);
+    /// \returns whether a queue uses the service.
+    [[nodiscard]] bool is_used(std::string const& service) const;
     static void record_remaining_time(milliseconds now, worker_view& w,
                                       worker_info const& info);
     [[nodiscard]] std::map<task_run, hosted_run>
--- a/packages/tasks/include/jasminetrack/tasks/worker_view.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/worker_view.hpp
@@ -94,6 +94,8 @@
     /// It runs a task of an unknown job, so its free capacity is not known.
     bool runs_unknown_task = false;
     milliseconds answered_at = -1; ///< latest answer to a renewal
+    /// Where this incarnation has answered; empty: it has not.
+    std::string answered_address;
     /// Time of the first renewal that failed since the last answer; -1: none.
     milliseconds unresponsive_since = -1;
     /// Another process is at its address, so its own process has ended.
@@ -101,6 +103,7 @@
 
     bool renewal_sent = false;   ///< a renewal awaits its answer
     milliseconds renewal_at = 0; ///< when the latest one was sent
+    std::string renewal_address; ///< where it was sent
     /// Pause before the next renewal, while the worker hosts no run.
     milliseconds idle_pause_ms = 0;
     std::int64_t last_seen = 0;     ///< newest end whose effects are in the log
--- a/packages/tasks/src/dispatcher_renewals.cpp
+++ b/packages/tasks/src/dispatcher_renewals.cpp
@@ -110,6 +110,7 @@
     }
     w.renewal_sent = true;
     w.renewal_at = now;
+    w.renewal_address = w.info.address;
     out_.push_back(order);
 }
 
@@ -144,7 +145,12 @@
                                      call_result result)
 {
     w.idle_pause_ms = 0;
-    if (result == call_result::other_incarnation && !w.replaced)
+    // Only where it has answered before does another process show that its own
+    // one has ended: the address in its list entry may be wrong.
+    bool const is_replaced = result == call_result::other_incarnation &&
+                             !w.answered_address.empty() &&
+                             w.renewal_address == w.answered_address;
+    if (is_replaced)
     {
         w.replaced = true;
         confirm_losses(now, w.info.id, detail::any_incarnation);
@@ -186,6 +192,7 @@
     w.replaced = false;
     dismiss_losses(r.worker, w.info.incarnation);
     w.answered_at = now;
+    w.answered_address = w.renewal_address;
 }
 
 } // namespace jasminetrack::tasks
--- a/packages/tasks/src/dispatcher_workers.cpp
+++ b/packages/tasks/src/dispatcher_workers.cpp
@@ -21,6 +21,13 @@
 void dispatcher::put_worker(milliseconds now, worker_info const& info)
 {
     auto& w = workers_[info.id];
+    if (!is_used(info.service) && is_used(w.info.service))
+    {
+        // A worker does not change its service, so this is not its own entry.
+        log_decision("worker.entry.ignored", "",
+                     "worker=" + info.id + " service=" + info.service);
+        return;
+    }
     bool const restarted =
         w.info.incarnation != 0 && info.incarnation > w.info.incarnation;
     auto const incarnation = std::max(w.info.incarnation, info.incarnation);
@@ -49,6 +56,12 @@
     changed_ = true;
 }
 
+bool dispatcher::is_used(std::string const& service) const
+{
+    return std::any_of(config_.queues.begin(), config_.queues.end(),
+                       [&](queue const& q) { return q.service == service; });
+}
+
 /// A worker reports the remaining time again and again. Each report is older
 /// than it seems by the time that it took to arrive, so the earliest time
 /// counts.
--- a/packages/tasks/src/worker_view.cpp
+++ b/packages/tasks/src/worker_view.cpp
@@ -113,6 +113,7 @@
     last_success_at = -1;
     pace = {};
     token_known = false;
+    answered_address.clear();
     runs_unknown_task = false;
     replaced = false;
 }
--- /dev/null
+++ b/tests/unit/test_wrong_entries.cpp
@@ -0,0 +1,152 @@
+/// \file
+/// Entries of the platform's list that do not describe the worker they name,
+/// and refusals by a process at another address.
+
+#include "manual_dispatcher.hpp"
+#include "section.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace
+{
+
+using namespace support;
+
+constexpr milliseconds second_ms = 1'000;
+constexpr milliseconds lease_ms = 6'000;
+constexpr char const* other_address = "10.0.0.9:1";
+
+/// Two workers, and a task that runs on one of them.
+struct running_task_on_one_of_two
+{
+    running_task_on_one_of_two()
+    {
+        h.add_worker("w1", 1);
+        h.add_worker("w2", 1);
+        h.run_for(500);
+        h.submit("a", "batch");
+        h.run_for(500);
+        expect(h.starts.size() == 1, "the task runs");
+        worker = h.starts.front().worker;
+    }
+
+    /// Another process is at the address in the worker's entry.
+    void list_with_other_address()
+    {
+        auto entry = h.entry_of(worker);
+        entry.address = other_address;
+        h.put_entry(entry);
+        refuse();
+    }
+
+    void refuse()
+    {
+        h.unanswered_result = call_result::other_incarnation;
+        h.unresponsive.insert(worker);
+    }
+
+    manual_dispatcher h;
+    std::string worker;
+};
+
+class test_wrong_entries : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(test_wrong_entries);
+    CPPUNIT_TEST(a_wrong_address_ends_no_run);
+    CPPUNIT_TEST(an_entry_with_an_unused_service_changes_nothing);
+    CPPUNIT_TEST(a_refusal_where_the_worker_answered_ends_its_runs);
+    CPPUNIT_TEST(a_refusal_to_an_earlier_incarnation_ends_no_run);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void a_wrong_address_ends_no_run()
+    {
+        section("while the worker holds its lease",
+                [&]
+                {
+                    running_task_on_one_of_two t;
+                    t.list_with_other_address();
+                    t.h.run_for(2 * second_ms);
+                    expect(t.h.starts.size() == 1, "not started elsewhere");
+                    expect(!t.h.view_of(t.worker).hosted_runs.empty(),
+                           "its capacity is in use");
+                });
+        section("the run goes on once the entry is right again",
+                [&]
+                {
+                    running_task_on_one_of_two t;
+                    t.list_with_other_address();
+                    t.h.run_for(2 * second_ms);
+                    t.h.put_entry(t.h.entry_of(t.worker));
+                    t.h.unresponsive.clear();
+                    t.h.percents[t.worker] = 50; // it does not hang
+                    t.h.run_for(3 * second_ms);
+                    expect(t.h.starts.size() == 1, "not started again");
+                    expect(t.h.stops.empty(), "not stopped");
+                });
+        section("the task runs elsewhere after the lease",
+                [&]
+                {
+                    running_task_on_one_of_two t;
+                    t.list_with_other_address();
+                    auto const since = t.h.now;
+                    while (t.h.starts.size() == 1 &&
+                           t.h.now < since + 20 * second_ms)
+                        t.h.run_for(manual_dispatcher::step_ms);
+                    expect(t.h.starts.size() == 2, "started again");
+                    expect(t.h.now - since > lease_ms - second_ms,
+                           "not before the lease has expired");
+                });
+    }
+
+    void an_entry_with_an_unused_service_changes_nothing()
+    {
+        running_task_on_one_of_two t;
+        auto entry = t.h.entry_of(t.worker);
+        auto const address = entry.address;
+        entry.service = "unused";
+        entry.address = other_address;
+        entry.capacity = {80'000, 80'000, 80};
+        t.h.put_entry(entry);
+        t.h.run_for(2 * second_ms);
+        expect(t.h.renewals.at(t.worker).back().address == address,
+               "its lease is renewed where it answers");
+        expect(t.h.view_of(t.worker).info.capacity ==
+                   t.h.entry_of(t.worker).capacity,
+               "its capacity is the same");
+    }
+
+    void a_refusal_where_the_worker_answered_ends_its_runs()
+    {
+        running_task_on_one_of_two t;
+        t.refuse();
+        t.h.run_for(second_ms);
+        expect(t.h.starts.size() == 2, "started elsewhere at once");
+    }
+
+    /// The refused renewal was sent before the worker was listed elsewhere.
+    void a_refusal_to_an_earlier_incarnation_ends_no_run()
+    {
+        manual_dispatcher h;
+        h.add_worker("w1", 1);
+        h.run_for(500);
+        h.answers_starts = false;
+        h.submit("a", "batch");
+        h.run_for(200);
+        expect(h.starts.size() == 1, "the start has no answer");
+        h.held.insert("w1");
+        h.run_for(200);
+        h.add_worker("w2", 1);
+        h.add_worker("w1", 2, other_address);
+        renew_reply refusal;
+        refusal.worker = "w1";
+        refusal.result = call_result::other_incarnation;
+        h.reply(refusal);
+        h.run_for(2 * second_ms);
+        expect(h.starts.size() == 1, "the start may still be carried out");
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(test_wrong_entries);
+
+} // namespace
