dispatcher: answers of an earlier incarnation are dropped

A worker's answer that arrived after its next incarnation was listed took the view of the worker back to the earlier one. Its number of ends was then acknowledged to the new incarnation, so that ends of that one could be forgotten unseen and their tasks run again after they were done.

Evidence: test_late_answers::an_earlier_incarnation_does_not_come_back fails on the code before ("the one that is listed").

Change: an answer by the incarnation to which the renewal was sent is dropped if another one is known by now, and the renewal is sent anew. Answers are not compared by the time of the process's start, as a worker's clock may have been set back before it restarted.

--- a/packages/tasks/include/jasminetrack/tasks/worker_view.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/worker_view.hpp
@@ -101,9 +101,10 @@
     /// Another process is at its address, so its own process has ended.
     bool replaced = false;
 
-    bool renewal_sent = false;   ///< a renewal awaits its answer
-    milliseconds renewal_at = 0; ///< when the latest one was sent
-    std::string renewal_address; ///< where it was sent
+    bool renewal_sent = false;            ///< a renewal awaits its answer
+    milliseconds renewal_at = 0;          ///< when the latest one was sent
+    std::string renewal_address;          ///< where it was sent
+    std::int64_t renewal_incarnation = 0; ///< to which it was sent
     /// Pause before the next renewal, while the worker hosts no run.
     milliseconds idle_pause_ms = 0;
     std::int64_t last_seen = 0;     ///< newest end whose effects are in the log
--- a/packages/tasks/src/dispatcher_renewals.cpp
+++ b/packages/tasks/src/dispatcher_renewals.cpp
@@ -31,6 +31,13 @@
 constexpr std::size_t max_first_contacts = 128;
 constexpr milliseconds first_contact_retry_ms = 20;
 
+/// \returns whether the worker has restarted since it gave the answer.
+bool is_from_earlier_incarnation(worker_view const& w, renew_reply const& r)
+{
+    return r.incarnation != 0 && r.incarnation == w.renewal_incarnation &&
+           r.incarnation != w.info.incarnation;
+}
+
 } // namespace
 
 void dispatcher::send_due_renewals(milliseconds now)
@@ -111,6 +118,7 @@
     w.renewal_sent = true;
     w.renewal_at = now;
     w.renewal_address = w.info.address;
+    w.renewal_incarnation = w.info.incarnation;
     out_.push_back(order);
 }
 
@@ -133,6 +141,11 @@
         record_unresponsive(now, w, r.result);
         return;
     }
+    if (is_from_earlier_incarnation(w, r))
+    {
+        schedule_renewal(at->first, w, now);
+        return;
+    }
     record_answer(now, w, r);
     process_ended(now, w, r);
     process_running(now, w, r);
