dispatcher: a start that the next incarnation answered is no start

Two runs of one task were possible when a worker's next incarnation carried out a start and answered it before the dispatcher knew of the restart. The run counted as running; an answer that the earlier incarnation had given before, and that came later, did not list it, so it was ended as absent and started elsewhere. With clocks too close to tell that, the run was taken for one of the earlier incarnation, as the start was sent before that answer arrived.

Evidence: test_late_answers::a_start_at_the_next_incarnation_is_not_missing and a_start_after_the_answered_renewal_may_run_on fail on the code before.

Change: an answer to a start with a clock earlier than the worker's can be leaves the start unconfirmed until a renewal shows what runs. Whether a start may have reached the next incarnation depends on when the last answered renewal was sent, not on when its answer arrived.

--- a/packages/tasks/include/jasminetrack/tasks/worker_view.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/worker_view.hpp
@@ -49,6 +49,10 @@
 
     /// \returns a lower bound of the worker's clock, allowing for clock drift.
     [[nodiscard]] milliseconds clock_floor(milliseconds now) const noexcept;
+    /// \returns whether a reading of the worker's clock is earlier than it can
+    /// have been at this time, so that another incarnation gave it.
+    [[nodiscard]] bool is_before(milliseconds clock,
+                                 milliseconds at) const noexcept;
     /// \returns whether the worker's lease has certainly expired, so that it
     /// has ended all its runs.
     [[nodiscard]] bool is_lease_expired(milliseconds now) const noexcept;
@@ -94,6 +98,9 @@
     /// It runs a task of an unknown job, so its free capacity is not known.
     bool runs_unknown_task = false;
     milliseconds answered_at = -1; ///< latest answer to a renewal
+    /// When the renewal with that answer was sent. The worker may have
+    /// restarted since.
+    milliseconds answered_renewal_at = -1;
     /// Where this incarnation has answered; empty: it has not.
     std::string answered_address;
     /// Time of the first renewal that failed since the last answer; -1: none.
--- a/packages/tasks/src/dispatcher_renewals.cpp
+++ b/packages/tasks/src/dispatcher_renewals.cpp
@@ -205,6 +205,7 @@
     w.replaced = false;
     dismiss_losses(r.worker, w.info.incarnation);
     w.answered_at = now;
+    w.answered_renewal_at = w.renewal_at;
     w.answered_address = w.renewal_address;
 }
 
--- a/packages/tasks/src/dispatcher_starts.cpp
+++ b/packages/tasks/src/dispatcher_starts.cpp
@@ -12,6 +12,8 @@
 constexpr milliseconds start_window_ms = 1'500;
 /// A start is retried only while this much of its window is left.
 constexpr milliseconds min_retry_window_ms = 300;
+/// An answer to a renewal arrives at most this long after the worker gave it.
+constexpr milliseconds max_answer_delay_ms = 5'000;
 constexpr milliseconds refused_quarantine_ms = 2'000;
 
 } // namespace
@@ -164,10 +166,18 @@
                                 std::size_t index, milliseconds clock_ms)
 {
     auto& m = active_.at(ref).members[index];
+    auto& w = workers_.at(m.worker);
+    if (w.is_before(clock_ms, m.last_sent_at))
+    {
+        // The worker has restarted: an answer to a renewal shows what runs.
+        m.phase = member_phase::unconfirmed;
+        m.until_ms = w.clock_floor(now) + max_answer_delay_ms;
+        return;
+    }
     m.phase = member_phase::running;
     m.started_ms = clock_ms;
     m.progress_at = now;
-    workers_.at(m.worker).update_clock(now, clock_ms);
+    w.update_clock(now, clock_ms);
     auto& e = *find_job(ref.job);
     if (e.progress.units.at(ref.unit).checkpoint.empty())
         m.progress.update(clock_ms, 0);
--- a/packages/tasks/src/dispatcher_workers.cpp
+++ b/packages/tasks/src/dispatcher_workers.cpp
@@ -158,9 +158,11 @@
         if (!index)
             continue;
         auto const& m = at->second.members[*index];
-        // A start sent after the latest answer of the earlier incarnation may
-        // have been answered by the new one.
-        if (is_unconfirmed(m.phase) || m.last_sent_at >= w.answered_at)
+        // A start sent after the latest renewal that the earlier incarnation
+        // has answered may have been answered by the new one.
+        if (is_unconfirmed(m.phase) ||
+            (m.phase != member_phase::recorded &&
+             m.last_sent_at >= w.answered_renewal_at))
             list.emplace(run, o);
     }
     return list;
--- a/packages/tasks/src/worker_view.cpp
+++ b/packages/tasks/src/worker_view.cpp
@@ -11,6 +11,7 @@
 /// A worker's clock may be slow by up to this many thousandths.
 constexpr milliseconds max_clock_drift = 20;
 constexpr milliseconds thousand = 1000;
+constexpr milliseconds clock_tolerance_ms = 100;
 /// A worker that has not answered for this time, beyond a pause of its
 /// renewals, gets no starts; more than two of its answers are missing then.
 constexpr milliseconds max_answer_age_ms = 3'500;
@@ -36,6 +37,11 @@
     return clock_at_ >= 0 && clock_floor(now) > lease_until_;
 }
 
+bool worker_view::is_before(milliseconds clock, milliseconds at) const noexcept
+{
+    return clock_at_ >= 0 && clock < clock_floor(at) - clock_tolerance_ms;
+}
+
 resources worker_view::free_capacity() const noexcept
 {
     return info.capacity - used_ - reserved;
@@ -114,6 +120,7 @@
     pace = {};
     token_known = false;
     answered_address.clear();
+    answered_renewal_at = -1;
     runs_unknown_task = false;
     replaced = false;
 }
