dispatcher: a start is repeated only while it fits

A worker that does not check its capacity could be given more than it has room for: capacity, drain and list were checked when a start was first sent, but not when it was repeated for want of an answer.

Evidence: test_shrinking_capacity::a_start_is_not_repeated_beyond_the_capacity fails on the code before ("not sent again").

Change: the repeat is subject to the same checks; otherwise the start stays unconfirmed, and a renewal shows whether the first one was carried out.

--- a/packages/tasks/src/dispatcher_starts.cpp
+++ b/packages/tasks/src/dispatcher_starts.cpp
@@ -204,7 +204,9 @@
     if (result == call_result::no_answer)
     {
         w.last_unanswered_at = now;
-        if (now - m.sent_at < start_window_ms - min_retry_window_ms)
+        bool const has_time =
+            now - m.sent_at < start_window_ms - min_retry_window_ms;
+        if (has_time && can_start(now, ref, a))
             send_start(now, *find_job(ref.job), ref, index);
         else
             m.phase = member_phase::unconfirmed;
--- a/tests/unit/test_shrinking_capacity.cpp
+++ b/tests/unit/test_shrinking_capacity.cpp
@@ -11,6 +11,7 @@
 
 using namespace support;
 
+constexpr milliseconds second_ms = 1'000;
 constexpr resources half{4'000, 4'000, 4};
 constexpr resources whole{8'000, 8'000, 8};
 
@@ -25,6 +26,7 @@
     CPPUNIT_TEST(no_start_exceeds_the_capacity_that_is_left);
     CPPUNIT_TEST(a_placement_that_waits_for_the_log_is_checked_again);
     CPPUNIT_TEST(a_task_without_accelerators_counts_as_well);
+    CPPUNIT_TEST(a_start_is_not_repeated_beyond_the_capacity);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -98,6 +100,33 @@
         expect(!has(h.newest("unit.place"), "each=0"),
                "it is not placed there only to be withdrawn");
     }
+
+    void a_start_is_not_repeated_beyond_the_capacity()
+    {
+        manual_dispatcher h;
+        h.add_worker("w1", 1);
+        h.run_for(500);
+        h.answers_starts = false;
+        h.submit("a", "batch", whole);
+        h.run_for(200);
+        expect(h.starts.size() == 1, "the start was sent");
+        auto const run = h.starts.front().run;
+        section("it is repeated while its task fits",
+                [&]
+                {
+                    h.reply(start_reply{"w1", run, call_result::no_answer, 0});
+                    h.run_for(100);
+                    expect(h.starts.size() == 2, "sent again");
+                });
+        section("it is not once the capacity has shrunk",
+                [&]
+                {
+                    h.set_capacity("w1", half);
+                    h.reply(start_reply{"w1", run, call_result::no_answer, 0});
+                    h.run_for(second_ms);
+                    expect(h.starts.size() == 2, "not sent again");
+                });
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(test_shrinking_capacity);
