--- a/packages/entry/include/jasminetrack/entry/dispatch_loop.hpp
+++ b/packages/entry/include/jasminetrack/entry/dispatch_loop.hpp
@@ -119,9 +119,9 @@
     tasks::leadership leadership_;
     std::unique_ptr<tasks::dispatcher> dispatcher_;
     std::shared_ptr<tasks::configuration const> config_;
-    std::int64_t work_next_ = -1; ///< end of the topic of work; -1: not read
+    std::int64_t work_next_ = -1;    ///< end of the topic of work; -1: not read
     milliseconds claim_sent_ms_ = 0; ///< newest claim of this node
-    std::int64_t epoch_ = 0;      ///< while leading
+    std::int64_t epoch_ = 0;         ///< while leading
     std::int64_t sequence_ = 0;
     std::optional<append_call> append_in_flight_;
     std::int64_t store_batch_ = 0;      ///< of that append; 0: a heartbeat
