--- a/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -9,6 +9,7 @@
 #include <jasminetrack/tasks/dispatch_limits.hpp>
 #include <jasminetrack/tasks/due_queue.hpp>
 #include <jasminetrack/tasks/headroom.hpp>
+#include <jasminetrack/tasks/lease_bounds.hpp>
 #include <jasminetrack/tasks/list_currency.hpp>
 #include <jasminetrack/tasks/placement_advice.hpp>
 #include <jasminetrack/tasks/service_utilization.hpp>
@@ -108,6 +109,10 @@
     void on_advice(milliseconds now, advice_reply const& reply);
     /// The log has stored this batch and all earlier ones.
     void on_stored(milliseconds now, std::int64_t batch);
+    /// The log has confirmed an append of this dispatcher that was first sent
+    /// at `sent_at`, so that it held the role then. Leases end a limited time
+    /// after that; the caller calls this again and again.
+    void on_role_confirmed(milliseconds sent_at) noexcept;
     /// Runs all periodic work.
     /// \param wall  wall-clock time, milliseconds since 1970
     void tick(milliseconds now, milliseconds wall);
@@ -147,8 +152,13 @@
     /// Handles a restart of the worker: ends the runs of its earlier
     /// incarnation and delays starts there while late orders may arrive.
     void start_incarnation(milliseconds now, worker_view& w,
-                           std::int64_t incarnation, milliseconds clock_ms,
-                           std::string const& why);
+                           std::int64_t incarnation, std::string const& why);
+    /// \returns the run as it counts at the worker's next incarnation, which
+    /// may carry out its start.
+    [[nodiscard]] static hosted_run
+    stray_run(milliseconds now, hosted_run const& o, member const& m);
+    /// \returns whether a queue uses the service.
+    [[nodiscard]] bool is_used(std::string const& service) const;
     void log_capacity(worker_view const& w, worker_info const& info) const;
     static void record_remaining_time(milliseconds now, worker_view& w,
                                       worker_info const& info);
@@ -156,6 +166,9 @@
     unconfirmed_starts(worker_view const& w);
     void send_due_renewals(milliseconds now);
     void send_renewal(milliseconds now, worker_view& w, bool wait);
+    /// \returns how long a lease that is granted now may last, as successors
+    /// rely on its end; not positive if no lease may be granted.
+    [[nodiscard]] milliseconds grantable_lease(milliseconds now) const noexcept;
     /// Sends the worker's next renewal at `due`, or after the answer to the one
     /// that is under way.
     void schedule_renewal(std::string const& worker, worker_view const& w,
@@ -382,6 +395,8 @@
     std::int64_t token_;
     dispatch_limits limits_;
     milliseconds created_at_;
+    /// Send time of the newest append that shows that it holds the role.
+    milliseconds confirmed_at_;
     listener listen_;
     bool deposed_ = false;
     bool changed_ = true; ///< an input of placement since the last pass
--- a/packages/tasks/include/jasminetrack/tasks/worker_view.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/worker_view.hpp
@@ -30,6 +30,11 @@
     milliseconds stop_sent = 0;    ///< latest stop order; 0: none
     milliseconds ending_since = 0; ///< when `ending` was set
     bool isolated = false;         ///< nothing may be started beside it
+    /// Its start may be carried out at the worker's next incarnation until
+    /// then.
+    milliseconds late_start_until = 0;
+    /// The answer to a stop shows that its start is no longer carried out.
+    bool stop_settles = false;
 };
 
 /// One worker. Times are on the dispatcher's monotonic clock unless their
@@ -44,6 +49,10 @@
 
     /// \returns a lower bound of the worker's clock, allowing for clock drift.
     [[nodiscard]] milliseconds clock_floor(milliseconds now) const noexcept;
+    /// \returns whether a reading of the worker's clock is earlier than it can
+    /// have been at this time, so that another incarnation gave it.
+    [[nodiscard]] bool is_before(milliseconds clock,
+                                 milliseconds at) const noexcept;
     /// \returns whether the worker's lease has certainly expired, so that it
     /// has ended all its runs.
     [[nodiscard]] bool is_lease_expired(milliseconds now) const noexcept;
@@ -94,12 +103,20 @@
     /// It runs a task of an unknown job, so its free capacity is not known.
     bool runs_unknown_task = false;
     milliseconds answered_at = -1; ///< latest answer to a renewal
+    /// When the renewal with that answer was sent. The worker may have
+    /// restarted since.
+    milliseconds answered_renewal_at = -1;
+    /// Where this incarnation has answered; empty: it has not.
+    std::string answered_address;
     /// Time of the first renewal that failed since the last answer; -1: none.
     milliseconds unresponsive_since = -1;
     /// Another process is at its address, so its own process has ended.
     bool replaced = false;
 
-    bool renewal_sent = false; ///< a renewal awaits its answer
+    bool renewal_sent = false;            ///< a renewal awaits its answer
+    milliseconds renewal_at = 0;          ///< when the latest one was sent
+    std::string renewal_address;          ///< where it was sent
+    std::int64_t renewal_incarnation = 0; ///< to which it was sent
     /// Pause before the next renewal, while the worker hosts no run.
     milliseconds idle_pause_ms = 0;
     std::int64_t last_seen = 0;     ///< newest end whose effects are in the log
@@ -120,6 +137,8 @@
     milliseconds last_unanswered_at = -1; ///< latest order without an answer
     /// End of the wait for late orders after the worker restarted.
     milliseconds starts_blocked_until = 0;
+    /// Late starts may run at an incarnation that has not answered until then.
+    milliseconds late_runs_until = 0;
 
 private:
     resources used_;
--- a/packages/tasks/src/dispatcher_losses.cpp
+++ b/packages/tasks/src/dispatcher_losses.cpp
@@ -7,8 +7,6 @@
 namespace
 {
 
-/// An earlier dispatcher stops within this time after its successor starts.
-constexpr milliseconds handover_ms = 3'000;
 /// Unlisted workers are kept for this time, as they may be listed again.
 constexpr milliseconds unlisted_keep_ms = 60'000;
 
@@ -19,10 +17,10 @@
     for (auto at = workers_.begin(); at != workers_.end();)
     {
         auto& w = at->second;
+        auto const runs_until = std::max(
+            created_at_ + max_earlier_lease(limits_), w.late_runs_until);
         bool const never_reached =
-            !w.token_known && w.clock_at_ < 0 &&
-            now - created_at_ >
-                limits_.max_lease_ms + limits_.max_lease_ms / 50 + handover_ms;
+            !w.token_known && w.clock_at_ < 0 && now > runs_until;
         if (!w.hosted_runs.empty() &&
             (never_reached || w.is_lease_expired(now)))
             end_lost_runs(now, w, "its lease expired");
--- a/packages/tasks/src/dispatcher_renewals.cpp
+++ b/packages/tasks/src/dispatcher_renewals.cpp
@@ -15,6 +15,9 @@
 /// Longest wait of a renewal at its worker. A third of the lease, so that two
 /// renewals may be lost.
 constexpr milliseconds renewal_wait_ms = 2'000;
+constexpr milliseconds renewals_per_lease = 3;
+/// A shorter lease may end before its renewal arrives.
+constexpr milliseconds min_lease_ms = 500;
 constexpr milliseconds unacknowledged_renewal_ms = 1'000;
 constexpr milliseconds unresponsive_retry_ms = 300;
 /// Renewals of idle workers that may take up processor time of the busy ones.
@@ -28,6 +31,13 @@
 constexpr std::size_t max_first_contacts = 128;
 constexpr milliseconds first_contact_retry_ms = 20;
 
+/// \returns whether the worker has restarted since it gave the answer.
+bool is_from_earlier_incarnation(worker_view const& w, renew_reply const& r)
+{
+    return r.incarnation != 0 && r.incarnation == w.renewal_incarnation &&
+           r.incarnation != w.info.incarnation;
+}
+
 } // namespace
 
 void dispatcher::send_due_renewals(milliseconds now)
@@ -81,6 +91,12 @@
     return now + w.idle_pause_ms;
 }
 
+milliseconds dispatcher::grantable_lease(milliseconds now) const noexcept
+{
+    auto const left = confirmed_at_ + max_lease_after_proof(limits_) - now;
+    return std::min({lease_ms, limits_.max_lease_ms, left});
+}
+
 void dispatcher::send_renewal(milliseconds now, worker_view& w, bool wait)
 {
     if (w.processed_batch <= stored_batch_)
@@ -90,14 +106,19 @@
     // The lease of an unresponsive worker is not extended: it may still carry
     // out the renewal, which would delay the time after which its runs are
     // certain to have ended.
-    if (w.clock_at_ >= 0 && w.unresponsive_since < 0)
+    auto const lease = grantable_lease(now);
+    if (w.clock_at_ >= 0 && w.unresponsive_since < 0 && lease >= min_lease_ms)
     {
-        auto const wanted = w.info.draining ? draining_lease_ms : lease_ms;
+        order.wait_ms = std::min(order.wait_ms, lease / renewals_per_lease);
         order.until_ms =
-            w.clock_floor(now) + std::min(wanted, limits_.max_lease_ms);
+            w.clock_floor(now) +
+            (w.info.draining ? std::min(lease, draining_lease_ms) : lease);
         w.extend_lease(order.until_ms);
     }
     w.renewal_sent = true;
+    w.renewal_at = now;
+    w.renewal_address = w.info.address;
+    w.renewal_incarnation = w.info.incarnation;
     out_.push_back(order);
 }
 
@@ -120,6 +141,11 @@
         record_unresponsive(now, w, r.result);
         return;
     }
+    if (is_from_earlier_incarnation(w, r))
+    {
+        schedule_renewal(at->first, w, now);
+        return;
+    }
     record_answer(now, w, r);
     process_ended(now, w, r);
     process_running(now, w, r);
@@ -132,7 +158,12 @@
                                      call_result result)
 {
     w.idle_pause_ms = 0;
-    if (result == call_result::other_incarnation && !w.replaced)
+    // Only where it has answered before does another process show that its own
+    // one has ended: the address in its list entry may be wrong.
+    bool const is_replaced = result == call_result::other_incarnation &&
+                             !w.answered_address.empty() &&
+                             w.renewal_address == w.answered_address;
+    if (is_replaced)
     {
         w.replaced = true;
         confirm_losses(now, w.info.id, detail::any_incarnation);
@@ -154,7 +185,7 @@
 {
     if (r.incarnation != 0 && w.info.incarnation != 0 &&
         r.incarnation != w.info.incarnation)
-        start_incarnation(now, w, r.incarnation, r.clock_ms,
+        start_incarnation(now, w, r.incarnation,
                           "another incarnation answered");
     if (r.incarnation != 0)
         w.info.incarnation = r.incarnation;
@@ -174,6 +205,8 @@
     w.replaced = false;
     dismiss_losses(r.worker, w.info.incarnation);
     w.answered_at = now;
+    w.answered_renewal_at = w.renewal_at;
+    w.answered_address = w.renewal_address;
 }
 
 } // namespace jasminetrack::tasks
--- a/packages/tasks/src/dispatcher_starts.cpp
+++ b/packages/tasks/src/dispatcher_starts.cpp
@@ -12,6 +12,8 @@
 constexpr milliseconds start_window_ms = 1'500;
 /// A start is retried only while this much of its window is left.
 constexpr milliseconds min_retry_window_ms = 300;
+/// An answer to a renewal arrives at most this long after the worker gave it.
+constexpr milliseconds max_answer_delay_ms = 5'000;
 constexpr milliseconds refused_quarantine_ms = 2'000;
 
 } // namespace
@@ -77,7 +79,8 @@
 bool dispatcher::can_start(milliseconds now, unit_ref const& ref,
                            active_run const& a) const
 {
-    if (!list_currency_.is_current(now))
+    if (!list_currency_.is_current(now) ||
+        grantable_lease(now) < start_window_ms)
         return false;
     auto const* q = queue_of(jobs_.at(ref.job));
     bool const advised = q && q->advised;
@@ -164,10 +167,18 @@
                                 std::size_t index, milliseconds clock_ms)
 {
     auto& m = active_.at(ref).members[index];
+    auto& w = workers_.at(m.worker);
+    if (w.is_before(clock_ms, m.last_sent_at))
+    {
+        // The worker has restarted: an answer to a renewal shows what runs.
+        m.phase = member_phase::unconfirmed;
+        m.until_ms = w.clock_floor(now) + max_answer_delay_ms;
+        return;
+    }
     m.phase = member_phase::running;
     m.started_ms = clock_ms;
     m.progress_at = now;
-    workers_.at(m.worker).update_clock(now, clock_ms);
+    w.update_clock(now, clock_ms);
     auto& e = *find_job(ref.job);
     if (e.progress.units.at(ref.unit).checkpoint.empty())
         m.progress.update(clock_ms, 0);
@@ -195,7 +206,9 @@
     {
         m.answer_missing = true;
         w.last_unanswered_at = now;
-        if (now - m.sent_at < start_window_ms - min_retry_window_ms)
+        bool const has_time =
+            now - m.sent_at < start_window_ms - min_retry_window_ms;
+        if (has_time && can_start(now, ref, a))
             send_start(now, *find_job(ref.job), ref, index);
         else
             m.phase = member_phase::unconfirmed;
--- a/packages/tasks/src/dispatcher_workers.cpp
+++ b/packages/tasks/src/dispatcher_workers.cpp
@@ -13,9 +13,6 @@
 constexpr milliseconds max_quarantine_ms = 32'000;
 /// An order without an answer may still be carried out within this time.
 constexpr milliseconds late_order_ms = 13'000;
-/// How long a start that was sent to an earlier incarnation is stopped at the
-/// next one before it counts as not carried out.
-constexpr milliseconds stray_start_ms = 5'000;
 /// Far below the times that are monitored.
 constexpr milliseconds monitor_interval_ms = 50;
 
@@ -24,12 +21,18 @@
 void dispatcher::put_worker(milliseconds now, worker_info const& info)
 {
     auto& w = workers_[info.id];
+    if (!is_used(info.service) && is_used(w.info.service))
+    {
+        // A worker does not change its service, so this is not its own entry.
+        log_decision("worker.entry.ignored", "",
+                     "worker=" + info.id + " service=" + info.service);
+        return;
+    }
     bool const restarted =
         w.info.incarnation != 0 && info.incarnation > w.info.incarnation;
     auto const incarnation = std::max(w.info.incarnation, info.incarnation);
     if (restarted)
-        start_incarnation(now, w, incarnation, 0,
-                          "a new incarnation is listed");
+        start_incarnation(now, w, incarnation, "a new incarnation is listed");
     if (info.draining && !w.info.draining)
         log_decision("worker.draining", "",
                      "worker=" + info.id +
@@ -65,6 +68,12 @@
                      " used=" + to_text(w.used()));
 }
 
+bool dispatcher::is_used(std::string const& service) const
+{
+    return std::any_of(config_.queues.begin(), config_.queues.end(),
+                       [&](queue const& q) { return q.service == service; });
+}
+
 /// A worker reports the remaining time again and again. Each report is older
 /// than it seems by the time that it took to arrive, so the earliest time
 /// counts.
@@ -105,7 +114,6 @@
 /// there until no late order can arrive.
 void dispatcher::start_incarnation(milliseconds now, worker_view& w,
                                    std::int64_t incarnation,
-                                   milliseconds clock_ms,
                                    std::string const& why)
 {
     w.replaced = true;
@@ -118,6 +126,8 @@
     }
     end_lost_runs(now, w, why, kept);
     w.reset_for_incarnation(incarnation);
+    auto const longest_lease =
+        limits_.max_lease_ms + limits_.max_lease_ms / clock_drift_divisor;
     if (w.last_unanswered_at >= 0)
         w.starts_blocked_until = w.last_unanswered_at + late_order_ms;
     for (auto const& [run, o] : kept)
@@ -129,13 +139,32 @@
         if (!index)
             continue;
         auto& m = at->second.members[*index];
+        auto stray = stray_run(now, o, m);
+        w.late_runs_until =
+            std::max(w.late_runs_until,
+                     std::max(now, stray.late_start_until) + longest_lease);
         m.phase = member_phase::unconfirmed;
-        m.until_ms = clock_ms + stray_start_ms;
-        w.add(run, {o.unit, o.held, true, 0, now});
+        m.until_ms = 0;
+        w.add(run, std::move(stray));
         send_stop(now, w, run);
     }
 }
 
+/// A start that has been answered, and was sent once, is not carried out again.
+/// One of an earlier dispatcher is refused by a worker that has answered this
+/// one.
+hosted_run dispatcher::stray_run(milliseconds now, hosted_run const& o,
+                                 member const& m)
+{
+    bool const may_come_late =
+        m.phase != member_phase::adopted &&
+        (is_unconfirmed(m.phase) || m.last_sent_at != m.sent_at);
+    hosted_run stray{o.unit, o.held, true, 0, now};
+    stray.late_start_until = may_come_late ? m.last_sent_at + late_order_ms : 0;
+    stray.stop_settles = o.stop_sent == 0;
+    return stray;
+}
+
 /// \returns the runs whose starts may reach, or may have reached, a later
 /// incarnation than the one they were sent to.
 std::map<task_run, hosted_run>
@@ -151,9 +180,11 @@
         if (!index)
             continue;
         auto const& m = at->second.members[*index];
-        // A start sent after the latest answer of the earlier incarnation may
-        // have been answered by the new one.
-        if (is_unconfirmed(m.phase) || m.last_sent_at >= w.answered_at)
+        // A start sent after the latest renewal that the earlier incarnation
+        // has answered may have been answered by the new one.
+        if (is_unconfirmed(m.phase) ||
+            (m.phase != member_phase::recorded &&
+             m.last_sent_at >= w.answered_renewal_at))
             list.emplace(run, o);
     }
     return list;
@@ -202,8 +233,15 @@
         return;
     }
     auto const at = workers_.find(r.worker);
-    if (r.result == call_result::done || at == workers_.end())
+    if (at == workers_.end())
         return;
+    if (r.result == call_result::done)
+    {
+        auto const o = at->second.hosted_runs.find(r.run);
+        if (o != at->second.hosted_runs.end() && o->second.stop_settles)
+            o->second.late_start_until = now;
+        return;
+    }
     log_decision("stop.failed", r.run.task.job,
                  "worker=" + r.worker + " run=" + std::to_string(r.run.run) +
                      " result=" + to_text(r.result));
