--- a/tests/support/dispatch_simulation.hpp
+++ b/tests/support/dispatch_simulation.hpp
@@ -286,6 +286,7 @@
     void stop_fenced_nodes();
     void write_entry(std::string const& id, std::optional<worker_info> entry);
     void read_list();
+    void delay_list();
     /// \returns the largest capacity that a start may rely on.
     [[nodiscard]] resources counted_capacity(sim_worker const& w) const;
     [[nodiscard]] milliseconds between(milliseconds from, milliseconds to);
--- a/tests/support/dispatch_simulation_list.cpp
+++ b/tests/support/dispatch_simulation_list.cpp
@@ -72,7 +72,21 @@
 {
     trace(down ? "list down" : "list up");
     list_down_ = down;
-    read_list();
+    if (!down)
+        delay_list();
+}
+
+/// After an outage, entries are written and read with the usual lag.
+void dispatch_simulation::delay_list()
+{
+    auto const lag =
+        faults_.max_list_lag_ms == 0 ? 0 : between(0, faults_.max_list_lag_ms);
+    for (auto& entry : unread_entries_)
+        entry.due = std::max(entry.due, now_ + lag);
+    if (lag == 0)
+        read_list();
+    else
+        schedule(lag, [this] { read_list(); });
 }
 
 void dispatch_simulation::write_entry(std::string const& id,
--- a/tests/support/manual_dispatcher.hpp
+++ b/tests/support/manual_dispatcher.hpp
@@ -131,6 +131,12 @@
             now, {o.worker, o.run, call_result::done, clock_of(o.worker)});
     }
 
+    /// Answers a start that was sent while `answers_starts` was false.
+    void answer_start(start_order const& o, call_result result)
+    {
+        dispatcher_.on_start(now, {o.worker, o.run, result, 0});
+    }
+
     milliseconds now = 100'000;
     bool answers_starts = true;
     bool stores = true; ///< false: the log is away
