--- a/tests/support/dispatch_simulation.hpp
+++ b/tests/support/dispatch_simulation.hpp
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <iosfwd>
+#include <cstddef>
 #include <map>
 #include <memory>
 #include <optional>
@@ -357,6 +358,8 @@
     std::map<std::string, std::string> log_; ///< newest record of each key
     std::map<std::string, std::vector<std::string>>
         history_; ///< all records of each key
+    /// Records of each key at the newest take-over.
+    std::map<std::string, std::ptrdiff_t> claimed_after_;
     configuration config_;
     std::map<run_end, int> ended_;
     std::set<std::string> forbidden_;
--- a/tests/support/dispatch_simulation_nodes.cpp
+++ b/tests/support/dispatch_simulation_nodes.cpp
@@ -55,6 +55,8 @@
     if (!nodes_.empty())
         replaced_at_[leader_] = now_;
     leader_ = nodes_.size();
+    for (auto const& [key, records] : history_)
+        claimed_after_[key] = std::ssize(records);
     trace("take-over by " + std::to_string(leader_));
     auto const node = std::make_shared<dispatcher>(
         epoch_, dispatch_limits{}, now_,
