--- a/tests/support/dispatch_simulation.hpp
+++ b/tests/support/dispatch_simulation.hpp
@@ -6,9 +6,9 @@
 
 #include <jasminetrack/tasks/dispatcher.hpp>
 
+#include <cstddef>
 #include <functional>
 #include <iosfwd>
-#include <cstddef>
 #include <map>
 #include <memory>
 #include <optional>
