--- a/tests/support/dispatch_simulation_cuts.cpp
+++ b/tests/support/dispatch_simulation_cuts.cpp
@@ -28,13 +28,13 @@
 
 bool dispatch_simulation::is_cut_from_log(std::size_t node) const
 {
-    return log_down_ || node == cut_node_;
+    return log_down_ || node == cut_node_ || cut_from_log_.count(node) != 0;
 }
 
 void dispatch_simulation::confirm_role()
 {
     auto const& holder = nodes_[leader_];
-    if (holder && !is_cut_from_log(leader_))
+    if (holder && frozen_.count(leader_) == 0 && !is_cut_from_log(leader_))
         holder->on_role_confirmed(now_);
 }
 
--- a/tests/unit/test_leases.cpp
+++ b/tests/unit/test_leases.cpp
@@ -2,6 +2,7 @@
 /// Leases of a dispatcher whose role is not confirmed, and the wait of its
 /// successor for their end.
 
+#include "crashing_jobs.hpp"
 #include "manual_dispatcher.hpp"
 #include "section.hpp"
 
@@ -137,12 +138,6 @@
     }
 
 private:
-    static void expect_no_violations(dispatch_simulation const& w)
-    {
-        auto const& v = w.violations();
-        expect(v.empty(), v.empty() ? "" : v.front());
-    }
-
     static void check_outage(milliseconds max_lease_ms)
     {
         constexpr milliseconds outage_ms = 8 * second_ms;
--- /dev/null
+++ b/tests/unit/test_random_fleet.cpp
@@ -0,0 +1,170 @@
+/// \file
+/// Random days of a fleet with tasks that crash their workers and capacities
+/// that change, together with one class of disturbances each.
+
+#include "random_fleet.hpp"
+#include "section.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <array>
+#include <cstdlib>
+#include <iostream>
+
+namespace
+{
+
+using namespace support;
+
+unsigned from_environment(char const* name, unsigned fallback)
+{
+    auto const* text = std::getenv(name);
+    return text ? static_cast<unsigned>(std::atoi(text)) : fallback;
+}
+
+/// Plays days of one profile and counts those with each kind of violation.
+class profile_result
+{
+public:
+    void play(unsigned seed, fleet_profile const& profile, std::ostream* trace)
+    {
+        random_fleet fleet(seed, profile);
+        fleet.world().trace_to(trace);
+        fleet.run();
+        std::set<std::string> kinds;
+        for (auto const& v : fleet.world().violations())
+            if (kinds.insert(to_text(v.kind)).second)
+                note(seed, to_text(v.kind), v.text);
+        for (auto const& job : fleet.unfinished())
+            if (kinds.insert("unfinished").second)
+                note(seed, "unfinished", job);
+    }
+    [[nodiscard]] bool is_clean() const noexcept
+    {
+        return days_.empty();
+    }
+    /// \returns the days with each kind, and an example.
+    [[nodiscard]] std::string summary() const
+    {
+        std::string text;
+        for (auto const& [kind, days] : days_)
+            text += "\n    " + kind + ": " + std::to_string(days) +
+                    ", such as " + examples_.at(kind);
+        return text;
+    }
+
+private:
+    void note(unsigned seed, std::string const& kind, std::string const& text)
+    {
+        ++days_[kind];
+        examples_.emplace(kind, "seed " + std::to_string(seed) + ": " + text);
+    }
+
+    std::map<std::string, int> days_;
+    std::map<std::string, std::string> examples_;
+};
+
+/// Profiles with a test of their own.
+constexpr std::array separate_profiles{"stray orders and take-overs",
+                                       "stray orders",
+                                       "stray orders of crashing tasks",
+                                       "late jobs",
+                                       "reset starts",
+                                       "log outages",
+                                       "log outages without crashes",
+                                       "list outages",
+                                       "reset starts without crashes",
+                                       "wrong addresses"};
+
+class test_random_fleet : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(test_random_fleet);
+    CPPUNIT_TEST(random_days_violate_no_invariant);
+    CPPUNIT_TEST(days_with_stray_orders);
+    CPPUNIT_TEST(days_with_reset_starts);
+    CPPUNIT_TEST(days_with_late_jobs);
+    CPPUNIT_TEST(days_with_log_outages);
+    CPPUNIT_TEST(days_with_list_outages);
+    CPPUNIT_TEST(days_with_wrong_addresses);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void random_days_violate_no_invariant()
+    {
+        constexpr unsigned seeds = 5;
+        for (auto const& profile : fleet_profiles())
+            if (std::find(separate_profiles.begin(), separate_profiles.end(),
+                          profile.name) == separate_profiles.end())
+                section(profile.name, [&] { play(profile, seeds); });
+    }
+
+    void days_with_stray_orders()
+    {
+        play_named("stray orders");
+        play_named("stray orders of crashing tasks");
+        play_named("stray orders and take-overs");
+    }
+
+    void days_with_reset_starts()
+    {
+        play_named("reset starts");
+        play_named("reset starts without crashes");
+    }
+
+    void days_with_late_jobs()
+    {
+        play_named("late jobs");
+    }
+
+    void days_with_log_outages()
+    {
+        play_named("log outages");
+        play_named("log outages without crashes");
+    }
+
+    void days_with_list_outages()
+    {
+        play_named("list outages");
+    }
+
+    void days_with_wrong_addresses()
+    {
+        play_named("wrong addresses");
+    }
+
+private:
+    static void play_named(std::string const& name)
+    {
+        constexpr unsigned seeds = 20;
+        for (auto const& profile : fleet_profiles())
+            if (profile.name == name)
+                section(name, [&] { play(profile, seeds); });
+    }
+
+    /// JASMINETRACK_PROFILE selects one profile, JASMINETRACK_TRACE prints what
+    /// happens.
+    static void play(fleet_profile const& profile, unsigned default_seeds)
+    {
+        auto const* only = std::getenv("JASMINETRACK_PROFILE");
+        if (only && profile.name != only)
+            return;
+        auto const first_seed = from_environment("JASMINETRACK_SEED", 1);
+        auto const seeds =
+            from_environment("JASMINETRACK_SEEDS", default_seeds);
+        auto* const trace =
+            std::getenv("JASMINETRACK_TRACE") ? &std::cout : nullptr;
+        profile_result result;
+        for (auto seed = first_seed; seed < first_seed + seeds; ++seed)
+            result.play(seed, profile, trace);
+        if (only)
+            std::cout << " [" << profile.name << ", seeds " << first_seed
+                      << " to " << first_seed + seeds - 1 << "]"
+                      << result.summary();
+        expect(result.is_clean(), "no violation, but:" + result.summary());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(test_random_fleet);
+
+} // namespace
--- a/tests/unit/test_reservations.cpp
+++ b/tests/unit/test_reservations.cpp
@@ -71,7 +71,7 @@
             seen += run_and_check(w, 100 + below(1'500));
         }
         auto const& v = w.violations();
-        expect(v.empty(), v.empty() ? "" : v.front());
+        expect(v.empty(), v.empty() ? "" : v.front().text);
         return seen;
     }
 
