TWICE: a late copy of a repeated start, and reservations, wait for a restarted worker

What callers saw: two runs of one task. Cause: a start got no answer, its repeat was accepted and the task ran; the worker crashed and was back under its id; the task was placed elsewhere at once, and then the worker carried out the first copy. Runs were kept back after a restart only while unconfirmed. Change: any run of which a send got no answer is kept back while that send may arrive; a reservation is dropped during the wait.

--- a/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -163,7 +163,7 @@
     static void record_remaining_time(milliseconds now, worker_view& w,
                                       worker_info const& info);
     [[nodiscard]] std::map<task_run, hosted_run>
-    unconfirmed_starts(worker_view const& w);
+    unconfirmed_starts(milliseconds now, worker_view const& w);
     void send_due_renewals(milliseconds now);
     void send_renewal(milliseconds now, worker_view& w, bool wait);
     /// \returns how long a lease that is granted now may last, as successors
@@ -304,6 +304,9 @@
     // dispatcher_schedule.cpp
     void schedule(milliseconds now, milliseconds wall);
     [[nodiscard]] milliseconds max_stop_time() const noexcept;
+    /// \returns whether a reservation on the worker is of use.
+    [[nodiscard]] bool is_reservable(milliseconds now,
+                                     std::string const& id) const;
     void process_reservations(milliseconds now);
     void drop_reservation(unit_ref const& ref);
     [[nodiscard]] std::vector<waiting_units> collect_waiting(milliseconds wall);
--- a/packages/tasks/src/dispatcher_reclaim.cpp
+++ b/packages/tasks/src/dispatcher_reclaim.cpp
@@ -117,6 +117,13 @@
     return limits_.max_stop_ms + reservation_slack_ms;
 }
 
+bool dispatcher::is_reservable(milliseconds now, std::string const& id) const
+{
+    auto const at = workers_.find(id);
+    return at != workers_.end() && at->second.listed &&
+           !at->second.info.draining && now >= at->second.starts_blocked_until;
+}
+
 void dispatcher::process_reservations(milliseconds now)
 {
     std::vector<unit_ref> refs;
@@ -128,12 +135,7 @@
         auto& e = *find_job(ref.job);
         bool const usable = std::all_of(r.places.begin(), r.places.end(),
                                         [&](std::string const& id)
-                                        {
-                                            auto const at = workers_.find(id);
-                                            return at != workers_.end() &&
-                                                   at->second.listed &&
-                                                   !at->second.info.draining;
-                                        });
+                                        { return is_reservable(now, id); });
         bool const overdue = now - r.since > max_stop_time();
         if (usable && fits_now(now, e, ref, r.places))
         {
--- a/packages/tasks/src/dispatcher_workers.cpp
+++ b/packages/tasks/src/dispatcher_workers.cpp
@@ -16,6 +16,16 @@
 /// Far below the times that are monitored.
 constexpr milliseconds monitor_interval_ms = 50;
 
+/// \returns until when a start, of which a send got no answer, may be carried
+/// out; 0 if all were answered. One of an earlier dispatcher is refused by a
+/// worker that has answered this one.
+milliseconds late_start_end(detail::member const& m)
+{
+    bool const may_come_late = m.phase != detail::member_phase::adopted &&
+                               (is_unconfirmed(m.phase) || m.answer_missing);
+    return may_come_late ? m.last_sent_at + late_order_ms : 0;
+}
+
 } // namespace
 
 void dispatcher::put_worker(milliseconds now, worker_info const& info)
@@ -117,7 +127,7 @@
                                    std::string const& why)
 {
     w.replaced = true;
-    auto const kept = unconfirmed_starts(w);
+    auto const kept = unconfirmed_starts(now, w);
     for (auto const& [run, o] : kept)
     {
         log_lost_run(now, w, run, o.unit);
@@ -150,17 +160,11 @@
     }
 }
 
-/// A start that has been answered, and was sent once, is not carried out again.
-/// One of an earlier dispatcher is refused by a worker that has answered this
-/// one.
 hosted_run dispatcher::stray_run(milliseconds now, hosted_run const& o,
                                  member const& m)
 {
-    bool const may_come_late =
-        m.phase != member_phase::adopted &&
-        (is_unconfirmed(m.phase) || m.last_sent_at != m.sent_at);
     hosted_run stray{o.unit, o.held, true, 0, now};
-    stray.late_start_until = may_come_late ? m.last_sent_at + late_order_ms : 0;
+    stray.late_start_until = late_start_end(m);
     stray.stop_settles = o.stop_sent == 0;
     return stray;
 }
@@ -168,7 +172,7 @@
 /// \returns the runs whose starts may reach, or may have reached, a later
 /// incarnation than the one they were sent to.
 std::map<task_run, hosted_run>
-dispatcher::unconfirmed_starts(worker_view const& w)
+dispatcher::unconfirmed_starts(milliseconds now, worker_view const& w)
 {
     std::map<task_run, hosted_run> list;
     for (auto const& [run, o] : w.hosted_runs)
@@ -182,7 +186,7 @@
         auto const& m = at->second.members[*index];
         // A start sent after the latest renewal that the earlier incarnation
         // has answered may have been answered by the new one.
-        if (is_unconfirmed(m.phase) ||
+        if (is_unconfirmed(m.phase) || now < late_start_end(m) ||
             (m.phase != member_phase::recorded &&
              m.last_sent_at >= w.answered_renewal_at))
             list.emplace(run, o);
