entry: the way to the log is judged by topic

Cause: one failed read of any topic sent the calls on all topics through peers.

Change: relayed_log keeps the health of the direct path, and of the way through peers, for each topic. A node that is cut off from the whole log finds that out once a topic; it tries the direct path once a second a topic, before once a second in all.

--- a/packages/entry/include/jasminetrack/entry/ports.hpp
+++ b/packages/entry/include/jasminetrack/entry/ports.hpp
@@ -25,6 +25,10 @@
     workers,       ///< workers' descriptions of themselves
 };
 
+inline constexpr std::size_t topic_count = 4;
+
+[[nodiscard]] char const* to_text(topic t) noexcept;
+
 /// Identifies an append. The log refuses an append whose epoch is lower than
 /// the writer's highest one, and confirms a repeated sequence without storing
 /// the records again.
--- a/packages/entry/include/jasminetrack/entry/relay.hpp
+++ b/packages/entry/include/jasminetrack/entry/relay.hpp
@@ -8,6 +8,7 @@
 #include <jasminetrack/runtime/http.hpp>
 #include <jasminetrack/runtime/http_client.hpp>
 
+#include <array>
 #include <map>
 #include <mutex>
 
@@ -38,8 +39,8 @@
     std::vector<std::string> rotation_;
 };
 
-/// Decides whether a call goes to the log directly or through a peer. Safe to
-/// use from several threads.
+/// Decides whether a call on one topic goes to the log directly or through a
+/// peer. Safe to use from several threads.
 class log_route_health
 {
 public:
@@ -82,16 +83,21 @@
 private:
     void append_via_peer(append_call call, append_answer direct,
                          std::function<void(append_answer)> done);
-    void record_direct_failure(std::string const& reason);
-    void record_direct_success();
+    [[nodiscard]] log_route_health& health_of(topic t)
+    {
+        return health_[static_cast<std::size_t>(t)];
+    }
+    void record_direct_failure(topic t, std::string const& reason);
+    void record_direct_success(topic t);
     /// \returns the CBOR body of a peer's answer; nothing if no peer answered.
-    [[nodiscard]] std::optional<std::string> call_peer(std::string body,
-                                                       milliseconds timeout);
+    [[nodiscard]] std::optional<std::string>
+    call_peer(topic t, std::string body, milliseconds timeout);
 
     log_port& direct_;
     runtime::http_client& client_;
     peer_directory& peers_;
-    log_route_health health_;
+    /// By topic: the log may serve some of them only.
+    std::array<log_route_health, topic_count> health_;
 };
 
 /// Serves POST /relay: carries out a peer's call to the log, in CBOR, on the
--- a/packages/entry/src/relay.cpp
+++ b/packages/entry/src/relay.cpp
@@ -75,6 +75,13 @@
 
 } // namespace
 
+char const* to_text(topic t) noexcept
+{
+    constexpr std::array<char const*, topic_count> names{
+        "jobs", "work", "configuration", "workers"};
+    return names[static_cast<std::size_t>(t)];
+}
+
 char const* to_text(append_result r) noexcept
 {
     constexpr std::array names{"stored", "fenced", "conflict", "refused",
@@ -172,22 +179,23 @@
 {
 }
 
-void relayed_log::record_direct_failure(std::string const& reason)
+void relayed_log::record_direct_failure(topic t, std::string const& reason)
 {
-    if (health_.on_direct_failure(monotonic_ms()))
-        write_log(log_level::warning, "log.direct.lost", {{"reason", reason}});
+    if (health_of(t).on_direct_failure(monotonic_ms()))
+        write_log(log_level::warning, "log.direct.lost",
+                  {{"topic", to_text(t)}, {"reason", reason}});
 }
 
-void relayed_log::record_direct_success()
+void relayed_log::record_direct_success(topic t)
 {
-    if (health_.on_direct_success())
-        write_log(log_level::info, "log.direct.back", {});
+    if (health_of(t).on_direct_success())
+        write_log(log_level::info, "log.direct.back", {{"topic", to_text(t)}});
 }
 
 void relayed_log::append(append_call call,
                          std::function<void(append_answer)> done)
 {
-    if (!health_.try_direct(monotonic_ms()))
+    if (!health_of(call.topic).try_direct(monotonic_ms()))
     {
         append_answer none;
         none.result = append_result::refused;
@@ -203,11 +211,11 @@
                    {
                        if (!failed(a))
                        {
-                           record_direct_success();
+                           record_direct_success(call.topic);
                            done(a);
                            return;
                        }
-                       record_direct_failure(a.reason);
+                       record_direct_failure(call.topic, a.reason);
                        append_via_peer(call, a, done);
                    });
 }
@@ -216,21 +224,22 @@
                                   std::function<void(append_answer)> done)
 {
     auto const peers = peers_.first(1);
-    if (peers.empty() || !health_.may_try_peers(monotonic_ms()))
+    auto& health = health_of(call.topic);
+    if (peers.empty() || !health.may_try_peers(monotonic_ms()))
     {
         done(direct);
         return;
     }
     auto const& address = peers.front();
     client_.send(make_call(address, call),
-                 [this, address, direct,
+                 [this, address, direct, &health,
                   done = std::move(done)](http_client_result const& a)
                  {
                      auto answer = parse_append_answer(a);
                      if (!answer || failed(*answer))
                      {
                          peers_.move_to_back(address);
-                         health_.on_peer_failure(monotonic_ms());
+                         health.on_peer_failure(monotonic_ms());
                      }
                      // A peer that received the append and did not answer may
                      // have relayed it.
@@ -246,10 +255,11 @@
                  });
 }
 
-std::optional<std::string> relayed_log::call_peer(std::string body,
+std::optional<std::string> relayed_log::call_peer(topic t, std::string body,
                                                   milliseconds timeout)
 {
-    if (!health_.may_try_peers(monotonic_ms()))
+    auto& health = health_of(t);
+    if (!health.may_try_peers(monotonic_ms()))
         return std::nullopt;
     auto const peers = peers_.first(1);
     if (peers.empty())
@@ -259,15 +269,16 @@
     if (a.result == delivery::answered && a.status == status_ok)
         return a.body;
     peers_.move_to_back(peers.front());
-    health_.on_peer_failure(monotonic_ms());
+    health.on_peer_failure(monotonic_ms());
     return std::nullopt;
 }
 
 read_answer relayed_log::read(read_call const& call)
 {
     read_answer direct;
-    bool const was_degraded = health_.degraded();
-    if (health_.try_direct(monotonic_ms()))
+    auto& health = health_of(call.topic);
+    bool const was_degraded = health.degraded();
+    if (health.try_direct(monotonic_ms()))
     {
         auto probe = call;
         if (was_degraded)
@@ -275,19 +286,19 @@
         direct = direct_.read(probe);
         if (direct.result != read_result::failed)
         {
-            record_direct_success();
+            record_direct_success(call.topic);
             return direct;
         }
-        record_direct_failure(direct.reason);
+        record_direct_failure(call.topic, direct.reason);
     }
     auto relayed = call;
     relayed.wait_ms = std::min(call.wait_ms, max_relayed_long_poll_ms);
-    auto const body =
-        call_peer(encode_call(relayed), relayed.wait_ms + relay_overhead_ms);
+    auto const body = call_peer(call.topic, encode_call(relayed),
+                                relayed.wait_ms + relay_overhead_ms);
     auto answer = body ? decode_read_answer(*body) : std::nullopt;
     if (answer && answer->result == read_result::failed)
     {
-        health_.on_peer_failure(monotonic_ms());
+        health.on_peer_failure(monotonic_ms());
         peers_.rotate();
     }
     return answer.value_or(direct);
@@ -296,18 +307,18 @@
 newest_answer relayed_log::read_newest(topic t, std::string const& after)
 {
     newest_answer direct;
-    if (health_.try_direct(monotonic_ms()))
+    if (health_of(t).try_direct(monotonic_ms()))
     {
         direct = direct_.read_newest(t, after);
         if (direct.answered)
         {
-            record_direct_success();
+            record_direct_success(t);
             return direct;
         }
-        record_direct_failure(direct.reason);
+        record_direct_failure(t, direct.reason);
     }
-    auto const body =
-        call_peer(encode_call(newest_call{t, after}), read_newest_timeout_ms);
+    auto const body = call_peer(t, encode_call(newest_call{t, after}),
+                                read_newest_timeout_ms);
     auto answer = body ? decode_newest_answer(*body) : std::nullopt;
     return answer.value_or(direct);
 }
