entry: nothing is decided, and nothing denied, before a read that shows it

Runs of jobs that were not read yet were stopped as unknown, and their ends acknowledged without being stored.

Change: topic_follower::read_to_end() reads a topic to its end beside an open long poll; requests that arrive during a read share the next one.

- A dispatcher that takes the role reads the jobs so, after its claim was stored.
The log refuses earlier dispatchers from then on, and they have read each job before they started it; so every run and every end that a worker can list belongs to a job that was read, or to none that is open.
Until then it renews leases (each 2 s a worker, acknowledging nothing) and writes heartbeats.
Then it renews at once where something runs or has ended, so that the ends count.
- A claim does not wait for the jobs: leases are 6 s long, a silence of a partition up to 9 s, and somebody has to renew them.
A node that has not been at the end of the jobs for 2.5 s claims 0.3 s later than others, and hands the role on if it cannot read them within 12 s.
Handing it on earlier helps nobody, as a silent partition is silent for all.
- 410 for a job needs a read that began during the request; it may take 1 s, else the call is refused with 503 and Retry-After.
A known job needs none. 404 and 401 need a configuration read in the last 1.5 s, or such a read, and the count of a queue jobs read in the last 1.5 s: the configuration's bound is seconds and a count may be 2 s old, and such requests may come often.

The nodes of memory_workers now report progress: tasks of 4 s were taken for hanging, as they stayed at 1 %. test_entry::jobs_survive_an_outage_of_the_log asks until the node can tell: right after the outage the path to the log counts as failing for up to 1 s, and the answer is "cannot tell". It still must not know the job.

--- a/packages/entry/include/jasminetrack/entry/dispatch_loop.hpp
+++ b/packages/entry/include/jasminetrack/entry/dispatch_loop.hpp
@@ -32,8 +32,9 @@
 class dispatch_loop
 {
 public:
+    /// \param jobs  reads the jobs into `table` and calls on_jobs()
     dispatch_loop(entry_settings const& settings, std::string incarnation,
-                  platform_ports ports, job_table& table,
+                  platform_ports ports, job_table& table, topic_follower& jobs,
                   runtime::timer_service& timers, latencies& l);
     ~dispatch_loop();
 
@@ -67,10 +68,19 @@
     /// that the next dispatcher starts from the state in the log.
     void process(work_item const& work);
     void tick();
+    /// \returns the extra delay of a claim while this node has no recent view
+    /// of the jobs.
+    [[nodiscard]] milliseconds unread_jobs_delay() const;
     void claim();
     void on_claim_answer(tasks::role_record const& role,
                          append_answer const& a);
     void take_over();
+    /// Reads the topic of jobs to the end that it has now, or a later one. The
+    /// dispatcher decides nothing before.
+    void read_jobs();
+    void on_jobs_read(std::int64_t epoch, bool reached);
+    /// Hands the role on if the jobs cannot be read here.
+    void check_jobs_read(milliseconds now);
     void step_down(std::string const& why);
     /// Passes a job that has not ended to the dispatcher.
     void forward_job(std::string const& id);
@@ -92,6 +102,8 @@
     /// Appends what is due, if no append is in flight: queued store orders, the
     /// resignation, or a heartbeat.
     void append_if_due(milliseconds now);
+    /// Records in the log that this node gives up the role.
+    void give_up_role(std::string const& why);
     [[nodiscard]] tasks::log_record heartbeat_record() const;
     void on_workers(std::vector<log_entry> const& entries, bool reloaded);
 
@@ -99,6 +111,7 @@
     std::string incarnation_;
     platform_ports ports_;
     job_table& table_;
+    topic_follower& jobs_follower_;
     runtime::timer_service& timers_;
     latencies& latencies_;
     topic_follower workers_follower_;
@@ -122,6 +135,9 @@
     std::int64_t work_next_ = -1; ///< end of the topic of work; -1: not read
     std::int64_t epoch_ = 0;      ///< while leading
     std::int64_t sequence_ = 0;
+    /// Since when the dispatcher waits for the jobs; -1: it has them.
+    milliseconds reading_jobs_since_ms_ = -1;
+    bool jobs_read_failed_ = false; ///< the next tick reads them again
     std::optional<append_call> append_in_flight_;
     std::int64_t store_batch_ = 0;      ///< of that append; 0: a heartbeat
     bool append_retry_pending_ = false; ///< the next tick sends it again
--- a/packages/entry/include/jasminetrack/entry/entry_node.hpp
+++ b/packages/entry/include/jasminetrack/entry/entry_node.hpp
@@ -20,6 +20,9 @@
     /// \returns the newest configuration; null until one was read.
     [[nodiscard]] std::shared_ptr<tasks::configuration const>
     configuration() const;
+    /// Reads the configuration first if it was not read recently.
+    /// \returns false if a newer one may have been in force for a while.
+    [[nodiscard]] bool has_current_configuration();
     [[nodiscard]] job_requests& requests() noexcept
     {
         return requests_;
@@ -59,7 +62,6 @@
     std::shared_ptr<tasks::configuration const> config_;
     view_age jobs_age_;
     view_age work_age_; ///< since a new record of work was read
-    view_age config_age_;
     std::atomic<bool> draining_{false};
     std::atomic<bool> node_record_published_{false};
     latencies latencies_;
--- a/packages/entry/include/jasminetrack/entry/job_requests.hpp
+++ b/packages/entry/include/jasminetrack/entry/job_requests.hpp
@@ -31,11 +31,26 @@
 enum class cancel_result : std::uint8_t
 {
     cancelled,
-    no_such_job,
-    refused,
+    no_such_job, ///< no job had this id when the request arrived
+    refused,     ///< nothing was stored, or this node cannot tell
     unknown,
 };
 
+enum class status_result : std::uint8_t
+{
+    found,
+    no_such_job, ///< no job had this id when the request arrived
+    unknown,     ///< this node does not know the job and cannot tell
+};
+
+struct job_status
+{
+    status_result result = status_result::unknown;
+    tasks::job_phase phase = tasks::job_phase::queued; ///< of a job found
+
+    friend bool operator==(job_status const&, job_status const&) = default;
+};
+
 /// Age of this process's view of a topic. Safe to use from several threads.
 class view_age
 {
@@ -69,24 +84,29 @@
                                        std::string const& queue,
                                        std::string const& id,
                                        tasks::job_spec spec);
-    /// \returns the job's phase; nothing if this process knows no such job.
-    [[nodiscard]] std::optional<tasks::job_phase>
-    find_phase(std::string const& id);
+    [[nodiscard]] job_status find_status(std::string const& id);
     [[nodiscard]] cancel_result cancel(caller const& who,
                                        std::string const& id);
-    /// \returns the number of jobs of the queue that have not begun.
-    [[nodiscard]] std::int64_t pending(std::string const& queue) const;
-    /// \returns whether the view is recent enough to answer that there is no
-    /// such job.
-    [[nodiscard]] bool is_current() const;
+    /// \returns the number of jobs of the queue that have not begun; nothing
+    /// if this node has no recent view of the jobs.
+    [[nodiscard]] std::optional<std::int64_t> pending(std::string const& queue);
     /// \returns the time for which the log has stored nothing for any node; 0
     /// if it works, or if this node cannot tell.
     [[nodiscard]] milliseconds log_outage() const;
 
 private:
-    /// Reads the log first if the job may have changed; an unreachable log
-    /// leaves the view as it was.
-    [[nodiscard]] std::optional<job_view> latest_view(std::string const& id);
+    struct lookup
+    {
+        std::optional<job_view> view; ///< nothing: the job is not known
+        /// Whether the view has every job that was accepted before the lookup.
+        bool complete = false;
+    };
+
+    /// Reads the log first if the job may have changed. An unreachable log
+    /// leaves the view of a known job as it was.
+    [[nodiscard]] lookup find_latest(std::string const& id);
+    /// \returns whether this node has read the jobs recently.
+    [[nodiscard]] bool is_current() const;
     /// Appends the record and, once stored, applies it to the table.
     [[nodiscard]] write_result store(caller const& who,
                                      tasks::log_record const& record);
--- a/packages/entry/include/jasminetrack/entry/job_table.hpp
+++ b/packages/entry/include/jasminetrack/entry/job_table.hpp
@@ -6,7 +6,6 @@
 #include <jasminetrack/entry/ports.hpp>
 #include <jasminetrack/tasks/progress.hpp>
 
-#include <condition_variable>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -25,7 +24,6 @@
     std::int64_t progress_offset = -1; ///< of that record; -1: none
 
     /// \returns `cancelled` for a cancelled job that has not ended yet.
-
     [[nodiscard]] tasks::job_phase phase() const noexcept;
 };
 
@@ -33,10 +31,8 @@
 class job_table
 {
 public:
+    /// \returns nothing if the job was not read.
     [[nodiscard]] std::optional<job_view> find(std::string const& id) const;
-    /// Waits for up to `wait_ms` until the job was read.
-    [[nodiscard]] std::optional<job_view> await(std::string const& id,
-                                                milliseconds wait_ms) const;
     /// \returns the number of jobs of the queue that have not begun.
     [[nodiscard]] std::int64_t pending(std::string const& queue) const;
     [[nodiscard]] std::size_t size() const;
@@ -54,7 +50,6 @@
 
 private:
     mutable std::mutex mutex_;
-    mutable std::condition_variable changed_;
     std::unordered_map<std::string, job_view> jobs_;
 };
 
--- a/packages/entry/include/jasminetrack/entry/topic_follower.hpp
+++ b/packages/entry/include/jasminetrack/entry/topic_follower.hpp
@@ -1,11 +1,13 @@
 #pragma once
 /// \file
-/// Reads one keyed topic of the log continuously on a thread of its own.
+/// Reads one keyed topic of the log continuously on a thread of its own, and
+/// to its end on request.
 
 #include <jasminetrack/entry/ports.hpp>
 
 #include <atomic>
 #include <condition_variable>
+#include <functional>
 #include <mutex>
 #include <thread>
 
@@ -19,7 +21,7 @@
     milliseconds interval_ms = 0; ///< pause after a read that returned records
 };
 
-/// Callbacks of a follower; all are called on its thread.
+/// Callbacks of a follower; they are called on its threads, one at a time.
 struct topic_listener
 {
     /// Entries in the order of their offsets, and the offset after the last
@@ -46,17 +48,45 @@
     /// Reads the topic now instead of after the interval, and waits until the
     /// listener has the result. While a long poll is open it returns true at
     /// once, so a record that was just stored may still be on its way in the
-    /// answer to that poll.
+    /// answer to that poll, and a poll whose connection is silent returns
+    /// nothing. The result is therefore no proof that the view is current; see
+    /// read_to_end().
     /// \returns false if the log was not read to its end within `limit_ms`.
     bool refresh(milliseconds limit_ms);
+    /// Reads the topic on a connection of its own, beside an open long poll.
+    /// \param done  called once, on a thread of the follower. It gets true
+    ///              after the listener has every entry up to the end that the
+    ///              topic had at this call or later, and false if that read
+    ///              failed.
+    void read_to_end(std::function<void(bool reached)> done);
+    /// As above; waits for the result.
+    /// \returns false if the end was not reached within `limit_ms`.
+    [[nodiscard]] bool read_to_end(milliseconds limit_ms);
+    /// \returns whether the topic was read to its end in the last `age_ms`.
+    [[nodiscard]] bool was_at_end_within(milliseconds age_ms) const;
+    /// \returns the offset of the next entry to read.
+    [[nodiscard]] std::int64_t next_offset() const;
     /// Stops or resumes reading; the topic is reloaded on resume.
     void pause(bool paused);
 
 private:
+    using end_callback = std::function<void(bool)>;
+
     void run();
     [[nodiscard]] bool load();
     /// Lets the next read load the topic again.
     void request_load();
+    /// Passes the page to the listener, without the entries that it has.
+    /// \param from  offset at which the page was read
+    /// \returns false if entries are missing before the page.
+    bool deliver(std::int64_t from, read_answer const& page);
+    void run_end_reads();
+    /// Waits until callbacks wait for the end of the loaded topic.
+    /// \returns these callbacks; nothing when the follower stops.
+    [[nodiscard]] std::vector<end_callback> await_end_callbacks();
+    /// Answers all callbacks that wait for a read which has not begun.
+    void fail_end_callbacks();
+    [[nodiscard]] bool read_until_end();
     void read_once();
     void back_off();
     void wait_for_interval();
@@ -69,7 +99,7 @@
     topic topic_;
     poll_settings poll_;
     topic_listener listener_;
-    std::mutex mutex_;
+    mutable std::mutex mutex_;
     std::condition_variable wake_;
     bool stopping_ = false;
     bool paused_ = false;
@@ -78,8 +108,14 @@
     std::uint64_t refreshes_requested_ = 0;
     std::uint64_t refreshes_in_read_ = 0; ///< requested before the current read
     std::uint64_t refreshes_done_ = 0;
-    std::int64_t next_ = 0;
+    /// Callbacks that wait for a read to the end which has not begun.
+    std::vector<end_callback> end_callbacks_;
+    milliseconds at_end_ms_ = -1; ///< latest read to the end; -1: none
+    /// Held during a delivery; locked before `mutex_`.
+    mutable std::mutex delivery_mutex_;
+    std::int64_t next_ = 0; ///< guarded by `delivery_mutex_`
     std::thread thread_;
+    std::thread end_reader_; ///< started by the first read_to_end()
 };
 
 } // namespace jasminetrack::entry
--- a/packages/entry/src/dispatch_loop.cpp
+++ b/packages/entry/src/dispatch_loop.cpp
@@ -5,6 +5,7 @@
 #include <jasminetrack/runtime/logging.hpp>
 
 #include <chrono>
+#include <utility>
 
 namespace jasminetrack::entry
 {
@@ -18,6 +19,14 @@
 /// Number of nodes that read the log often enough to take the role over
 /// quickly.
 constexpr std::size_t max_standby_nodes = 3;
+/// A node that has not read the jobs to their end for this long lets others
+/// claim first, which may have them. If no node can read them, one of them has
+/// to renew the leases all the same.
+constexpr milliseconds max_jobs_age_ms = 2'500;
+constexpr milliseconds unread_jobs_delay_ms = 300;
+/// Time in which a dispatcher has to read the jobs. It is above the silence of
+/// a log that comes back, during which no other node could read them.
+constexpr milliseconds max_jobs_read_ms = 12'000;
 constexpr milliseconds workers_long_poll_ms = 1'000;
 constexpr milliseconds workers_interval_ms = 250;
 
@@ -35,10 +44,10 @@
 
 dispatch_loop::dispatch_loop(entry_settings const& settings,
                              std::string incarnation, platform_ports ports,
-                             job_table& table, runtime::timer_service& timers,
-                             latencies& l)
+                             job_table& table, topic_follower& jobs,
+                             runtime::timer_service& timers, latencies& l)
     : settings_(settings), incarnation_(std::move(incarnation)), ports_(ports),
-      table_(table), timers_(timers), latencies_(l),
+      table_(table), jobs_follower_(jobs), timers_(timers), latencies_(l),
       workers_follower_(ports.log, topic::workers,
                         {workers_long_poll_ms, workers_interval_ms},
                         {[this](std::vector<log_entry> const& entries,
@@ -167,12 +176,22 @@
                         : 0;
     }
     auto const now = monotonic_ms();
+    leadership_.set_delay(claim_order_.delay() + unread_jobs_delay());
     if (!dispatcher_ && leadership_.should_claim(now) && work_next_ >= 0)
         claim();
     if (append_in_flight_ && append_retry_pending_)
         send_append();
     if (dispatcher_)
         append_if_due(now);
+    if (dispatcher_)
+        check_jobs_read(now);
+}
+
+milliseconds dispatch_loop::unread_jobs_delay() const
+{
+    return jobs_follower_.was_at_end_within(max_jobs_age_ms)
+               ? 0
+               : unread_jobs_delay_ms;
 }
 
 void dispatch_loop::take_over()
@@ -190,14 +209,57 @@
         [this](tasks::decision const& d) { log_decision(d); });
     if (config_)
         dispatcher_->set_configuration(*config_);
-    auto const ids = table_.unfinished();
-    for (auto const& id : ids)
-        forward_job(id);
+    dispatcher_->await_jobs();
+    reading_jobs_since_ms_ = now;
+    read_jobs();
     workers_follower_.pause(false);
     count(&dispatch_metrics::takeovers);
     write_log(log_level::info, "role.taken",
               {{"epoch", std::to_string(epoch_)},
-               {"jobs", std::to_string(ids.size())}});
+               {"jobs_read_to", std::to_string(jobs_follower_.next_offset())}});
+}
+
+void dispatch_loop::read_jobs()
+{
+    jobs_read_failed_ = false;
+    jobs_follower_.read_to_end(
+        [this, epoch = epoch_](bool reached)
+        { post([this, epoch, reached] { on_jobs_read(epoch, reached); }); });
+}
+
+/// The log has refused all appends of earlier dispatchers since the claim. So
+/// the jobs up to the end of this read contain every job that they may have
+/// started.
+void dispatch_loop::on_jobs_read(std::int64_t epoch, bool reached)
+{
+    if (!dispatcher_ || epoch != epoch_)
+        return;
+    if (!reached)
+    {
+        jobs_read_failed_ = true;
+        return;
+    }
+    auto const now = monotonic_ms();
+    auto const took_ms = now - std::exchange(reading_jobs_since_ms_, -1);
+    auto const ids = table_.unfinished();
+    for (auto const& id : ids)
+        forward_job(id);
+    dispatcher_->on_jobs_read(now);
+    write_log(log_level::info, "role.jobs_read",
+              {{"epoch", std::to_string(epoch_)},
+               {"jobs", std::to_string(ids.size())},
+               {"to", std::to_string(jobs_follower_.next_offset())},
+               {"took_ms", std::to_string(took_ms)}});
+}
+
+void dispatch_loop::check_jobs_read(milliseconds now)
+{
+    if (reading_jobs_since_ms_ < 0)
+        return;
+    if (now - reading_jobs_since_ms_ > max_jobs_read_ms && !append_in_flight_)
+        give_up_role("the jobs could not be read");
+    else if (jobs_read_failed_)
+        read_jobs();
 }
 
 void dispatch_loop::log_decision(tasks::decision const& d)
@@ -219,6 +281,7 @@
     if (!dispatcher_)
         return;
     dispatcher_.reset();
+    reading_jobs_since_ms_ = -1;
     leadership_.step_down();
     workers_follower_.pause(true);
     append_in_flight_.reset();
@@ -243,7 +306,7 @@
 void dispatch_loop::forward_job(std::string const& id)
 {
     auto const view = table_.find(id);
-    if (!dispatcher_ || !view || !view->job ||
+    if (!dispatcher_ || reading_jobs_since_ms_ >= 0 || !view || !view->job ||
         tasks::is_final(view->summary.phase))
         return;
     auto const now = monotonic_ms();
@@ -261,7 +324,6 @@
         [this, node, share = peer.processor_share]
         {
             claim_order_.put(node, share);
-            leadership_.set_delay(claim_order_.delay());
             standby_ = claim_order_.rank() < max_standby_nodes;
         });
 }
--- a/packages/entry/src/dispatch_loop_log.cpp
+++ b/packages/entry/src/dispatch_loop_log.cpp
@@ -166,6 +166,13 @@
     return {role_key, encode(tasks::role_record{epoch_, incarnation_, false})};
 }
 
+void dispatch_loop::give_up_role(std::string const& why)
+{
+    tasks::role_record const role{epoch_, incarnation_, true};
+    append({{role_key, encode(role)}});
+    step_down(why);
+}
+
 void dispatch_loop::append_if_due(milliseconds now)
 {
     if (append_in_flight_)
@@ -177,9 +184,7 @@
     }
     if (resigning_)
     {
-        tasks::role_record const role{epoch_, incarnation_, true};
-        append({{role_key, encode(role)}});
-        step_down("resigned");
+        give_up_role("resigned");
         return;
     }
     if (now - last_append_ms_ >= heartbeat_interval_ms)
--- a/packages/entry/src/entry_node.cpp
+++ b/packages/entry/src/entry_node.cpp
@@ -31,6 +31,9 @@
 constexpr milliseconds max_ready_age_ms = 4'000;
 
 constexpr milliseconds publish_timeout_ms = 800;
+/// The configuration is read at least each second, by a long poll.
+constexpr milliseconds max_configuration_age_ms = 1'500;
+constexpr milliseconds configuration_read_timeout_ms = 1'000;
 
 /// Logs the first failed read of a topic and the first successful one after
 /// it.
@@ -77,14 +80,13 @@
       requests_(table_, writer_, jobs_age_, work_age_, jobs_follower_,
                 work_follower_, latencies_),
       dispatch_(settings, incarnation_, {log_, ports.workers, ports.decoder},
-                table_, timers_, latencies_),
+                table_, jobs_follower_, timers_, latencies_),
       config_follower_(
           log_, topic::configuration, {long_poll_ms, config_interval_ms},
           {[this, outage = std::make_shared<read_outage_log>("configuration")](
                std::vector<log_entry> const& entries, std::int64_t, bool)
            {
                outage->on_success();
-               config_age_.record_contact(monotonic_ms());
                apply_configuration(entries);
            },
            [outage = std::make_shared<read_outage_log>("configuration")](
@@ -120,6 +122,12 @@
     return config_;
 }
 
+bool entry_node::has_current_configuration()
+{
+    return config_follower_.was_at_end_within(max_configuration_age_ms) ||
+           config_follower_.read_to_end(configuration_read_timeout_ms);
+}
+
 bool entry_node::is_ready() const
 {
     return !draining_ && configuration() &&
--- a/packages/entry/src/job_requests.cpp
+++ b/packages/entry/src/job_requests.cpp
@@ -32,17 +32,18 @@
     milliseconds started_ms_;
 };
 
-/// A view up to this age contains every job whose acceptance a caller can have
-/// been told.
+/// Age up to which the view of jobs counts as recent. It does not contain every
+/// job whose acceptance a caller can have been told.
 constexpr milliseconds max_current_age_ms = 1'500;
 /// The dispatcher appends at least each half second, and nodes read that at
 /// least each second. If no record is read for this long, the log stores none.
 constexpr milliseconds max_work_age_ms = 2'000;
 /// Time limit of a refresh before a request is answered from the view.
 constexpr milliseconds refresh_timeout_ms = 400;
-/// An open long poll returns a job that another entry VM accepted within this
-/// time.
-constexpr milliseconds propagation_timeout_ms = 200;
+/// Time limit of a read of all jobs that were accepted before a request. It
+/// suffices for a first read on a silent connection and a second one through
+/// another entry VM.
+constexpr milliseconds complete_read_timeout_ms = 1'000;
 /// Part of the caller's deadline that is spent on an append; the rest is left
 /// for a repeat through another entry VM with the same id.
 constexpr milliseconds deadline_divisor = 2;
@@ -76,18 +77,20 @@
 {
 }
 
-std::optional<job_view> job_requests::latest_view(std::string const& id)
+/// Another entry VM may have accepted the job just now, so only a read that
+/// begins during the request shows that there is no such job.
+job_requests::lookup job_requests::find_latest(std::string const& id)
 {
     auto view = table_.find(id);
     if (!view)
     {
-        (void)jobs_.refresh(refresh_timeout_ms);
-        return table_.await(id, propagation_timeout_ms);
+        bool const complete = jobs_.read_to_end(complete_read_timeout_ms);
+        return {table_.find(id), complete};
     }
     if (tasks::is_final(view->phase()))
-        return view;
+        return {view, true};
     (void)work_.refresh(refresh_timeout_ms);
-    return table_.find(id);
+    return {table_.find(id), true};
 }
 
 bool job_requests::is_current() const
@@ -146,22 +149,21 @@
                                            : submit_result::unknown;
 }
 
-std::optional<tasks::job_phase> job_requests::find_phase(std::string const& id)
+job_status job_requests::find_status(std::string const& id)
 {
     latency_timer const clock(latencies_, latency::status);
-    auto const view = latest_view(id);
-    if (!view)
-        return std::nullopt;
-    return view->phase();
+    auto const [view, complete] = find_latest(id);
+    if (view)
+        return {status_result::found, view->phase()};
+    return {complete ? status_result::no_such_job : status_result::unknown, {}};
 }
 
 cancel_result job_requests::cancel(caller const& who, std::string const& id)
 {
     latency_timer const clock(latencies_, latency::cancel);
-    auto const view = latest_view(id);
+    auto const [view, complete] = find_latest(id);
     if (!view)
-        return is_current() ? cancel_result::no_such_job
-                            : cancel_result::refused;
+        return complete ? cancel_result::no_such_job : cancel_result::refused;
     if (view->cancelled || tasks::is_final(view->summary.phase))
         return cancel_result::cancelled;
     auto const result = store(who, {cancel_key(id), "1"});
@@ -173,8 +175,10 @@
                                            : cancel_result::unknown;
 }
 
-std::int64_t job_requests::pending(std::string const& queue) const
+std::optional<std::int64_t> job_requests::pending(std::string const& queue)
 {
+    if (!is_current() && !jobs_.read_to_end(complete_read_timeout_ms))
+        return std::nullopt;
     return table_.pending(queue);
 }
 
--- a/packages/entry/src/job_table.cpp
+++ b/packages/entry/src/job_table.cpp
@@ -2,8 +2,6 @@
 
 #include "log_keys.hpp"
 
-#include <chrono>
-
 namespace jasminetrack::entry
 {
 std::string cancel_key(std::string const& id)
@@ -20,21 +18,11 @@
 
 std::optional<job_view> job_table::find(std::string const& id) const
 {
-    return await(id, 0);
-}
-
-std::optional<job_view> job_table::await(std::string const& id,
-                                         milliseconds wait_ms) const
-{
-    std::unique_lock<std::mutex> lock(mutex_);
-    auto const known = [&]
-    {
-        auto const at = jobs_.find(id);
-        return at != jobs_.end() && at->second.job;
-    };
-    if (!changed_.wait_for(lock, std::chrono::milliseconds(wait_ms), known))
+    std::lock_guard<std::mutex> const lock(mutex_);
+    auto const at = jobs_.find(id);
+    if (at == jobs_.end() || !at->second.job)
         return std::nullopt;
-    return jobs_.at(id);
+    return at->second;
 }
 
 std::int64_t job_table::pending(std::string const& queue) const
@@ -86,7 +74,6 @@
     if (!job)
         return std::nullopt;
     view.job = std::make_shared<tasks::accepted_job const>(std::move(*job));
-    changed_.notify_all();
     return e.key;
 }
 
--- a/packages/entry/src/topic_follower.cpp
+++ b/packages/entry/src/topic_follower.cpp
@@ -1,12 +1,19 @@
 #include <jasminetrack/entry/topic_follower.hpp>
 
+#include <jasminetrack/runtime/timer_service.hpp>
+
+#include <algorithm>
 #include <chrono>
+#include <future>
+#include <utility>
 
 namespace jasminetrack::entry
 {
 namespace
 {
 
+using runtime::monotonic_ms;
+
 /// Pause after a failed read; refresh() does not shorten it.
 constexpr milliseconds failure_backoff_ms = 200;
 
@@ -37,6 +44,8 @@
     wake_.notify_all();
     if (thread_.joinable())
         thread_.join();
+    if (end_reader_.joinable())
+        end_reader_.join();
 }
 
 void topic_follower::pause(bool paused)
@@ -98,7 +107,10 @@
         std::lock_guard<std::mutex> const lock(mutex_);
         long_poll_active_ = false;
         if (at_end)
+        {
             refreshes_done_ = refreshes_in_read_;
+            at_end_ms_ = monotonic_ms();
+        }
     }
     wake_.notify_all();
 }
@@ -120,7 +132,10 @@
             if (loaded)
                 read_once();
             else if (!load())
+            {
+                fail_end_callbacks();
                 back_off();
+            }
         }
         catch (std::exception const& e)
         {
@@ -160,18 +175,36 @@
         std::move(page.entries.begin(), page.entries.end(),
                   std::back_inserter(all));
     }
-    next_ = *from;
+    {
+        std::lock_guard<std::mutex> const delivery(delivery_mutex_);
+        next_ = *from;
+        listener_.on_entries(all, next_, true);
+    }
     {
         std::lock_guard<std::mutex> const lock(mutex_);
         loaded_ = !paused_;
     }
-    listener_.on_entries(all, next_, true);
+    wake_.notify_all();
+    return true;
+}
+
+bool topic_follower::deliver(std::int64_t from, read_answer const& page)
+{
+    std::lock_guard<std::mutex> const delivery(delivery_mutex_);
+    if (from > next_)
+        return false; // the topic was loaded again, from an earlier offset
+    auto const is_known = [&](log_entry const& e) { return e.offset < next_; };
+    auto const first = std::partition_point(page.entries.begin(),
+                                            page.entries.end(), is_known);
+    next_ = std::max(next_, page.next);
+    listener_.on_entries({first, page.entries.end()}, next_, false);
     return true;
 }
 
 void topic_follower::read_once()
 {
-    auto const answer = log_.read({topic_, next_, begin_read()});
+    auto const from = next_offset();
+    auto const answer = log_.read({topic_, from, begin_read()});
     if (answer.result == read_result::failed)
     {
         end_read(false);
@@ -185,11 +218,114 @@
         request_load();
         return;
     }
-    next_ = std::max(next_, answer.next);
-    listener_.on_entries(answer.entries, next_, false);
-    end_read(answer.at_end);
+    end_read(deliver(from, answer) && answer.at_end);
     if (!answer.entries.empty() && answer.at_end)
         wait_for_interval();
 }
 
+void topic_follower::read_to_end(std::function<void(bool reached)> done)
+{
+    {
+        std::lock_guard<std::mutex> const lock(mutex_);
+        if (!stopping_)
+        {
+            end_callbacks_.push_back(std::exchange(done, nullptr));
+            if (!end_reader_.joinable())
+                end_reader_ = std::thread([this] { run_end_reads(); });
+        }
+    }
+    wake_.notify_all();
+    if (done)
+        done(false);
+}
+
+bool topic_follower::read_to_end(milliseconds limit_ms)
+{
+    auto const result = std::make_shared<std::promise<bool>>();
+    auto reached = result->get_future();
+    read_to_end([result](bool r) { result->set_value(r); });
+    return reached.wait_for(std::chrono::milliseconds(limit_ms)) ==
+               std::future_status::ready &&
+           reached.get();
+}
+
+bool topic_follower::was_at_end_within(milliseconds age_ms) const
+{
+    std::lock_guard<std::mutex> const lock(mutex_);
+    return at_end_ms_ >= 0 && monotonic_ms() - at_end_ms_ <= age_ms;
+}
+
+std::int64_t topic_follower::next_offset() const
+{
+    std::lock_guard<std::mutex> const delivery(delivery_mutex_);
+    return next_;
+}
+
+std::vector<topic_follower::end_callback> topic_follower::await_end_callbacks()
+{
+    std::unique_lock<std::mutex> lock(mutex_);
+    wake_.wait(lock, [&]
+               { return stopping_ || (loaded_ && !end_callbacks_.empty()); });
+    return std::exchange(end_callbacks_, {});
+}
+
+void topic_follower::fail_end_callbacks()
+{
+    std::vector<end_callback> waiting;
+    {
+        std::lock_guard<std::mutex> const lock(mutex_);
+        waiting.swap(end_callbacks_);
+    }
+    for (auto const& done : waiting)
+        done(false);
+}
+
+void topic_follower::run_end_reads()
+{
+    for (;;)
+    {
+        auto const waiting = await_end_callbacks();
+        bool reached = false;
+        try
+        {
+            reached = read_until_end();
+        }
+        catch (std::exception const& e)
+        {
+            request_load();
+            listener_.on_failure(std::string("unexpected error: ") + e.what());
+        }
+        for (auto const& done : waiting)
+            done(reached);
+        std::lock_guard<std::mutex> const lock(mutex_);
+        if (stopping_ && end_callbacks_.empty())
+            return;
+    }
+}
+
+/// A callback that is added while this runs waits for the next run, so the
+/// reads begin after the calls that they answer.
+bool topic_follower::read_until_end()
+{
+    for (;;)
+    {
+        {
+            std::lock_guard<std::mutex> const lock(mutex_);
+            if (stopping_)
+                return false;
+        }
+        auto const from = next_offset();
+        auto const page = log_.read({topic_, from, 0});
+        if (page.result == read_result::trimmed)
+            request_load();
+        if (page.result != read_result::page || !deliver(from, page))
+            return false;
+        if (!page.at_end)
+            continue;
+        std::lock_guard<std::mutex> const lock(mutex_);
+        at_end_ms_ = monotonic_ms();
+        return true;
+    }
+}
+
 } // namespace jasminetrack::entry
--- a/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -85,6 +85,17 @@
         return utilization_;
     }
 
+    /// Called by a successor whose jobs are not all read yet. Until
+    /// on_jobs_read() it renews leases and does nothing else: it acknowledges
+    /// no ends, stops no runs and starts none, as the jobs that it does not
+    /// know may be among those to come.
+    void await_jobs() noexcept
+    {
+        jobs_read_ = false;
+    }
+    /// Every job that earlier dispatchers may have started was added, if it has
+    /// not ended.
+    void on_jobs_read(milliseconds now);
     void set_configuration(configuration const& c);
     /// Adds a job. A job that this dispatcher has already finished is ignored,
     /// as the progress that was read may be older than its final record.
@@ -163,6 +174,9 @@
     void record_unresponsive(milliseconds now, worker_view& w,
                              call_result result);
     void record_answer(milliseconds now, worker_view& w, renew_reply const& r);
+    /// Handles an answer that arrives before all jobs are read.
+    void keep_lease(milliseconds now, worker_view& w, renew_reply const& r,
+                    bool is_first_answer);
     /// Looks for what time alone changes: expired leases, runs without
     /// progress, and drains that come to their end.
     void monitor(milliseconds now);
@@ -379,7 +393,8 @@
     milliseconds created_at_;
     listener listen_;
     bool deposed_ = false;
-    bool changed_ = true; ///< an input of placement since the last pass
+    bool jobs_read_ = true; ///< false: await_jobs() was called
+    bool changed_ = true;   ///< an input of placement since the last pass
     /// The configuration is new: some jobs may have no attempts left.
     bool attempts_changed_ = false;
     milliseconds scheduled_at_ = 0;
--- a/packages/tasks/src/dispatcher.cpp
+++ b/packages/tasks/src/dispatcher.cpp
@@ -229,10 +229,14 @@
 
 void dispatcher::tick(milliseconds now, milliseconds wall)
 {
-    monitor(now);
-    schedule(now, wall);
+    if (jobs_read_)
+    {
+        monitor(now);
+        schedule(now, wall);
+    }
     send_due_renewals(now);
-    emit_batch();
+    if (jobs_read_)
+        emit_batch();
 }
 
 void dispatcher::emit_batch()
--- a/packages/tasks/src/dispatcher_renewals.cpp
+++ b/packages/tasks/src/dispatcher_renewals.cpp
@@ -1,6 +1,7 @@
 #include <jasminetrack/tasks/dispatcher.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace jasminetrack::tasks
 {
@@ -51,7 +52,7 @@
         bool const has_unstored_ends =
             w.processed_end > w.last_seen && w.processed_batch > stored_batch_;
         send_renewal(now, w,
-                     w.token_known && !has_unstored_ends &&
+                     jobs_read_ && w.token_known && !has_unstored_ends &&
                          w.unresponsive_since < 0 && idle_pause(w) == 0);
     }
 }
@@ -120,7 +121,13 @@
         record_unresponsive(now, w, r.result);
         return;
     }
+    bool const is_first_answer = w.clock_at_ < 0;
     record_answer(now, w, r);
+    if (!jobs_read_)
+    {
+        keep_lease(now, w, r, is_first_answer);
+        return;
+    }
     process_ended(now, w, r);
     process_running(now, w, r);
     process_missing(now, w, r);
@@ -128,6 +135,36 @@
     schedule_renewal(at->first, w, next_renewal(now, w));
 }
 
+/// The first answer tells the worker's clock, from which the next renewal sets
+/// the end of the lease.
+void dispatcher::keep_lease(milliseconds now, worker_view& w,
+                            renew_reply const& r, bool is_first_answer)
+{
+    w.runs_unknown_task = !r.running.empty() || !r.ended.empty();
+    w.idle_pause_ms = idle_pause(w);
+    schedule_renewal(w.info.id, w,
+                     is_first_answer
+                         ? now
+                         : now + std::max(w.idle_pause_ms, renewal_wait_ms));
+}
+
+void dispatcher::on_jobs_read(milliseconds now)
+{
+    if (std::exchange(jobs_read_, true))
+        return;
+    changed_ = true;
+    for (auto& [id, w] : workers_)
+    {
+        if (w.hosted_runs.empty() && !w.runs_unknown_task)
+            continue;
+        // Another process has answered at its address while its runs were not
+        // known; the next answer ends them.
+        if (w.unresponsive_since >= 0)
+            w.replaced = false;
+        schedule_renewal(id, w, now);
+    }
+}
+
 void dispatcher::record_unresponsive(milliseconds now, worker_view& w,
                                      call_result result)
 {
--- a/tests/support/entry_cluster.hpp
+++ b/tests/support/entry_cluster.hpp
@@ -2,10 +2,11 @@
 /// \file
 /// Entry nodes in one process that share an in-memory platform.
 
-#include "memory_platform.hpp"
+#include "silent_log.hpp"
 
 #include <jasminetrack/entry/entry_node.hpp>
 
+#include <deque>
 #include <thread>
 
 namespace support
@@ -49,8 +50,9 @@
 class entry_cluster
 {
 public:
-    explicit entry_cluster(int count)
-        : workers(cluster_run_ms), decoder(single_queue_configuration())
+    explicit entry_cluster(int count,
+                           tasks::milliseconds run_ms = cluster_run_ms)
+        : workers(run_ms), decoder(single_queue_configuration())
     {
         log.put(entry::topic::configuration, "config", "1");
         for (int i = 0; i < 3; ++i)
@@ -61,12 +63,18 @@
 
     void add_node(std::string const& name)
     {
-        entry::entry_settings s;
-        s.node = name;
-        s.mesh = "127.0.0.1:1";
-        nodes.push_back(std::make_unique<entry::entry_node>(
-            s, entry::platform_ports{log, workers, decoder}));
-        nodes.back()->start();
+        add_node(name, log);
+    }
+
+    /// Adds a node with a way to the log whose reads can become silent.
+    /// \param jobs  silence of its reads of the jobs from the start
+    silent_log& add_silent_node(std::string const& name,
+                                silence jobs = silence::none)
+    {
+        auto& path = paths.emplace_back(log);
+        path.set_silence(entry::topic::jobs, jobs);
+        add_node(name, path);
+        return path;
     }
 
     template <typename Condition> bool wait_until(Condition const& condition)
@@ -95,15 +103,28 @@
     {
         return wait_until(
             [&] {
-                return nodes[0]->requests().find_phase(id) ==
-                       tasks::job_phase::completed;
+                return nodes[0]->requests().find_status(id) ==
+                       entry::job_status{entry::status_result::found,
+                                         tasks::job_phase::completed};
             });
     }
 
     memory_log log;
     memory_workers workers;
     memory_decoder decoder;
+    std::deque<silent_log> paths;
     std::vector<std::unique_ptr<entry::entry_node>> nodes;
+
+private:
+    void add_node(std::string const& name, entry::log_port& path)
+    {
+        entry::entry_settings s;
+        s.node = name;
+        s.mesh = "127.0.0.1:1";
+        nodes.push_back(std::make_unique<entry::entry_node>(
+            s, entry::platform_ports{path, workers, decoder}));
+        nodes.back()->start();
+    }
 };
 
 } // namespace support
--- a/tests/support/memory_platform.cpp
+++ b/tests/support/memory_platform.cpp
@@ -237,13 +237,16 @@
     reply.result =
         order.token < w.token ? call_result::fenced : call_result::done;
     w.token = std::max(w.token, order.token);
+    if (order.until_ms > 0)
+        ++lease_renewals_[order.token];
     std::erase_if(w.ended, [&](tasks::ended_task const& e)
                   { return e.number <= order.last_seen; });
     for (auto at = w.running.begin(); at != w.running.end();)
     {
-        if (reply.clock_ms - at->second < run_ms_)
+        auto const ran_ms = reply.clock_ms - at->second;
+        if (ran_ms < run_ms_)
         {
-            reply.running.push_back({at->first, "", 1});
+            reply.running.push_back({at->first, "", 1 + ran_ms * 99 / run_ms_});
             ++at;
             continue;
         }
@@ -300,6 +303,22 @@
     done(reply);
 }
 
+int memory_workers::lease_renewals(std::int64_t token) const
+{
+    std::lock_guard<std::mutex> const lock(mutex_);
+    auto const at = lease_renewals_.find(token);
+    return at == lease_renewals_.end() ? 0 : at->second;
+}
+
+int memory_workers::unacknowledged_ends() const
+{
+    std::lock_guard<std::mutex> const lock(mutex_);
+    std::size_t count = 0;
+    for (auto const& [id, w] : workers_)
+        count += w.ended.size();
+    return static_cast<int>(count);
+}
+
 std::set<std::string> memory_workers::used_workers() const
 {
     std::lock_guard<std::mutex> const lock(mutex_);
--- a/tests/support/memory_platform.hpp
+++ b/tests/support/memory_platform.hpp
@@ -102,6 +102,10 @@
     void fail_next_start(std::string reason);
     /// \returns how often each task was started.
     [[nodiscard]] std::map<tasks::task_id, int> starts() const;
+    /// \returns how many renewals with this token have extended a lease.
+    [[nodiscard]] int lease_renewals(std::int64_t token) const;
+    /// \returns how many ends are listed and not acknowledged.
+    [[nodiscard]] int unacknowledged_ends() const;
     /// \returns the workers that have accepted a start.
     [[nodiscard]] std::set<std::string> used_workers() const;
 
@@ -130,7 +134,8 @@
     std::map<std::string, worker_state> workers_;
     std::map<tasks::task_id, int> starts_;
     std::set<std::string> used_workers_;
-    std::string next_start_error_; ///< empty: none
+    std::map<std::int64_t, int> lease_renewals_; ///< by token
+    std::string next_start_error_;               ///< empty: none
     runtime::timer_service timers_;
 };
 
--- a/tests/unit/test_entry.cpp
+++ b/tests/unit/test_entry.cpp
@@ -110,7 +110,12 @@
                "a submission during the outage is refused");
         cluster.log.set_down(false);
         expect(cluster.wait_for_completion("a"), "the accepted job completes");
-        expect(!cluster.nodes[0]->requests().find_phase("b"),
+        auto const find = [&]
+        { return cluster.nodes[0]->requests().find_status("b").result; };
+        expect(cluster.wait_until([&]
+                                  { return find() != status_result::unknown; }),
+               "the node can tell again");
+        expect(find() == status_result::no_such_job,
                "the refused job does not exist");
     }
 
--- /dev/null
+++ b/tests/unit/test_old_views.cpp
@@ -0,0 +1,142 @@
+/// \file
+/// A node whose reads of the log are silent. It must not answer that a job, a
+/// queue or a key does not exist, since others may have added it meanwhile.
+
+#include "entry_cluster.hpp"
+#include "section.hpp"
+
+#include <jasminetrack/platform/adapter.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace
+{
+
+using namespace support;
+using runtime::http_response;
+using tasks::milliseconds;
+
+constexpr char const* job_id = "00000000000000a1";
+constexpr char const* unknown_id = "00000000000000ff";
+
+/// Two nodes, of which the second can be cut off from reading the log.
+class half_cut_cluster
+{
+public:
+    half_cut_cluster() : path(cluster.add_silent_node("cut"))
+    {
+        expect(cluster.wait_until(
+                   [&] {
+                       return cluster.nodes[0]->is_ready() &&
+                              cluster.nodes[1]->is_ready();
+                   }),
+               "both nodes are ready");
+        expect(cluster.submit("first") && cluster.wait_for_completion("first"),
+               "one of them dispatches");
+    }
+
+    /// Sends a request to the node that can be cut off.
+    http_response send(std::string const& method, std::string const& path_of,
+                       std::string const& key = "key")
+    {
+        runtime::http_request r;
+        r.method = method;
+        r.path = path_of;
+        r.headers = {{"host", "h"}, {"x-api-key", key}};
+        return platform::handle_request(*cluster.nodes[1], r);
+    }
+
+    /// Waits until the views of a node that cannot read are old.
+    void wait_for_old_views()
+    {
+        constexpr milliseconds old_ms = 2'600;
+        auto const begun = runtime::monotonic_ms();
+        expect(cluster.wait_until(
+                   [&] { return runtime::monotonic_ms() - begun > old_ms; }),
+               "the views are old");
+    }
+
+    entry_cluster cluster{1, 400};
+    silent_log& path;
+};
+
+void expect_retry_later(http_response const& r, std::string const& what)
+{
+    expect(r.status == 503, what + " is refused, got " +
+                                std::to_string(r.status) + " " + r.body);
+    expect(r.headers.count("Retry-After") == 1, what + " says when to return");
+}
+
+class test_old_views : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(test_old_views);
+    CPPUNIT_TEST(a_job_accepted_elsewhere_is_not_denied);
+    CPPUNIT_TEST(a_silent_long_poll_does_not_hide_a_job);
+    CPPUNIT_TEST(an_old_count_is_not_given);
+    CPPUNIT_TEST(an_old_configuration_denies_nothing);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void a_job_accepted_elsewhere_is_not_denied()
+    {
+        half_cut_cluster c;
+        std::string const path = std::string("/b/") + job_id;
+        c.path.set_silence(silence::all_reads);
+        expect(c.cluster.submit(job_id), "accepted by the other node");
+        expect_retry_later(c.send("DELETE", path), "a cancellation");
+        expect_retry_later(c.send("GET", path), "a status request");
+        section("the node answers once it can read again",
+                [&]
+                {
+                    c.path.set_silence(silence::none);
+                    expect(c.cluster.wait_until(
+                               [&]
+                               { return c.send("GET", path).status == 200; }),
+                           "it knows the job");
+                    expect(c.send("DELETE", path).status == 200,
+                           "it cancels the job");
+                });
+        section("a job that nobody has submitted is denied",
+                [&]
+                {
+                    auto const unknown = std::string("/b/") + unknown_id;
+                    expect(c.send("GET", unknown).status == 410, "status");
+                    expect(c.send("DELETE", unknown).status == 410, "cancel");
+                });
+    }
+
+    void a_silent_long_poll_does_not_hide_a_job()
+    {
+        half_cut_cluster c;
+        c.path.set_silence(silence::long_polls);
+        expect(c.cluster.submit(job_id), "accepted by the other node");
+        auto const answer = c.send("DELETE", std::string("/b/") + job_id);
+        expect(answer.status == 200,
+               "cancelled, got " + std::to_string(answer.status));
+    }
+
+    void an_old_count_is_not_given()
+    {
+        half_cut_cluster c;
+        expect(c.send("GET", "/b/").status == 200, "counted");
+        c.path.set_silence(silence::all_reads);
+        c.wait_for_old_views();
+        expect_retry_later(c.send("GET", "/b/"), "a count");
+    }
+
+    void an_old_configuration_denies_nothing()
+    {
+        half_cut_cluster c;
+        auto const path = std::string("/b/") + unknown_id;
+        expect(c.send("GET", "/new/").status == 404, "no such queue");
+        expect(c.send("GET", path, "new").status == 401, "no such key");
+        c.path.set_silence(silence::all_reads);
+        c.wait_for_old_views();
+        expect_retry_later(c.send("GET", "/new/"), "an unknown queue");
+        expect_retry_later(c.send("GET", path, "new"), "an unknown key");
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(test_old_views);
+
+} // namespace
