--- a/tests/support/dispatch_simulation.cpp
+++ b/tests/support/dispatch_simulation.cpp
@@ -144,19 +144,37 @@
     nodes_.push_back(node);
     tokens_.push_back(epoch_);
     node->set_configuration(config_);
+    if (max_jobs_read_ms_ > 0)
+    {
+        node->await_jobs();
+        auto const delay = std::uniform_int_distribution<milliseconds>(
+            1, max_jobs_read_ms_)(random_);
+        schedule(delay,
+                 [this, node]
+                 {
+                     put_jobs(*node);
+                     node->on_jobs_read(now_);
+                 });
+    }
+    else
+        put_jobs(*node);
+    for (auto const& [id, w] : workers_)
+        if (w.up)
+            node->put_worker(now_, w.info);
+}
+
+void dispatch_simulation::put_jobs(dispatcher& node)
+{
     for (auto const& [id, j] : jobs_)
     {
         auto const at = log_.find(id);
         auto progress = at == log_.end()
                             ? initial_progress(j.job.spec)
                             : *decode_progress(at->second, j.job.spec);
-        node->put_job(now_, j.job, std::move(progress));
+        node.put_job(now_, j.job, std::move(progress));
         if (j.cancelled)
-            node->cancel_job(now_, id);
+            node.cancel_job(now_, id);
     }
-    for (auto const& [id, w] : workers_)
-        if (w.up)
-            node->put_worker(now_, w.info);
 }
 
 void dispatch_simulation::kill_leader()
--- a/tests/support/dispatch_simulation.hpp
+++ b/tests/support/dispatch_simulation.hpp
@@ -90,6 +90,12 @@
     /// Starts a new dispatcher. The old one continues until a worker or the log
     /// refuses its token.
     void take_over();
+    /// From now on, a new dispatcher has the jobs only after a random time up
+    /// to this one.
+    void read_jobs_late(milliseconds max_ms) noexcept
+    {
+        max_jobs_read_ms_ = max_ms;
+    }
     void kill_leader();
     /// \returns how many workers have crashed because of the job.
     [[nodiscard]] int crashes(std::string const& job) const;
@@ -169,6 +175,8 @@
         int starts_too_late = 0;
     };
 
+    /// Passes all jobs to the dispatcher, as the log has them now.
+    void put_jobs(dispatcher& node);
     void step();
     void perform(std::size_t node);
     void send(std::size_t node, renew_order const& o);
@@ -216,6 +224,7 @@
     std::vector<std::int64_t> tokens_;
     std::size_t leader_ = 0;
     std::int64_t epoch_ = 0;
+    milliseconds max_jobs_read_ms_ = 0; ///< 0: at once
     bool log_down_ = false;
     std::map<std::string, std::string> log_; ///< newest record of each key
     std::map<std::string, std::vector<std::string>>
--- a/tests/support/entry_cluster.hpp
+++ b/tests/support/entry_cluster.hpp
@@ -102,7 +102,8 @@
     bool wait_for_completion(std::string const& id)
     {
         return wait_until(
-            [&] {
+            [&]
+            {
                 return nodes[0]->requests().find_status(id) ==
                        entry::job_status{entry::status_result::found,
                                          tasks::job_phase::completed};
--- a/tests/unit/test_topic_follower.cpp
+++ b/tests/unit/test_topic_follower.cpp
@@ -1,9 +1,10 @@
 /// \file
 /// A refresh reads a topic at once, without waiting for the interval between
-/// reads; it fails while the log cannot be read.
+/// reads; it fails while the log cannot be read. A read to the end does so
+/// beside an open long poll.
 
-#include "memory_platform.hpp"
 #include "section.hpp"
+#include "silent_log.hpp"
 
 #include <jasminetrack/entry/topic_follower.hpp>
 
@@ -26,7 +27,7 @@
 class counting_follower
 {
 public:
-    counting_follower(support::memory_log& log, poll_settings poll)
+    counting_follower(log_port& log, poll_settings poll)
         : follower(log, topic::jobs, poll,
                    {[this](std::vector<log_entry> const& entries, std::int64_t,
                            bool) { seen += std::ssize(entries); },
@@ -49,6 +50,8 @@
     CPPUNIT_TEST_SUITE(test_topic_follower);
     CPPUNIT_TEST(a_refresh_ends_the_interval);
     CPPUNIT_TEST(a_refresh_fails_during_an_outage);
+    CPPUNIT_TEST(a_read_to_the_end_passes_a_silent_long_poll);
+    CPPUNIT_TEST(a_read_to_the_end_fails_if_the_end_is_not_read);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -67,6 +70,41 @@
         }
     }
 
+    void a_read_to_the_end_passes_a_silent_long_poll()
+    {
+        support::memory_log log;
+        support::silent_log path(log);
+        path.set_silence(topic::jobs, support::silence::long_polls);
+        counting_follower f(path, {timeout_ms, 0});
+        for (int i = 1; i <= 5; ++i)
+        {
+            log.put(topic::jobs, "job" + std::to_string(i), "1");
+            expect(f.follower.read_to_end(timeout_ms), "read to the end");
+            expect(f.seen == i, "each entry was passed on once");
+        }
+        path.set_silence(topic::jobs, support::silence::none);
+        log.put(topic::jobs, "job6", "1");
+        while (f.seen < 6)
+            std::this_thread::yield();
+        expect(f.follower.read_to_end(timeout_ms) && f.seen == 6,
+               "the long poll passes on the new entry only");
+    }
+
+    void a_read_to_the_end_fails_if_the_end_is_not_read()
+    {
+        support::memory_log log;
+        support::silent_log path(log);
+        counting_follower f(path, {long_poll_ms, long_interval_ms});
+        expect(f.follower.read_to_end(timeout_ms), "read");
+        expect(f.follower.was_at_end_within(timeout_ms), "at the end");
+        path.set_silence(topic::jobs, support::silence::all_reads);
+        expect(!f.follower.read_to_end(short_timeout_ms), "still silent");
+        expect(!f.follower.read_to_end(timeout_ms), "the read has failed");
+        log.set_down(true);
+        path.set_silence(topic::jobs, support::silence::none);
+        expect(!f.follower.read_to_end(timeout_ms), "the log is down");
+    }
+
     void a_refresh_fails_during_an_outage()
     {
         support::memory_log log;
