--- a/tests/support/dispatch_simulation.hpp
+++ b/tests/support/dispatch_simulation.hpp
@@ -156,6 +156,12 @@
     /// Starts a new dispatcher. The old one continues until a worker or the log
     /// refuses its token.
     void take_over();
+    /// From now on, a new dispatcher has the jobs only after a random time up
+    /// to this one.
+    void read_jobs_late(milliseconds max_ms) noexcept
+    {
+        max_jobs_read_ms_ = max_ms;
+    }
     void kill_leader();
     /// \returns how many workers have crashed because of the job.
     [[nodiscard]] int crashes(std::string const& job) const;
@@ -296,6 +302,7 @@
     void inform(std::size_t node, node_event const& event);
     void inform_all(node_event const& event);
     void send_job(std::size_t node, std::string const& id);
+    void send_jobs(dispatcher& leader);
     void stop_fenced_nodes();
     void write_entry(std::string const& id, std::optional<worker_info> entry);
     [[nodiscard]] bool is_list_down() const;
@@ -367,6 +374,7 @@
     std::vector<std::int64_t> tokens_;
     std::size_t leader_ = 0;
     std::int64_t epoch_ = 0;
+    milliseconds max_jobs_read_ms_ = 0; ///< 0: at once
     bool log_down_ = false;
     std::optional<std::size_t> cut_node_;    ///< dispatcher behind a cut
     std::set<std::string> cut_workers_;      ///< on its side
--- a/tests/support/dispatch_simulation_nodes.cpp
+++ b/tests/support/dispatch_simulation_nodes.cpp
@@ -69,18 +69,31 @@
     nodes_.push_back(node);
     tokens_.push_back(epoch_);
     node->set_configuration(config_);
+    send_jobs(*node);
+    for (auto const& [id, entry] : list_)
+        node->put_worker(now_, entry);
+}
+
+/// The new leader reads all jobs, one after the other.
+void dispatch_simulation::send_jobs(dispatcher& leader)
+{
+    auto const max_lag = std::max(faults_.max_job_lag_ms, max_jobs_read_ms_);
+    if (max_lag > 0)
+        leader.await_jobs();
+    milliseconds read_ms = 0;
     for (auto const& [id, j] : jobs_)
     {
-        auto const lag = faults_.max_job_lag_ms == 0
-                             ? 0
-                             : between(0, faults_.max_job_lag_ms);
+        auto const lag = max_lag == 0 ? 0 : between(1, max_lag);
+        read_ms = std::max(read_ms, lag);
         if (lag == 0)
             send_job(leader_, id);
         else
             schedule(lag, [this, to = leader_, id] { send_job(to, id); });
     }
-    for (auto const& [id, entry] : list_)
-        node->put_worker(now_, entry);
+    if (max_lag > 0)
+        schedule(
+            read_ms + 1, [this, to = leader_]
+            { inform(to, [this](dispatcher& d) { d.on_jobs_read(now_); }); });
 }
 
 void dispatch_simulation::kill_leader()
