tests: a claim that is confirmed late is not taken

The check came with the bound on leases, without a test of its own. Seen red with the check switched off: the node took the role on a claim 2 s old.

--- a/tests/unit/test_entry.cpp
+++ b/tests/unit/test_entry.cpp
@@ -30,6 +30,7 @@
     CPPUNIT_TEST(a_removed_worker_is_not_used_after_a_restart);
     CPPUNIT_TEST(an_append_is_refused_if_no_path_reaches_the_log);
     CPPUNIT_TEST(a_paused_dispatcher_starts_nothing_on_an_old_confirmation);
+    CPPUNIT_TEST(a_claim_that_is_confirmed_late_is_not_taken);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -210,6 +211,26 @@
         expect(cluster.wait_for_completion("b"),
                "started after a new confirmation");
     }
+
+    /// Another node may have claimed the role since.
+    void a_claim_that_is_confirmed_late_is_not_taken()
+    {
+        constexpr milliseconds pause_ms = 2'000;
+        entry_cluster cluster(0);
+        cluster.log.delay_append_answers(topic::work, pause_ms);
+        cluster.add_node("node0");
+        auto const has_taken_role = [&]
+        {
+            return cluster.nodes[0]->metrics().find(
+                       "jasminetrack_takeovers_total 0") == std::string::npos;
+        };
+        expect(cluster.wait_until(
+                   [&] { return cluster.log.size(topic::work) > 1; }),
+               "the node appends again");
+        expect(!has_taken_role(), "a new claim, as the first one is too old");
+        cluster.log.delay_append_answers(topic::work, 0);
+        expect(cluster.wait_until(has_taken_role), "it takes the role later");
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(test_entry);
