--- a/packages/tasks/include/jasminetrack/tasks/detail/dispatcher_state.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/detail/dispatcher_state.hpp
@@ -33,6 +33,9 @@
     return p == member_phase::starting || p == member_phase::unconfirmed;
 }
 
+/// An order without an answer may still be carried out within this time.
+inline constexpr milliseconds late_order_ms = 13'000;
+
 /// Later than the start of every worker's process.
 inline constexpr std::int64_t any_incarnation =
     std::numeric_limits<std::int64_t>::max();
--- a/packages/tasks/include/jasminetrack/tasks/orders.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/orders.hpp
@@ -161,6 +161,8 @@
     milliseconds clock_ms = 0; ///< the worker's clock when it answered
     std::vector<running_task> running;
     std::vector<ended_task> ended;
+    /// An earlier send of the order got no answer and may be carried out late.
+    bool repeated = false;
 };
 
 struct stop_reply
--- a/packages/tasks/include/jasminetrack/tasks/worker_view.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/worker_view.hpp
@@ -56,6 +56,12 @@
     /// \returns whether the worker's lease has certainly expired, so that it
     /// has ended all its runs.
     [[nodiscard]] bool is_lease_expired(milliseconds now) const noexcept;
+    /// \returns whether its list entry, with its capacity, may be that of an
+    /// earlier incarnation.
+    [[nodiscard]] bool has_outdated_entry() const noexcept
+    {
+        return listed_incarnation != 0 && listed_incarnation < info.incarnation;
+    }
     /// \returns what its runs occupy, those that are being stopped included.
     [[nodiscard]] resources const& used() const noexcept
     {
@@ -76,6 +82,8 @@
     capacity_after_stops(milliseconds since) const noexcept;
     /// \returns whether the worker has answered this dispatcher recently.
     [[nodiscard]] bool answered_recently(milliseconds now) const noexcept;
+    /// \returns whether its entry and its answers allow starts now.
+    [[nodiscard]] bool accepts_starts(milliseconds now) const noexcept;
     /// \returns whether it hosts a run beside which nothing may be started.
     [[nodiscard]] bool hosts_isolated_run() const noexcept
     {
@@ -94,6 +102,8 @@
     void reset_for_incarnation(std::int64_t incarnation);
 
     worker_info info;
+    /// Incarnation that the list entry describes; 0: it does not say.
+    std::int64_t listed_incarnation = 0;
     bool listed = true;
     /// Time since which it is no longer listed; -1: it is listed.
     milliseconds unlisted_since = -1;
--- a/packages/tasks/src/dispatcher_candidates.cpp
+++ b/packages/tasks/src/dispatcher_candidates.cpp
@@ -131,10 +131,8 @@
 
 bool dispatcher::may_start_on(milliseconds now, worker_view const& w) const
 {
-    return list_currency_.is_current(now) && w.listed && !w.info.draining &&
-           !w.runs_unknown_task && now >= w.starts_blocked_until &&
-           w.unresponsive_since < 0 && w.answered_recently(now) &&
-           !w.hosts_isolated_run();
+    return list_currency_.is_current(now) && w.accepts_starts(now) &&
+           !w.runs_unknown_task && !w.hosts_isolated_run();
 }
 
 void dispatcher::update_candidate(milliseconds now, worker_view const& w,
--- a/packages/tasks/src/dispatcher_renewals.cpp
+++ b/packages/tasks/src/dispatcher_renewals.cpp
@@ -210,6 +210,9 @@
     }
     schedule_renewal(w.info.id, w, now + unresponsive_retry_ms);
     w.last_unanswered_at = now;
+    if (w.renewal_incarnation != w.info.incarnation)
+        w.starts_blocked_until = std::max(w.starts_blocked_until,
+                                          w.renewal_at + detail::late_order_ms);
     if (w.unresponsive_since >= 0)
         return;
     w.unresponsive_since = now;
@@ -241,6 +244,8 @@
     w.unresponsive_since = -1;
     w.replaced = false;
     dismiss_losses(r.worker, w.info.incarnation);
+    if (r.repeated)
+        w.last_unanswered_at = now;
     w.answered_at = now;
     w.answered_renewal_at = w.renewal_at;
     w.answered_address = w.renewal_address;
--- a/packages/tasks/src/dispatcher_starts.cpp
+++ b/packages/tasks/src/dispatcher_starts.cpp
@@ -88,10 +88,9 @@
                        [&](member const& m)
                        {
                            auto const at = workers_.find(m.worker);
-                           return at != workers_.end() && at->second.listed &&
-                                  !at->second.info.draining &&
+                           return at != workers_.end() &&
+                                  at->second.accepts_starts(now) &&
                                   !at->second.is_over_capacity() &&
-                                  at->second.answered_recently(now) &&
                                   (!advised || ticket_of(now, ref, m.worker));
                        });
 }
--- a/packages/tasks/src/dispatcher_workers.cpp
+++ b/packages/tasks/src/dispatcher_workers.cpp
@@ -11,8 +11,6 @@
 /// last completed run, up to the maximum.
 constexpr milliseconds quarantine_ms = 4'000;
 constexpr milliseconds max_quarantine_ms = 32'000;
-/// An order without an answer may still be carried out within this time.
-constexpr milliseconds late_order_ms = 13'000;
 /// Far below the times that are monitored.
 constexpr milliseconds monitor_interval_ms = 50;
 
@@ -23,7 +21,7 @@
 {
     bool const may_come_late = m.phase != detail::member_phase::adopted &&
                                (is_unconfirmed(m.phase) || m.answer_missing);
-    return may_come_late ? m.last_sent_at + late_order_ms : 0;
+    return may_come_late ? m.last_sent_at + detail::late_order_ms : 0;
 }
 
 } // namespace
@@ -58,6 +56,7 @@
     bool const is_new = w.info.address != info.address;
     w.info = info;
     w.info.incarnation = incarnation;
+    w.listed_incarnation = info.incarnation;
     if (is_new)
     {
         schedule_renewal(info.id, w, now);
@@ -139,7 +138,7 @@
     auto const longest_lease =
         limits_.max_lease_ms + limits_.max_lease_ms / clock_drift_divisor;
     if (w.last_unanswered_at >= 0)
-        w.starts_blocked_until = w.last_unanswered_at + late_order_ms;
+        w.starts_blocked_until = w.last_unanswered_at + detail::late_order_ms;
     for (auto const& [run, o] : kept)
     {
         auto const at = active_.find(o.unit);
--- a/packages/tasks/src/worker_view.cpp
+++ b/packages/tasks/src/worker_view.cpp
@@ -62,6 +62,13 @@
            now - answered_at <= max_answer_age_ms + idle_pause_ms;
 }
 
+bool worker_view::accepts_starts(milliseconds now) const noexcept
+{
+    return listed && !info.draining && !has_outdated_entry() &&
+           now >= starts_blocked_until && unresponsive_since < 0 &&
+           answered_recently(now);
+}
+
 void worker_view::update_clock(milliseconds now, milliseconds clock) noexcept
 {
     if (clock < clock_floor(now) && clock_at_ >= 0)
--- a/tests/support/dispatch_simulation.cpp
+++ b/tests/support/dispatch_simulation.cpp
@@ -10,6 +10,7 @@
 {
 
 constexpr milliseconds step_ms = 10;
+constexpr milliseconds heartbeat_ms = 1'500;
 
 } // namespace
 
@@ -188,6 +189,13 @@
     w.incarnation = now_;
     w.epoch = now_;
     w.info.incarnation = w.incarnation;
+    // Its entry stays that of the earlier process until it reports itself.
+    schedule(heartbeat_ms,
+             [this, id]
+             {
+                 if (workers_.at(id).up)
+                     publish(id);
+             });
 }
 
 int dispatch_simulation::crashes(std::string const& job) const
--- a/tests/support/manual_dispatcher.hpp
+++ b/tests/support/manual_dispatcher.hpp
@@ -45,6 +45,14 @@
         dispatcher_.put_worker(now, w);
     }
 
+    /// The worker restarts under its id; the list shows its earlier process.
+    void restart_unlisted(std::string const& id, std::int64_t incarnation)
+    {
+        incarnations_[id] = incarnation;
+        started_at_[id] = now;
+        running[id].clear();
+    }
+
     /// The worker reports that it leaves in this time.
     void drain_worker(std::string const& id, milliseconds remaining_ms)
     {
--- a/tests/unit/test_worker_restarts.cpp
+++ b/tests/unit/test_worker_restarts.cpp
@@ -19,6 +19,8 @@
     CPPUNIT_TEST_SUITE(test_worker_restarts);
     CPPUNIT_TEST(no_start_after_a_restart_while_late_orders_may_arrive);
     CPPUNIT_TEST(unanswered_start_may_reach_the_next_incarnation);
+    CPPUNIT_TEST(no_start_by_the_capacity_of_an_earlier_incarnation);
+    CPPUNIT_TEST(a_renewal_that_is_lost_over_a_restart_is_waited_for);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -98,6 +100,58 @@
                            "its run number is higher");
                 });
     }
+
+    void no_start_by_the_capacity_of_an_earlier_incarnation()
+    {
+        manual_dispatcher h;
+        h.add_worker("w1", 1);
+        h.run_for(500);
+        h.restart_unlisted("w1", 2);
+        h.run_for(500);
+        h.submit("a", "batch");
+        section("it may be of another kind until it is listed",
+                [&]
+                {
+                    h.run_for(3'000);
+                    expect(h.starts.empty(), "no start");
+                });
+        section("then it is used",
+                [&]
+                {
+                    h.add_worker("w1", 2);
+                    h.run_for(1'000);
+                    expect(h.starts.size() == 1, "started");
+                });
+    }
+
+    /// The renewal may acknowledge ends of the next incarnation unseen.
+    void a_renewal_that_is_lost_over_a_restart_is_waited_for()
+    {
+        manual_dispatcher h;
+        h.add_worker("w1", 1);
+        h.run_for(500);
+        h.held.insert("w1");
+        h.run_for(500);
+        h.restart_unlisted("w1", 2);
+        h.add_worker("w1", 2);
+        h.held.clear();
+        renew_reply lost;
+        lost.worker = "w1";
+        h.reply(lost);
+        h.submit("a", "batch");
+        section("nothing is started while it may arrive",
+                [&]
+                {
+                    h.run_for(max_late_order_ms - 1'000);
+                    expect(h.starts.empty(), "no start");
+                });
+        section("then the worker is used",
+                [&]
+                {
+                    h.run_for(3'000);
+                    expect(h.starts.size() == 1, "started");
+                });
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(test_worker_restarts);
