--- a/packages/runtime/src/http_client.cpp
+++ b/packages/runtime/src/http_client.cpp
@@ -42,12 +42,10 @@
 {
     concurrency::streams::producer_consumer_buffer<std::uint8_t> buffer(
         body.size() + 1);
-    // The buffer grows as needed, so that neither task has to wait.
-    buffer
-        .putn_nocopy(reinterpret_cast<std::uint8_t const*>(body.data()),
-                     body.size())
-        .wait();
-    buffer.close(std::ios_base::out).wait();
+    // No task of the library is waited for, as this may be one of its threads.
+    auto* const block = buffer.alloc(body.size());
+    std::copy(body.begin(), body.end(), block);
+    buffer.commit(body.size());
     return buffer.create_istream();
 }
 
