TWICE in the own interface: an owner that is cut off together with another entry VM renewed leases without limit

Cause: node::is_current() took the log for lost to all if one peer that it heard had lost it, too. With two entry VMs in the region that is cut off, the owner went on renewing, and its successor beyond the cut counted the leases as over.

Change: without the log, a node is current only if every other entry VM of the platform's list says that it cannot read the log. A node that is not heard may have it. vm_list_event tells the names of the entry VMs; before the first list the peers that were heard count.

Remains: an entry VM that starts beyond a cut, after the last list that the nodes on this side have read, is not known to them.

--- a/packages/core/include/jasminetrack/core/events.hpp
+++ b/packages/core/include/jasminetrack/core/events.hpp
@@ -99,10 +99,11 @@
     bool draining = false;
 };
 
-/// The platform's list of workers. It lags behind the actual state.
+/// The platform's list of VMs. It lags behind the actual state.
 struct vm_list_event
 {
     std::vector<worker> workers;
+    std::set<std::string> entries; ///< names of the entry VMs
 };
 
 /// Answer of a worker to an order.
--- a/packages/core/include/jasminetrack/core/node.hpp
+++ b/packages/core/include/jasminetrack/core/node.hpp
@@ -66,7 +66,8 @@
     /// value if it never was.
     [[nodiscard]] milliseconds log_age(milliseconds now) const noexcept;
     /// Whether this node can rely on its configuration and ownership: it read
-    /// the log recently, or no peer can read the log either.
+    /// the log recently, or all other entry VMs say that they cannot read the
+    /// log either.
     [[nodiscard]] bool is_current(milliseconds now) const;
     /// Whether the process of an incarnation sent a heartbeat recently.
     [[nodiscard]] bool seems_alive(milliseconds now,
@@ -121,6 +122,12 @@
     /// a region; 0 is first.
     [[nodiscard]] std::size_t rank_for(milliseconds now,
                                        std::string const& region) const;
+    /// \returns the entry VMs that the platform lists, or, before the first
+    /// list, the peers that were heard.
+    [[nodiscard]] std::set<std::string> other_nodes() const;
+    /// Whether the node says now that it cannot read the log.
+    [[nodiscard]] bool is_without_log(milliseconds now,
+                                      std::string const& name) const;
     /// Whether the log was read to its end within owner_lease_ms.
     [[nodiscard]] bool is_fresh(milliseconds now) const noexcept;
 
@@ -128,6 +135,7 @@
     cluster_state state_;
     std::map<std::string, peer_state> peers_;
     std::vector<worker> listed_;
+    std::set<std::string> listed_entries_; ///< names, as the platform knows
     std::map<std::string, region_owner> owners_;
     std::map<std::string, milliseconds> vacant_since_ms_;
     std::map<std::string, milliseconds> claim_proposed_ms_;
--- a/packages/core/src/node.cpp
+++ b/packages/core/src/node.cpp
@@ -48,23 +48,36 @@
 }
 
 /// Without a recent read of the log another node may have claimed a region,
-/// unless no peer that is heard can read the log either.
+/// unless each of them says that it cannot read the log either. A node that is
+/// not heard may be on the other side of a cut, with the log.
 bool node::is_current(milliseconds now) const
 {
     if (log_caught_up_ms_ < 0 || log_caught_up_ms_ < resumed_ms_)
         return false;
     if (is_fresh(now))
         return true;
-    bool heard = peers_.empty();
-    for (auto const& [name, p] : peers_)
-    {
-        if (now - p.heard_ms > settings_.timing.peer_timeout_ms)
-            continue;
-        heard = true;
-        if (p.log_age_ms <= settings_.timing.owner_lease_ms)
-            return false;
-    }
-    return heard;
+    auto const others = other_nodes();
+    return std::all_of(others.begin(), others.end(),
+                       [&](std::string const& name)
+                       { return is_without_log(now, name); });
+}
+
+std::set<std::string> node::other_nodes() const
+{
+    auto others = listed_entries_;
+    if (others.empty())
+        for (auto const& [name, p] : peers_)
+            others.insert(name);
+    others.erase(settings_.name);
+    return others;
+}
+
+bool node::is_without_log(milliseconds now, std::string const& name) const
+{
+    auto const found = peers_.find(name);
+    return found != peers_.end() &&
+           now - found->second.heard_ms <= settings_.timing.peer_timeout_ms &&
+           found->second.log_age_ms > settings_.timing.owner_lease_ms;
 }
 
 bool node::seems_alive(milliseconds now, std::string const& incarnation) const
@@ -140,6 +153,7 @@
 void node::handle(milliseconds now, vm_list_event const& e, actions& out)
 {
     listed_ = e.workers;
+    listed_entries_ = e.entries;
     for (auto& [region, owner] : owners_)
         owner.on_vm_list(listed_);
     step_owners(now, out);
--- a/packages/daemon/src/node_driver.cpp
+++ b/packages/daemon/src/node_driver.cpp
@@ -316,8 +316,10 @@
     mesh_.set_peers(peers);
     std::lock_guard<std::mutex> const lock(mutex_);
     listed_vms_ = list.value();
-    perform(
-        node_.step(monotonic_ms(), core::vm_list_event{listed_vms_.workers}));
+    core::vm_list_event listed{listed_vms_.workers, {}};
+    for (auto const& [name, address] : listed_vms_.entry_addresses)
+        listed.entries.insert(name);
+    perform(node_.step(monotonic_ms(), listed));
 }
 
 std::optional<core::apply_result> node_driver::propose(core::record body,
--- a/tests/bench/capacity_bench.cpp
+++ b/tests/bench/capacity_bench.cpp
@@ -146,7 +146,7 @@
             r.changed.push_back(w);
         }
         write(r);
-        (void)node_.step(now_, vm_list_event{r.changed});
+        (void)node_.step(now_, vm_list_event{r.changed, {}});
     }
 
     void add_teams()
--- a/tests/support/cluster_simulation.cpp
+++ b/tests/support/cluster_simulation.cpp
@@ -35,6 +35,7 @@
     for (int i = 0; i < settings_.nodes; ++i)
     {
         auto const name = "n" + std::to_string(i);
+        listed_nodes_.insert(name);
         auto& m = members_[name];
         m.logic = std::make_unique<core::node>(
             core::node_settings{name, name + ".1", settings_.region,
@@ -122,7 +123,7 @@
 void cluster_simulation::step_node(std::string const& name, node_state& m)
 {
     append_unsent_records(m);
-    if (!log_down_ && !m.log_cut)
+    if (reaches_log(m))
     {
         auto const next = m.logic->state().next;
         if (next < log_.size())
@@ -133,8 +134,8 @@
     }
     if (now_ % tick_ms == 0)
         deliver(m, core::tick_event{});
-    if (now_ % vm_list_ms == 0)
-        deliver(m, core::vm_list_event{listed_});
+    if (now_ % vm_list_ms == 0 && cut_off_.count(name) == 0)
+        deliver(m, core::vm_list_event{listed_, listed_nodes_});
     if (now_ % heartbeat_ms != 0 || m.peers_cut)
         return;
     core::peer_event const beat{name, m.logic->settings().incarnation,
@@ -142,7 +143,7 @@
                                 m.logic->draining()};
     for (auto& [other_name, other] : members_)
         if (other_name != name && other.logic && !other.paused &&
-            !other.peers_cut)
+            !other.peers_cut && !are_separated(name, other_name))
             deliver(other, beat);
 }
 
@@ -166,7 +167,7 @@
 
 void cluster_simulation::append_unsent_records(node_state& m)
 {
-    if (log_down_ || m.log_cut)
+    if (!reaches_log(m))
         return;
     for (auto& entry : m.unsent)
     {
@@ -177,6 +178,30 @@
     m.unsent.clear();
 }
 
+bool cluster_simulation::reaches_log(node_state const& m) const
+{
+    return !log_down_ && !m.log_cut && m.logic &&
+           cut_off_.count(m.logic->settings().name) == 0;
+}
+
+bool cluster_simulation::are_separated(std::string const& a,
+                                       std::string const& b) const
+{
+    return cut_off_.count(a) != cut_off_.count(b);
+}
+
+void cluster_simulation::cut_off(std::set<std::string> nodes,
+                                 std::set<std::string> workers)
+{
+    cut_off_ = std::move(nodes);
+    cut_off_.merge(workers);
+}
+
+void cluster_simulation::end_cut()
+{
+    cut_off_.clear();
+}
+
 void cluster_simulation::send_order(node_state& m, core::order_action const& a)
 {
     auto const name = m.logic->settings().name;
@@ -195,14 +220,24 @@
         [this, name, a, answer]
         {
             auto const model = models_.find(a.worker);
-            if (model == models_.end() || unresponsive_.count(a.worker) != 0 ||
-                cut_workers_.count({name, a.worker}) != 0)
+            auto const time_out = [&]
             {
                 schedule(order_timeout_ms, [a, answer]
                          { answer(core::worker_timeout_event{a.worker}); });
+            };
+            if (model == models_.end() || unresponsive_.count(a.worker) != 0 ||
+                cut_workers_.count({name, a.worker}) != 0 ||
+                are_separated(name, a.worker))
+            {
+                time_out();
                 return;
             }
             auto report = model->second.handle_order(now_, a.order);
+            if (unheard_.count(a.worker) != 0)
+            {
+                time_out();
+                return;
+            }
             schedule(latency(), [report, answer] { answer(report); });
         });
 }
--- a/tests/support/cluster_simulation.hpp
+++ b/tests/support/cluster_simulation.hpp
@@ -70,12 +70,21 @@
     void kill(std::string const& node);
     void cut_log(std::string const& node, bool cut);
     void cut_peers(std::string const& node, bool cut);
+    /// Cuts these nodes and workers off, together, from the log and from all
+    /// others.
+    void cut_off(std::set<std::string> nodes, std::set<std::string> workers);
+    void end_cut();
     void set_log_down(bool down) noexcept
     {
         log_down_ = down;
     }
     /// An unresponsive worker keeps running, but orders do not reach it.
     void set_unresponsive(std::string const& worker, bool unresponsive);
+    /// Orders reach the worker, and its answers are lost.
+    void lose_answers(std::string const& worker)
+    {
+        unheard_.insert(worker);
+    }
     /// Disconnects one node from one worker.
     void disconnect_worker(std::string const& node, std::string const& worker)
     {
@@ -105,6 +114,10 @@
     void execute(node_state& m, core::actions const& todo);
     void send_order(node_state& m, core::order_action const& a);
     void append_unsent_records(node_state& m);
+    [[nodiscard]] bool reaches_log(node_state const& m) const;
+    /// \returns whether the nodes or workers are on different sides of a cut.
+    [[nodiscard]] bool are_separated(std::string const& a,
+                                     std::string const& b) const;
     void schedule(milliseconds delay, std::function<void()> work);
     [[nodiscard]] milliseconds latency();
 
@@ -118,7 +131,10 @@
         last_orders_; ///< by node and worker
     std::set<std::pair<std::string, std::string>> cut_workers_;
     std::set<std::string> unresponsive_;
+    std::set<std::string> unheard_; ///< workers whose answers are lost
+    std::set<std::string> cut_off_; ///< nodes and workers beyond a cut
     std::vector<core::worker> listed_;
+    std::set<std::string> listed_nodes_;
     std::vector<core::log_entry> log_;
     core::cluster_state observer_;
     std::multimap<milliseconds, std::function<void()>> scheduled_;
--- a/tests/unit/test_gangs.cpp
+++ b/tests/unit/test_gangs.cpp
@@ -33,6 +33,7 @@
     CPPUNIT_TEST(a_paused_owner_causes_no_gang_faults);
     CPPUNIT_TEST(a_partitioned_owner_causes_no_gang_faults);
     CPPUNIT_TEST(an_owner_without_the_log_stops_renewing_leases);
+    CPPUNIT_TEST(a_gang_does_not_run_twice_while_a_region_is_cut_off);
     CPPUNIT_TEST(members_start_when_the_last_is_prepared);
     CPPUNIT_TEST(a_lost_worker_restarts_the_gang_as_a_whole);
     CPPUNIT_TEST(a_gang_that_crashes_its_workers_is_given_up);
@@ -319,6 +320,38 @@
         expect_no_gang_faults(w);
     }
 
+    /// Guards against two runs of a gang: an owner that is cut off together
+    /// with another entry VM took the silence of the log for an outage, and
+    /// renewed its leases for as long as the cut lasted.
+    void a_gang_does_not_run_twice_while_a_region_is_cut_off()
+    {
+        for (std::uint32_t seed = 1; seed <= 20; ++seed)
+        {
+            world_settings s;
+            s.seed = seed;
+            s.nodes = 4;
+            cluster_simulation w(s);
+            set_up(w);
+            auto const id = start_spare_job(w, "long", "run_ms=60000");
+            auto const owner = w.owner();
+            auto const neighbour = owner == "n0" ? "n1" : "n0";
+            w.cut_off({owner, neighbour},
+                      {w.state().jobs.at(id).places[0].worker});
+            auto const again = [&]
+            {
+                return w.state().jobs.at(id).attempt == 2 &&
+                       has_state(w, id, job_state::running);
+            };
+            expect(w.run_until(again, 60'000),
+                   "the job runs beyond the cut, seed " + std::to_string(seed));
+            w.run(5000);
+            expect_no_gang_faults(w);
+            w.end_cut();
+            w.run(20'000);
+            expect_no_gang_faults(w);
+        }
+    }
+
     void members_start_when_the_last_is_prepared()
     {
         cluster_simulation w({});
