--- a/packages/core/include/jasminetrack/core/region_owner.hpp
+++ b/packages/core/include/jasminetrack/core/region_owner.hpp
@@ -124,6 +124,9 @@
                      bool full_pass, actions& out);
     void send_order_if_due(milliseconds now, cluster_state const& state,
                            worker const& w, contact& c, actions& out);
+    /// \returns the lease of the tasks in an order to the worker.
+    [[nodiscard]] milliseconds grantable_lease(milliseconds now,
+                                               contact const& c) const noexcept;
     [[nodiscard]] static bool
     is_unsettled(contact const& c, std::vector<task_order> const& tasks);
     [[nodiscard]] std::optional<worker>
--- a/packages/core/src/region_orders.cpp
+++ b/packages/core/src/region_orders.cpp
@@ -162,6 +162,17 @@
                       timing_.settle_interval_ms, timing_.renew_interval_ms);
 }
 
+/// Orders may reach a worker whose answers are lost. They must not move the end
+/// of its leases, after which it counts as lost.
+milliseconds region_owner::grantable_lease(milliseconds now,
+                                           contact const& c) const noexcept
+{
+    if (c.unresponsive_since_ms < 0)
+        return timing_.task_lease_ms;
+    auto const passed = now - c.unresponsive_since_ms;
+    return std::max<milliseconds>(0, timing_.task_lease_ms - passed);
+}
+
 void region_owner::send_order_if_due(milliseconds now,
                                      cluster_state const& state,
                                      worker const& w, contact& c, actions& out)
@@ -191,7 +202,7 @@
     order.region = region_;
     order.epoch = epoch_;
     order.sequence = c.sequence;
-    order.lease_ms = timing_.task_lease_ms;
+    order.lease_ms = grantable_lease(now, c);
     order.known = c.known;
     if (!differs && c.full_order_acknowledged)
         order.same_as = c.full_order_sequence;
--- a/tests/unit/test_gangs.cpp
+++ b/tests/unit/test_gangs.cpp
@@ -34,6 +34,7 @@
     CPPUNIT_TEST(a_partitioned_owner_causes_no_gang_faults);
     CPPUNIT_TEST(an_owner_without_the_log_stops_renewing_leases);
     CPPUNIT_TEST(a_gang_does_not_run_twice_while_a_region_is_cut_off);
+    CPPUNIT_TEST(a_gang_does_not_run_twice_if_its_worker_is_not_heard);
     CPPUNIT_TEST(members_start_when_the_last_is_prepared);
     CPPUNIT_TEST(a_lost_worker_restarts_the_gang_as_a_whole);
     CPPUNIT_TEST(a_gang_that_crashes_its_workers_is_given_up);
@@ -352,6 +353,32 @@
         }
     }
 
+    /// Guards against two runs of a gang: orders to a worker whose answers are
+    /// lost renewed its leases, while the worker counted as lost.
+    void a_gang_does_not_run_twice_if_its_worker_is_not_heard()
+    {
+        for (std::uint32_t seed = 1; seed <= 20; ++seed)
+        {
+            world_settings s;
+            s.seed = seed;
+            cluster_simulation w(s);
+            set_up(w);
+            auto const id = start_spare_job(w, "long", "run_ms=60000");
+            w.run(100 * seed);
+            w.lose_answers(w.state().jobs.at(id).places[0].worker);
+            auto const again = [&]
+            {
+                return w.state().jobs.at(id).attempt == 2 &&
+                       has_state(w, id, job_state::running);
+            };
+            expect(w.run_until(again, 60'000),
+                   "the job runs on another worker, seed " +
+                       std::to_string(seed));
+            w.run(5000);
+            expect_no_gang_faults(w);
+        }
+    }
+
     void members_start_when_the_last_is_prepared()
     {
         cluster_simulation w({});
