UNASKED: a cancelled job ran after its submission of unknown outcome was stored late

What callers saw (seen by reading in the review, now by a test): a submission ended as unknown (504), its cancellation at another entry VM was answered that there is no such job (410), and the tasks ran all the same.

Cause: an append of unknown outcome is repeated until the log confirms it, and may be carried out late by itself. The 410 was true when it was given, and nothing was kept of the cancellation.

Change: the cancellation of an unknown job is stored before its 410. A job that is stored later is cancelled when it is read, before anything of it is placed. Cost: one append for each cancellation of an unknown id.

Ways weighed: giving up the append of unknown outcome (it may be carried out all the same); asking all other entry VMs (one that is cut off may hold the job).

--- a/packages/entry/include/jasminetrack/entry/job_requests.hpp
+++ b/packages/entry/include/jasminetrack/entry/job_requests.hpp
@@ -31,8 +31,10 @@
 enum class cancel_result : std::uint8_t
 {
     cancelled,
-    no_such_job, ///< no job had this id when the request arrived
-    refused,     ///< nothing was stored, or this node cannot tell
+    /// No job had this id when the request arrived. One that is stored later
+    /// is cancelled.
+    no_such_job,
+    refused, ///< nothing was stored, or this node cannot tell
     unknown,
 };
 
--- a/packages/entry/src/job_requests.cpp
+++ b/packages/entry/src/job_requests.cpp
@@ -158,19 +158,24 @@
     return {complete ? status_result::no_such_job : status_result::unknown, {}};
 }
 
+/// The cancellation of an unknown job is stored, too: a submission whose
+/// outcome is unknown may be stored after it.
 cancel_result job_requests::cancel(caller const& who, std::string const& id)
 {
     latency_timer const clock(latencies_, latency::cancel);
     auto const [view, complete] = find_latest(id);
-    if (!view)
-        return complete ? cancel_result::no_such_job : cancel_result::refused;
-    if (view->cancelled || tasks::is_final(view->summary.phase))
+    if (!view && !complete)
+        return cancel_result::refused;
+    if (view && (view->cancelled || tasks::is_final(view->summary.phase)))
         return cancel_result::cancelled;
     auto const result = store(who, {cancel_key(id), "1"});
     write_log(log_level::info, "job.cancel_request",
-              {{"job", id}, {"team", who.team}, {"result", to_text(result)}});
+              {{"job", id},
+               {"team", who.team},
+               {"known", view ? "1" : "0"},
+               {"result", to_text(result)}});
     if (result == write_result::stored)
-        return cancel_result::cancelled;
+        return view ? cancel_result::cancelled : cancel_result::no_such_job;
     return result == write_result::refused ? cancel_result::refused
                                            : cancel_result::unknown;
 }
--- a/tests/support/silent_log.hpp
+++ b/tests/support/silent_log.hpp
@@ -44,9 +44,27 @@
             set_silence(t, s);
     }
 
+    /// While appends to the topic are lost, they get no answer and store
+    /// nothing.
+    void lose_appends(entry::topic t, bool lose)
+    {
+        std::lock_guard<std::mutex> const lock(mutex_);
+        if (lose)
+            losing_.insert(t);
+        else
+            losing_.erase(t);
+    }
+
     void append(entry::append_call call,
                 std::function<void(entry::append_answer)> done) override
     {
+        if (loses(call.topic))
+        {
+            entry::append_answer none;
+            none.result = entry::append_result::unknown;
+            done(none);
+            return;
+        }
         log_.append(std::move(call), std::move(done));
     }
     [[nodiscard]] entry::read_answer read(entry::read_call const& call) override
@@ -65,6 +83,12 @@
     }
 
 private:
+    [[nodiscard]] bool loses(entry::topic t)
+    {
+        std::lock_guard<std::mutex> const lock(mutex_);
+        return losing_.count(t) != 0;
+    }
+
     /// Waits for the end of a silence, up to the time-out of the call.
     [[nodiscard]] bool is_answered(entry::topic t, bool is_long_poll)
     {
@@ -87,6 +111,7 @@
     std::mutex mutex_;
     std::condition_variable changed_;
     std::map<entry::topic, silence> silence_;
+    std::set<entry::topic> losing_;
 };
 
 } // namespace support
--- a/tests/unit/test_old_views.cpp
+++ b/tests/unit/test_old_views.cpp
@@ -38,12 +38,37 @@
     /// Sends a request to the node that can be cut off.
     http_response send(std::string const& method, std::string const& path_of,
                        std::string const& key = "key")
+    {
+        return platform::handle_request(*cluster.nodes[1],
+                                        make_request(method, path_of, key));
+    }
+
+    /// Sends a request to the other node.
+    http_response send_elsewhere(std::string const& method,
+                                 std::string const& path_of)
+    {
+        return platform::handle_request(*cluster.nodes[0],
+                                        make_request(method, path_of, "key"));
+    }
+
+    /// \returns the status of the answer of the node that can be cut off.
+    int submit_at_cut_node(std::string const& id)
+    {
+        auto r = make_request("POST", "/b/" + id, "key");
+        r.body = R"({"spec":"x","steps":[{"count":1,"cpu":1000,"mem_mb":1000,)"
+                 R"("gpu":1,"est_runtime_ms":100}]})";
+        return platform::handle_request(*cluster.nodes[1], r).status;
+    }
+
+    static runtime::http_request make_request(std::string const& method,
+                                              std::string const& path_of,
+                                              std::string const& key)
     {
         runtime::http_request r;
         r.method = method;
         r.path = path_of;
         r.headers = {{"host", "h"}, {"x-api-key", key}};
-        return platform::handle_request(*cluster.nodes[1], r);
+        return r;
     }
 
     /// Waits until the views of a node that cannot read are old.
@@ -74,6 +99,7 @@
     CPPUNIT_TEST(a_silent_long_poll_does_not_hide_a_job);
     CPPUNIT_TEST(an_old_count_is_not_given);
     CPPUNIT_TEST(an_old_configuration_denies_nothing);
+    CPPUNIT_TEST(a_cancelled_job_that_is_stored_late_does_not_run);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -115,6 +141,39 @@
                "cancelled, got " + std::to_string(answer.status));
     }
 
+    /// Guards against tasks of a cancelled job (UNASKED): its submission had an
+    /// unknown outcome, the cancellation elsewhere was answered that there is
+    /// no such job, and the append was carried out later.
+    void a_cancelled_job_that_is_stored_late_does_not_run()
+    {
+        half_cut_cluster c;
+        std::string const path = std::string("/b/") + job_id;
+        c.path.lose_appends(entry::topic::jobs, true);
+        expect(c.submit_at_cut_node(job_id) == 504, "the outcome is unknown");
+        expect(c.send_elsewhere("DELETE", path).status == 410,
+               "no such job is stored");
+        c.path.lose_appends(entry::topic::jobs, false);
+        expect(c.cluster.wait_until(
+                   [&] { return c.send("GET", path).status == 200; }),
+               "the append is repeated");
+        expect(c.cluster.submit("next") &&
+                   c.cluster.wait_for_completion("next"),
+               "a later job is done");
+        section("no task of it has started",
+                [&]
+                {
+                    for (auto const& [task, count] : c.cluster.workers.starts())
+                        expect(task.job != job_id, "started");
+                });
+        section("it is shown as cancelled",
+                [&]
+                {
+                    expect(c.send("GET", path).body.find("cancelled") !=
+                               std::string::npos,
+                           c.send("GET", path).body);
+                });
+    }
+
     void an_old_count_is_not_given()
     {
         half_cut_cluster c;
