LIMIT: a new dispatcher took the first list of workers that it read for current

What callers and workers would see: starts beyond a capacity that shrank during an outage of the log, by a dispatcher that took over right after it.

Cause: an old view decides. A dispatcher that is in place waits after a gap until the workers must have reported again; a new one trusted its first read.

Change: a new dispatcher knows since when its node has read the log without a failure (leadership::readable_since).

Ways weighed: a fixed wait after each take-over (2.3 s without starts each time); following the list on all nodes (calls to the platform are priced).

The simulated fleet also checks service, label and limit per worker of each start; workers have a label of their own.

--- a/packages/entry/include/jasminetrack/entry/dispatch_loop.hpp
+++ b/packages/entry/include/jasminetrack/entry/dispatch_loop.hpp
@@ -106,6 +106,7 @@
     void give_up_role(std::string const& why);
     [[nodiscard]] tasks::log_record heartbeat_record() const;
     void on_workers(std::vector<log_entry> const& entries, bool reloaded);
+    void on_workers_read_failed();
     void unlist_workers_except(milliseconds now,
                                std::set<std::string> const& seen);
 
--- a/packages/entry/src/dispatch_loop.cpp
+++ b/packages/entry/src/dispatch_loop.cpp
@@ -52,12 +52,14 @@
       workers_follower_(
           ports.log, topic::workers,
           {workers_long_poll_ms, workers_interval_ms},
-          log_outages("workers", {[this](std::vector<log_entry> const& entries,
-                                         std::int64_t, bool reloaded) {
-                                      post([this, entries, reloaded]
-                                           { on_workers(entries, reloaded); });
-                                  },
-                                  [](std::string const&) {}})),
+          log_outages("workers",
+                      {[this](std::vector<log_entry> const& entries,
+                              std::int64_t, bool reloaded) {
+                           post([this, entries, reloaded]
+                                { on_workers(entries, reloaded); });
+                       },
+                       [this](std::string const&)
+                       { post([this] { on_workers_read_failed(); }); }})),
       first_sequence_(first_sequence(incarnation_)),
       claim_order_(settings.node, settings.processor_share),
       leadership_(incarnation_, claim_order_.delay())
@@ -205,6 +207,7 @@
         epoch_, settings_.limits, now,
         [this](tasks::decision const& d) { log_decision(d); });
     dispatcher_->on_role_confirmed(claim_sent_ms_);
+    dispatcher_->on_log_back(leadership_.readable_since().value_or(now));
     if (config_)
         dispatcher_->set_configuration(*config_);
     dispatcher_->await_jobs();
@@ -430,6 +433,13 @@
     dispatcher_->on_list_read(now);
 }
 
+/// The partition of the list may have been away while the others were not.
+void dispatch_loop::on_workers_read_failed()
+{
+    if (dispatcher_ && listed_workers_.empty())
+        dispatcher_->on_log_back(monotonic_ms());
+}
+
 void dispatch_loop::unlist_workers_except(milliseconds now,
                                           std::set<std::string> const& seen)
 {
--- a/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -120,6 +120,9 @@
     void on_advice(milliseconds now, advice_reply const& reply);
     /// The log has stored this batch and all earlier ones.
     void on_stored(milliseconds now, std::int64_t batch);
+    /// The log works since this time, so that the list of workers may be older;
+    /// before the list is read.
+    void on_log_back(milliseconds since) noexcept;
     /// The log has confirmed an append of this dispatcher that was first sent
     /// at `sent_at`, so that it held the role then. Leases end a limited time
     /// after that; the caller calls this again and again.
--- a/packages/tasks/include/jasminetrack/tasks/leadership.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/leadership.hpp
@@ -65,6 +65,9 @@
     {
         return newest_;
     }
+    /// \returns the start of the current series of successful reads of the log;
+    /// nothing if the latest read failed.
+    [[nodiscard]] std::optional<milliseconds> readable_since() const noexcept;
     /// \returns whether to claim now, with the epoch after the newest.
     [[nodiscard]] bool should_claim(milliseconds now) const noexcept;
 
--- a/packages/tasks/include/jasminetrack/tasks/list_currency.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/list_currency.hpp
@@ -16,6 +16,9 @@
 public:
     list_currency(dispatch_limits const& limits, milliseconds now) noexcept;
 
+    /// The log works since this time. Until the workers have reported again,
+    /// the list may be that of before.
+    void on_log_back(milliseconds since) noexcept;
     /// The list was read to its end.
     void on_read(milliseconds now) noexcept;
     /// \returns whether every change of a worker that counts by now is known.
@@ -27,7 +30,7 @@
     milliseconds read_at_;
     /// End of the wait for the workers' reports after a gap.
     milliseconds settled_at_ = 0;
-    /// Latest time for which the list is certainly current.
+    /// Latest time for which the list is certainly current; -1: none yet.
     milliseconds current_at_;
 };
 
--- a/packages/tasks/src/dispatcher_workers.cpp
+++ b/packages/tasks/src/dispatcher_workers.cpp
@@ -97,6 +97,11 @@
     w.leaves_at = w.leaves_at < 0 ? at : std::min(w.leaves_at, at);
 }
 
+void dispatcher::on_log_back(milliseconds since) noexcept
+{
+    list_currency_.on_log_back(since);
+}
+
 void dispatcher::on_list_read(milliseconds now)
 {
     bool const was_current = list_currency_.is_current(now);
--- a/packages/tasks/src/leadership.cpp
+++ b/packages/tasks/src/leadership.cpp
@@ -89,6 +89,13 @@
 {
 }
 
+std::optional<milliseconds> leadership::readable_since() const noexcept
+{
+    if (readable_since_ < 0)
+        return std::nullopt;
+    return readable_since_;
+}
+
 bool leadership::should_claim(milliseconds now) const noexcept
 {
     if (stopped_ || leading_ || claiming_ || readable_since_ < 0 ||
--- a/packages/tasks/src/list_currency.cpp
+++ b/packages/tasks/src/list_currency.cpp
@@ -23,6 +23,12 @@
 {
 }
 
+void list_currency::on_log_back(milliseconds since) noexcept
+{
+    settled_at_ = since + heartbeat_ms_ + report_delay_ms;
+    current_at_ = -1;
+}
+
 void list_currency::on_read(milliseconds now) noexcept
 {
     if (now - read_at_ > max_read_interval_ms)
@@ -34,7 +40,8 @@
 
 bool list_currency::is_current(milliseconds now) const noexcept
 {
-    return now - current_at_ <= unseen_change_ms_ - start_delay_ms;
+    return current_at_ >= 0 &&
+           now - current_at_ <= unseen_change_ms_ - start_delay_ms;
 }
 
 } // namespace jasminetrack::tasks
--- a/tests/support/dispatch_simulation.cpp
+++ b/tests/support/dispatch_simulation.cpp
@@ -29,8 +29,9 @@
 char const* to_text(violation_kind kind) noexcept
 {
     constexpr std::array names{
-        "two runs", "run after end", "over capacity", "step order",
-        "attempts", "crash budget",  "cancelled job", "failed job"};
+        "two runs",      "run after end", "over capacity",
+        "step order",    "attempts",      "crash budget",
+        "cancelled job", "failed job",    "wrong worker"};
     return names[static_cast<std::size_t>(kind)];
 }
 
@@ -118,14 +119,15 @@
 void dispatch_simulation::add_worker(std::string const& id,
                                      std::string const& rack,
                                      resources capacity,
-                                     std::string const& address)
+                                     std::string const& address,
+                                     std::string const& label)
 {
     sim_worker w;
     w.info.id = id;
     w.info.address = address.empty() ? id : address;
     w.info.service = "service";
     w.info.rack = rack;
-    w.info.labels = {"a", rack};
+    w.info.labels = {label, rack};
     w.info.capacity = capacity;
     w.info.incarnation = w.incarnation = now_;
     w.epoch = now_;
@@ -249,8 +251,10 @@
 {
     trace(down ? "log down" : "log up");
     log_down_ = down;
-    if (!down)
-        delay_list();
+    if (down)
+        return;
+    log_up_since_ = now_;
+    delay_list();
 }
 
 void dispatch_simulation::run_for(milliseconds ms)
--- a/tests/support/dispatch_simulation.hpp
+++ b/tests/support/dispatch_simulation.hpp
@@ -63,6 +63,8 @@
     crash_budget,
     cancelled_job,
     failed_job, ///< a job failed without a cause
+    /// Of another service or label, or with too many tasks of the step.
+    wrong_worker,
 };
 
 [[nodiscard]] char const* to_text(violation_kind kind) noexcept;
@@ -142,7 +144,8 @@
     void configure(configuration const& c);
     /// \param address  the worker's id if empty
     void add_worker(std::string const& id, std::string const& rack,
-                    resources capacity, std::string const& address = "");
+                    resources capacity, std::string const& address = "",
+                    std::string const& label = "a");
     void submit(std::string const& id, std::string const& queue, job_spec spec,
                 true_work work = {});
     void cancel(std::string const& id);
@@ -187,6 +190,8 @@
     // dispatch_simulation_list.cpp
     /// Changes the capacity of a worker that runs.
     void set_capacity(std::string const& id, resources capacity);
+    /// Changes the label that tells the worker's kind.
+    void set_label(std::string const& id, std::string label);
     /// No dispatcher can read the worker list, while the log takes appends.
     void list_down(bool down);
     /// The list shows the worker as `entry`, or not at all, until publish().
@@ -347,6 +352,8 @@
     [[nodiscard]] milliseconds restart_time();
     void bring_back(std::string const& id, comeback how);
     void check_crash_budget(start_order const& o, std::string const& name);
+    void check_worker(sim_worker const& w, start_order const& o,
+                      std::string const& name);
     void check_failed_job(log_record const& r);
     void check_start(sim_worker const& w, start_order const& o);
     [[nodiscard]] bool has_ticket(sim_worker const& w,
@@ -376,6 +383,7 @@
     std::int64_t epoch_ = 0;
     milliseconds max_jobs_read_ms_ = 0; ///< 0: at once
     bool log_down_ = false;
+    milliseconds log_up_since_ = 0;
     std::optional<std::size_t> cut_node_;    ///< dispatcher behind a cut
     std::set<std::string> cut_workers_;      ///< on its side
     std::map<std::string, std::string> log_; ///< newest record of each key
--- a/tests/support/dispatch_simulation_crashes.cpp
+++ b/tests/support/dispatch_simulation_crashes.cpp
@@ -92,7 +92,7 @@
     auto const old = workers_.at(id).info;
     auto const fresh = id + "+";
     trace("back " + id + " as " + fresh);
-    add_worker(fresh, old.rack, old.capacity, old.address);
+    add_worker(fresh, old.rack, old.capacity, old.address, old.labels.front());
     schedule(unlisted_after_ms - usual_restart_ms,
              [this, id] { write_entry(id, std::nullopt); });
 }
--- a/tests/support/dispatch_simulation_list.cpp
+++ b/tests/support/dispatch_simulation_list.cpp
@@ -45,6 +45,15 @@
         publish(id);
 }
 
+void dispatch_simulation::set_label(std::string const& id, std::string label)
+{
+    auto& w = workers_.at(id);
+    trace("label of " + id + " " + label);
+    w.info.labels.front() = std::move(label);
+    if (w.up)
+        publish(id);
+}
+
 resources dispatch_simulation::counted_capacity(sim_worker const& w) const
 {
     auto counted = w.info.capacity;
--- a/tests/support/dispatch_simulation_nodes.cpp
+++ b/tests/support/dispatch_simulation_nodes.cpp
@@ -69,6 +69,7 @@
     nodes_.push_back(node);
     tokens_.push_back(epoch_);
     node->set_configuration(config_);
+    node->on_log_back(log_up_since_);
     send_jobs(*node);
     for (auto const& [id, entry] : list_)
         node->put_worker(now_, entry);
--- a/tests/support/dispatch_simulation_workers.cpp
+++ b/tests/support/dispatch_simulation_workers.cpp
@@ -145,6 +145,36 @@
         report_violation(violation_kind::cancelled_job,
                          name + " started after its job was cancelled");
     check_crash_budget(o, name);
+    check_worker(w, o, name);
+}
+
+void dispatch_simulation::check_worker(sim_worker const& w,
+                                       start_order const& o,
+                                       std::string const& name)
+{
+    auto const& step = *step_of(o.run);
+    auto const* q = find_queue(config_, jobs_.at(o.run.task.job).job.queue);
+    if (q && q->service != w.info.service)
+        report_violation(violation_kind::wrong_worker,
+                         name + " is of service " + w.info.service);
+    auto const& labels = w.info.labels;
+    if (!step.label.empty() &&
+        std::find(labels.begin(), labels.end(), step.label) == labels.end())
+        report_violation(violation_kind::wrong_worker,
+                         name + " lacks label " + step.label);
+    auto const same_step =
+        std::count_if(w.runs.begin(), w.runs.end(),
+                      [&](auto const& entry)
+                      {
+                          auto const& task = entry.first.task;
+                          return task.job == o.run.task.job &&
+                                 task.occurrence == o.run.task.occurrence &&
+                                 task.step == o.run.task.step;
+                      });
+    if (step.most_per_worker > 0 && same_step >= step.most_per_worker)
+        report_violation(violation_kind::wrong_worker,
+                         name + " beside " + std::to_string(same_step) +
+                             " tasks of its step");
 }
 
 call_result dispatch_simulation::handle_start(sim_worker& w,
--- a/tests/support/random_fleet.cpp
+++ b/tests/support/random_fleet.cpp
@@ -3,7 +3,10 @@
 #include "crashing_jobs.hpp"
 #include "small_jobs.hpp"
 
+#include <jasminetrack/tasks/lease_bounds.hpp>
+
 #include <algorithm>
+#include <array>
 
 namespace support
 {
@@ -15,6 +18,10 @@
 constexpr int max_outage_ms = 9'000;
 constexpr resources whole{64'000, 128'000, 8};
 constexpr resources half{35'200, 70'400, 4};
+constexpr int workers = 8;
+constexpr std::array<char const*, 2> kinds{"a", "b"};
+/// Above the longest lag of the list.
+constexpr milliseconds list_settled_ms = 3'000;
 constexpr milliseconds settle_ms = 240'000;
 constexpr milliseconds settle_step_ms = 5'000;
 
@@ -121,6 +128,9 @@
          false,
          true},
         {"list outages", lossy, {&fleet::list_outage}},
+        {"log outages with take-overs",
+         lossy,
+         {&fleet::log_outage_with_take_over}},
         {"unlisted workers", lossy, {&fleet::unlist, &fleet::correct_entries}},
         {"wrong addresses",
          lossy,
@@ -155,7 +165,9 @@
 }
 
 random_fleet::random_fleet(unsigned seed, fleet_profile const& profile)
-    : random_(seed), events_(profile.events), world_(seed, profile.faults)
+    : random_(seed), events_(profile.events),
+      has_constrained_jobs_(profile.has_constrained_jobs),
+      world_(seed, profile.faults)
 {
     // Jobs are most of a day, whatever else the profile has.
     auto const jobs = std::max<std::size_t>(4, events_.size());
@@ -189,6 +201,11 @@
     constexpr int max_step_ms = 2'000;
     world_.set_comeback(below(2) == 0 ? comeback::same_id : comeback::new_id);
     add_racks(world_);
+    if (has_constrained_jobs_)
+        for (int i = 1; i < workers; i += 2)
+            world_.set_label(name_of(i), kinds[1]);
+    if (has_constrained_jobs_)
+        world_.run_for(list_settled_ms);
     for (int i = 0; i < events_per_day; ++i)
     {
         auto const event = events_[static_cast<std::size_t>(
@@ -239,10 +256,26 @@
         spec.steps.push_back(spec.steps[0]);
         spec.steps[1].after = {0};
     }
+    if (has_constrained_jobs_)
+        constrain(spec);
     world_.submit(id, below(3) == 0 ? "urgent" : "batch", spec,
                   {200 + below(6'000)});
 }
 
+void random_fleet::constrain(job_spec& spec)
+{
+    for (auto& step : spec.steps)
+    {
+        // Two workers of each kind are always there.
+        bool const fits_two =
+            !step.gang || step.count * step.need.accelerators <= 16;
+        if (fits_two && below(3) == 0)
+            step.label = kinds[static_cast<std::size_t>(below(2))];
+        if (below(2) == 0)
+            step.most_per_worker = step.gang && !step.label.empty() ? 2 : 1;
+    }
+}
+
 void random_fleet::submit_crashing()
 {
     constexpr int max_crash_after_ms = 1'500;
@@ -299,6 +332,28 @@
     world_.set_capacity(id, kind);
 }
 
+void random_fleet::crash_and_change_label()
+{
+    auto const id = any_worker();
+    // Two workers of each kind never change, so that all jobs can end.
+    if (id[1] < '4')
+        return;
+    world_.crash_for_a_while(id);
+    world_.set_label(id, kinds[static_cast<std::size_t>(below(2))]);
+}
+
+void random_fleet::log_outage_with_other_labels()
+{
+    world_.log_down(true);
+    for (int i = 0; i < 3; ++i)
+    {
+        submit_sound();
+        crash_and_change_label();
+        world_.run_for(below(max_outage_ms / 3));
+    }
+    world_.log_down(false);
+}
+
 void random_fleet::restart_at_once()
 {
     auto const id = any_worker();
@@ -400,6 +455,21 @@
     world_.log_down(false);
 }
 
+void random_fleet::log_outage_with_take_over()
+{
+    world_.kill_leader();
+    world_.log_down(true);
+    for (int i = 0; i < 4; ++i)
+    {
+        submit_sound();
+        shrink();
+        world_.run_for(below(max_outage_ms / 2));
+    }
+    world_.log_down(false);
+    world_.run_for(holder_timeout_ms);
+    world_.take_over();
+}
+
 void random_fleet::list_outage()
 {
     world_.list_down(true);
--- a/tests/support/random_fleet.hpp
+++ b/tests/support/random_fleet.hpp
@@ -24,6 +24,8 @@
     std::vector<fleet_event> events;
     bool has_crashing_jobs = true;
     bool has_changing_capacity = true;
+    /// Some jobs need a label, or limit the tasks of a step on one worker.
+    bool has_constrained_jobs = false;
 };
 
 /// \returns all profiles.
@@ -51,6 +53,7 @@
     void grow();
     void crash();
     void crash_and_change_kind();
+    void crash_and_change_label();
     void restart_at_once();
     void disconnect();
     void reconnect();
@@ -72,6 +75,10 @@
     void cut_from_earlier();
     void restore_links();
     void log_outage();
+    /// A dispatcher takes over as soon as it can after an outage.
+    void log_outage_with_take_over();
+    /// While placements wait for the log, workers come back as other kinds.
+    void log_outage_with_other_labels();
     void list_outage();
     void unlist();
     void report_wrong_address();
@@ -82,10 +89,13 @@
 private:
     [[nodiscard]] int below(int n);
     [[nodiscard]] std::string any_worker();
+    /// Adds what only some workers can satisfy.
+    void constrain(job_spec& spec);
     void settle();
 
     std::mt19937 random_;
     std::vector<fleet_event> events_;
+    bool has_constrained_jobs_;
     dispatch_simulation world_;
     std::vector<std::string> sound_;
     std::vector<std::string> crashing_;
