ROUTE: tasks that wait for stops were not counted in the limit of tasks per worker

What workers saw: starts beyond `anti_affinity`, where urgent tasks of one step wait for the stops that free their capacity.

Cause: the tasks of a step on a worker were counted from its runs alone. A task with a reservation there has no run yet, so a second one was reserved or placed on the same worker.

Change: count_same_step() counts reserved places, too.

--- a/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -349,6 +349,9 @@
     void deduct_capacity(std::string const& service,
                          std::vector<std::string> const& places,
                          resources const& each);
+    /// \returns the tasks of the unit's step on the worker.
+    [[nodiscard]] std::int64_t count_same_step(unit_ref const& ref,
+                                               std::string const& worker) const;
     void count_same_step(std::vector<worker_candidate>& candidates,
                          unit_ref const& ref, unit_need const& need) const;
     [[nodiscard]] unit_need need_of(milliseconds now, job_entry const& e,
--- a/packages/tasks/src/dispatcher_candidates.cpp
+++ b/packages/tasks/src/dispatcher_candidates.cpp
@@ -84,13 +84,28 @@
     if (need.most_per_worker == 0)
         return;
     for (auto& candidate : candidates)
+        candidate.same_step = count_same_step(ref, candidate.id);
+}
+
+/// Tasks that are being stopped count, and so do those that wait for stops
+/// there.
+std::int64_t dispatcher::count_same_step(unit_ref const& ref,
+                                         std::string const& worker) const
+{
+    auto const is_same = [&](unit_ref const& other)
     {
-        candidate.same_step = 0;
-        for (auto const& [run, o] : workers_.at(candidate.id).hosted_runs)
-            if (o.unit.job == ref.job && o.unit.unit.step == ref.unit.step &&
-                o.unit.unit.occurrence == ref.unit.occurrence)
-                ++candidate.same_step;
-    }
+        return other.job == ref.job && other.unit.step == ref.unit.step &&
+               other.unit.occurrence == ref.unit.occurrence;
+    };
+    std::int64_t count = 0;
+    for (auto const& [run, o] : workers_.at(worker).hosted_runs)
+        count += is_same(o.unit) ? 1 : 0;
+    auto at = reservations_.lower_bound(
+        {ref.job, {ref.unit.occurrence, ref.unit.step, 0}});
+    for (; at != reservations_.end() && is_same(at->first); ++at)
+        count += std::count(at->second.places.begin(), at->second.places.end(),
+                            worker);
+    return count;
 }
 
 std::vector<worker_candidate>&
--- a/tests/unit/test_reservations.cpp
+++ b/tests/unit/test_reservations.cpp
@@ -2,6 +2,7 @@
 /// Capacity that is reserved on workers which restart, leave or come back while
 /// units wait for stops.
 
+#include "crashing_jobs.hpp"
 #include "section.hpp"
 #include "small_jobs.hpp"
 
@@ -14,6 +15,7 @@
 
 constexpr milliseconds check_ms = 50;
 constexpr int workers = 8;
+constexpr resources whole{64'000, 128'000, 8};
 
 std::string worker_name(int i)
 {
@@ -24,6 +26,7 @@
 {
     CPPUNIT_TEST_SUITE(test_reservations);
     CPPUNIT_TEST(workers_that_come_and_go_keep_their_reserved_capacity_right);
+    CPPUNIT_TEST(tasks_that_wait_for_stops_keep_to_the_limit_per_worker);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -37,6 +40,30 @@
         expect(seen > 0, "there were reservations");
     }
 
+    /// Guards against starts beyond `anti_affinity` (ROUTE): tasks that waited
+    /// for stops on a worker were not counted there.
+    void tasks_that_wait_for_stops_keep_to_the_limit_per_worker()
+    {
+        constexpr unsigned seeds = 20;
+        for (unsigned seed = 1; seed <= seeds; ++seed)
+        {
+            dispatch_simulation w(seed);
+            w.configure(two_queues());
+            w.add_worker("w0", "r1", whole);
+            w.submit("older", "batch", simple_job(4, 2), {60'000});
+            w.run_for(3'000);
+            w.add_worker("w1", "r1", whole);
+            w.submit("newer", "batch", simple_job(4, 2), {60'000});
+            w.run_for(1'000);
+            auto spec = simple_job(2, 2);
+            spec.steps[0].most_per_worker = 1;
+            w.submit("urgent", "urgent", spec, {1'000});
+            w.run_for(10'000);
+            expect_no_violations(w);
+            expect(w.phase("urgent") == job_phase::completed, "it is done");
+        }
+    }
+
 private:
     /// \returns how often there were reservations.
     static int run_seed(unsigned seed)
