ROUTE: a placement that waits is checked again for service, label and limit per worker

What workers would see: starts without the label in `requires` or beyond `anti_affinity`, where the entry of a worker or what runs there changes while a placement waits: for stops, or for its record to be stored, which takes long while the log is slow. Found by reading, shown by tests; not reproduced from the report.

Cause: an old view decides. The worker was chosen for its label, service and runs; before the start, capacity and incarnation alone were checked again. A reserved worker that restarted under its id as another kind got the task.

Change: is_eligible() is asked before a start is sent and before a reservation is used; else the unit is placed again.

Tests, red before: test_reservations::a_reservation_ends_if_its_worker_is_back_ as_another_kind ("urgent.0.0 run 1 on w0 lacks label a"), test_wrong_entries:: an_entry_that_changes_before_the_start_is_heeded ("it is not started there"), a_run_that_is_found_before_the_start_counts ("no task is started beside it").

--- a/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -322,8 +322,8 @@
     void schedule(milliseconds now, milliseconds wall);
     [[nodiscard]] milliseconds max_stop_time() const noexcept;
     /// \returns whether a reservation on the worker is of use.
-    [[nodiscard]] bool is_reservable(milliseconds now,
-                                     std::string const& id) const;
+    [[nodiscard]] bool is_reservable(milliseconds now, unit_ref const& ref,
+                                     std::string const& worker) const;
     void process_reservations(milliseconds now);
     void drop_reservation(unit_ref const& ref);
     [[nodiscard]] std::vector<waiting_units> collect_waiting(milliseconds wall);
@@ -352,6 +352,10 @@
     /// \returns the tasks of the unit's step on the worker.
     [[nodiscard]] std::int64_t count_same_step(unit_ref const& ref,
                                                std::string const& worker) const;
+    /// Whether the worker, with the unit's own tasks, is of the unit's service
+    /// and label and within its limit of tasks.
+    [[nodiscard]] bool is_eligible(unit_ref const& ref,
+                                   std::string const& worker) const;
     void count_same_step(std::vector<worker_candidate>& candidates,
                          unit_ref const& ref, unit_need const& need) const;
     [[nodiscard]] unit_need need_of(milliseconds now, job_entry const& e,
--- a/packages/tasks/src/dispatcher_candidates.cpp
+++ b/packages/tasks/src/dispatcher_candidates.cpp
@@ -108,6 +108,22 @@
     return count;
 }
 
+/// An entry may have changed, or a run been found, since the worker was chosen.
+bool dispatcher::is_eligible(unit_ref const& ref,
+                             std::string const& worker) const
+{
+    auto const& e = jobs_.at(ref.job);
+    auto const& step = step_of(e, ref);
+    auto const& info = workers_.at(worker).info;
+    bool const has_label =
+        step.label.empty() || std::find(info.labels.begin(), info.labels.end(),
+                                        step.label) != info.labels.end();
+    bool const is_within_limit =
+        step.most_per_worker == 0 ||
+        count_same_step(ref, worker) <= step.most_per_worker;
+    return info.service == e.service && has_label && is_within_limit;
+}
+
 std::vector<worker_candidate>&
 dispatcher::candidates_of(milliseconds now, std::string const& service,
                           std::int64_t priority)
--- a/packages/tasks/src/dispatcher_reclaim.cpp
+++ b/packages/tasks/src/dispatcher_reclaim.cpp
@@ -117,11 +117,13 @@
     return limits_.max_stop_ms + reservation_slack_ms;
 }
 
-bool dispatcher::is_reservable(milliseconds now, std::string const& id) const
+bool dispatcher::is_reservable(milliseconds now, unit_ref const& ref,
+                               std::string const& worker) const
 {
-    auto const at = workers_.find(id);
+    auto const at = workers_.find(worker);
     return at != workers_.end() && at->second.listed &&
-           !at->second.info.draining && now >= at->second.starts_blocked_until;
+           !at->second.info.draining &&
+           now >= at->second.starts_blocked_until && is_eligible(ref, worker);
 }
 
 void dispatcher::process_reservations(milliseconds now)
@@ -133,9 +135,9 @@
     {
         auto const r = reservations_.at(ref);
         auto& e = *find_job(ref.job);
-        bool const usable = std::all_of(r.places.begin(), r.places.end(),
-                                        [&](std::string const& id)
-                                        { return is_reservable(now, id); });
+        bool const usable = std::all_of(
+            r.places.begin(), r.places.end(),
+            [&](std::string const& id) { return is_reservable(now, ref, id); });
         bool const overdue = now - r.since > max_stop_time();
         if (usable && fits_now(now, e, ref, r.places))
         {
--- a/packages/tasks/src/dispatcher_starts.cpp
+++ b/packages/tasks/src/dispatcher_starts.cpp
@@ -91,6 +91,7 @@
                            return at != workers_.end() &&
                                   at->second.accepts_starts(now) &&
                                   !at->second.is_over_capacity() &&
+                                  is_eligible(ref, m.worker) &&
                                   (!advised || ticket_of(now, ref, m.worker));
                        });
 }
--- a/tests/unit/test_reservations.cpp
+++ b/tests/unit/test_reservations.cpp
@@ -27,6 +27,7 @@
     CPPUNIT_TEST_SUITE(test_reservations);
     CPPUNIT_TEST(workers_that_come_and_go_keep_their_reserved_capacity_right);
     CPPUNIT_TEST(tasks_that_wait_for_stops_keep_to_the_limit_per_worker);
+    CPPUNIT_TEST(a_reservation_ends_if_its_worker_is_back_as_another_kind);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -64,6 +65,41 @@
         }
     }
 
+    /// Guards against starts on workers without the label in `requires`
+    /// (ROUTE): a reserved worker was back under its id as another kind.
+    void a_reservation_ends_if_its_worker_is_back_as_another_kind()
+    {
+        simulation_faults faults;
+        faults.slow_stops = true;
+        dispatch_simulation w(1, faults);
+        w.configure(two_queues());
+        w.add_worker("w0", "r1", whole);
+        w.submit("batch", "batch", simple_job(1, 8), {60'000});
+        w.run_for(3'000);
+        auto spec = simple_job(1, 8);
+        spec.steps[0].label = "a";
+        w.submit("urgent", "urgent", spec, {1'000});
+        while (w.leader().reservations() == 0)
+            w.run_for(10);
+        w.crash_worker("w0");
+        w.set_label("w0", "b");
+        section("nothing of the job is started there",
+                [&]
+                {
+                    w.run_for(10'000);
+                    expect_no_violations(w);
+                    expect(w.starts("urgent") == 0, "no start");
+                });
+        section("it runs on a worker with the label",
+                [&]
+                {
+                    w.add_worker("w1", "r1", whole);
+                    w.run_for(10'000);
+                    expect(w.phase("urgent") == job_phase::completed, "done");
+                    expect_no_violations(w);
+                });
+    }
+
 private:
     /// \returns how often there were reservations.
     static int run_seed(unsigned seed)
--- a/tests/unit/test_wrong_entries.cpp
+++ b/tests/unit/test_wrong_entries.cpp
@@ -56,6 +56,8 @@
     CPPUNIT_TEST(an_entry_with_an_unused_service_changes_nothing);
     CPPUNIT_TEST(a_refusal_where_the_worker_answered_ends_its_runs);
     CPPUNIT_TEST(a_refusal_to_an_earlier_incarnation_ends_no_run);
+    CPPUNIT_TEST(an_entry_that_changes_before_the_start_is_heeded);
+    CPPUNIT_TEST(a_run_that_is_found_before_the_start_counts);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -145,6 +147,66 @@
         h.run_for(2 * second_ms);
         expect(h.starts.size() == 1, "the start may still be carried out");
     }
+
+    /// Guards against starts on a worker without the label in `requires`
+    /// (ROUTE): its entry changed while the placement waited for the log.
+    void an_entry_that_changes_before_the_start_is_heeded()
+    {
+        manual_dispatcher h;
+        h.add_worker("w1", 1);
+        auto entry = h.entry_of("w1");
+        entry.labels = {"a", "r1"};
+        h.put_entry(entry);
+        h.run_for(second_ms);
+        h.stores = false;
+        h.submit(constrained_job(1));
+        h.run_for(second_ms);
+        expect(h.newest("unit.place").find("first=w1") != std::string::npos,
+               "the task is placed");
+        entry.labels = {"b", "r1"};
+        h.put_entry(entry);
+        h.store_again();
+        h.run_for(second_ms);
+        expect(h.starts.empty(), "it is not started there");
+        entry.labels = {"a", "r1"};
+        h.put_entry(entry);
+        h.run_for(second_ms);
+        expect(h.starts.size() == 1, "it is started with the label");
+    }
+
+    /// Guards against starts beyond `anti_affinity` (ROUTE): another task of
+    /// the step, started by an earlier dispatcher, is found on the worker while
+    /// the placement waits for the log.
+    void a_run_that_is_found_before_the_start_counts()
+    {
+        manual_dispatcher h;
+        h.add_worker("w1", 1);
+        auto entry = h.entry_of("w1");
+        entry.labels = {"a", "r1"};
+        h.put_entry(entry);
+        h.run_for(second_ms);
+        h.stores = false;
+        h.submit(constrained_job(2));
+        h.run_for(second_ms);
+        h.running["w1"].insert({{"c", 0, 0, 1}, 7});
+        h.run_for(3 * second_ms);
+        h.store_again();
+        h.run_for(second_ms);
+        expect(h.starts.empty(), "no task is started beside it");
+    }
+
+private:
+    static accepted_job constrained_job(std::int64_t tasks)
+    {
+        accepted_job job;
+        job.id = "c";
+        job.queue = "batch";
+        job.team = "team";
+        job.spec = simple_job(tasks, 1);
+        job.spec.steps[0].label = "a";
+        job.spec.steps[0].most_per_worker = 1;
+        return job;
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(test_wrong_entries);
