LOST in the own interface: an accepted job was denied by an entry VM with an old view

Cause: GET /v1/jobs/ID looked the job up in a view of any age.

Change: a 404 needs a read of the log to its end that began with the request, at most 2 s; without one the answer is 503, use another entry VM.

--- a/packages/daemon/src/jobs_api.cpp
+++ b/packages/daemon/src/jobs_api.cpp
@@ -17,6 +17,8 @@
 
 constexpr std::int64_t append_timeout_ms = 5000;
 constexpr std::int64_t max_wait_ms = 60'000;
+/// Above the long poll of a read of the log.
+constexpr std::int64_t read_timeout_ms = 2000;
 constexpr std::size_t max_key_bytes = 128;
 
 json describe(core::job const& j, std::string const& why)
@@ -187,6 +189,16 @@
                                      return j &&
                                             j->state == core::job_state::ended;
                                  });
+    // Another entry VM may have accepted the job just now.
+    bool const complete =
+        j || driver_.await_read(monotonic_ms() + read_timeout_ms);
+    if (!complete)
+        return refuse(status_unavailable, "job.find",
+                      "this entry VM cannot tell whether there is a job '" +
+                          id + "'; it cannot reach the log",
+                      "use another entry VM");
+    if (!j)
+        j = find(id);
     if (!j)
         return refuse(status_not_found, "job.find",
                       "there is no job '" + id + "'",
--- a/packages/daemon/src/node_driver.cpp
+++ b/packages/daemon/src/node_driver.cpp
@@ -354,6 +354,25 @@
     return log_.withdraw(sequence);
 }
 
+bool node_driver::await_read(std::int64_t until_ms)
+{
+    auto const begun = monotonic_ms();
+    auto const was_read = [&]
+    {
+        return with_node(
+            [&](core::node const& n)
+            {
+                auto const now = monotonic_ms();
+                return now - n.log_age(now) >= begun;
+            });
+    };
+    constexpr std::int64_t recheck_interval_ms = 50;
+    while (!was_read() && monotonic_ms() < until_ms)
+        (void)changes_.wait("log/read", monotonic_ms() + recheck_interval_ms,
+                            was_read);
+    return was_read();
+}
+
 bool node_driver::drain(std::int64_t until_ms)
 {
     handle_event(core::drain_event{});
--- a/packages/daemon/src/node_driver.hpp
+++ b/packages/daemon/src/node_driver.hpp
@@ -99,6 +99,10 @@
     /// Releases the regions that the node owns. \returns false if it still
     /// owns one at `until_ms`.
     bool drain(std::int64_t until_ms);
+    /// Waits for a read of the log to its end that began during this call.
+    /// \param until_ms  on the monotonic clock
+    /// \returns whether there was one in time.
+    [[nodiscard]] bool await_read(std::int64_t until_ms);
 
 private:
     /// Sends a call. `done` is not called after stop() has begun.
--- a/tests/process/test_answers.cpp
+++ b/tests/process/test_answers.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(a_killed_entry_leaves_the_outcome_unknown);
     CPPUNIT_TEST(lost_append_answers_cause_no_duplicates);
     CPPUNIT_TEST(calls_and_jobs_during_a_log_outage);
+    CPPUNIT_TEST(a_job_accepted_elsewhere_is_not_denied);
     CPPUNIT_TEST(wrong_or_missing_answers_of_targets);
     CPPUNIT_TEST(a_call_that_fails_everywhere_reaches_three_targets);
     CPPUNIT_TEST(refusals_name_the_exceeded_limit);
@@ -153,6 +154,26 @@
                 });
     }
 
+    /// Guards against an accepted job that is said not to exist (LOST), by an
+    /// entry VM whose view of the log is old.
+    void a_job_accepted_elsewhere_is_not_denied()
+    {
+        cluster c({});
+        c.apply_default_ticket();
+        c.entry(2).to_log->set_blocked(true);
+        c.entry(2).from_peers->set_blocked(true);
+        auto const path = "/v1/jobs/" + c.submit(0, "spare", "a", "run_ms=10");
+        auto const denied = c.get(2, path);
+        expect(denied.status == 503,
+               std::to_string(denied.status) + " " + denied.body);
+        c.entry(2).to_log->clear_faults();
+        c.entry(2).from_peers->clear_faults();
+        expect(wait_until([&] { return c.get(2, path).status == 200; }, 10'000),
+               "it is found when the log can be read");
+        expect(c.get(0, "/v1/jobs/j999999").status == 404,
+               "a job that nobody has submitted does not exist");
+    }
+
     void wrong_or_missing_answers_of_targets()
     {
         cluster c({});
