--- a/examples/three_nodes.cpp
+++ b/examples/three_nodes.cpp
@@ -40,7 +40,7 @@
             auto& n = nodes[i];
             deliver(n, log_entries_event{log});
             deliver(n, log_caught_up_event{log.size(), now});
-            deliver(n, vm_list_event{{w}});
+            deliver(n, vm_list_event{{w}, {}});
             for (std::size_t k = first; k < nodes.size(); ++k)
                 if (k != i)
                     deliver(n, peer_event{nodes[k].settings().name,
--- /dev/null
+++ b/packages/entry/src/dispatch_loop_workers.cpp
@@ -0,0 +1,69 @@
+#include <jasminetrack/entry/dispatch_loop.hpp>
+
+#include <jasminetrack/runtime/logging.hpp>
+
+namespace jasminetrack::entry
+{
+namespace
+{
+
+using runtime::log_level;
+using runtime::monotonic_ms;
+using runtime::write_log;
+
+} // namespace
+
+void dispatch_loop::on_workers(std::vector<log_entry> const& entries,
+                               bool reloaded)
+{
+    if (!dispatcher_)
+        return;
+    auto const now = monotonic_ms();
+    std::set<std::string> seen;
+    for (auto const& e : entries)
+    {
+        seen.insert(e.key);
+        if (e.value.empty())
+        {
+            dispatcher_->unlist_worker(now, e.key);
+            listed_workers_.erase(e.key);
+            continue;
+        }
+        std::string reason;
+        auto const info = ports_.decoder.worker_of(e, reason);
+        if (!info)
+        {
+            write_log(log_level::warning, "worker.entry.skipped",
+                      {{"worker", e.key}, {"reason", reason}});
+            continue;
+        }
+        dispatcher_->put_worker(now, *info);
+        listed_workers_.insert(e.key);
+    }
+    if (reloaded)
+        unlist_workers_except(now, seen);
+    dispatcher_->on_list_read(now);
+}
+
+/// The partition of the list may have been away while the others were not.
+void dispatch_loop::on_workers_read_failed()
+{
+    if (dispatcher_ && listed_workers_.empty())
+        dispatcher_->on_log_back(monotonic_ms());
+}
+
+void dispatch_loop::unlist_workers_except(milliseconds now,
+                                          std::set<std::string> const& seen)
+{
+    std::vector<std::string> unlisted;
+    for (auto const& id : listed_workers_)
+        if (seen.count(id) == 0)
+            unlisted.push_back(id);
+    for (auto const& id : unlisted)
+    {
+        dispatcher_->unlist_worker(now, id);
+        listed_workers_.erase(id);
+    }
+}
+
+} // namespace jasminetrack::entry
--- a/tests/support/random_fleet.cpp
+++ b/tests/support/random_fleet.cpp
@@ -157,8 +157,8 @@
          true},
         {"other labels",
          lossy,
-         {&fleet::crash_and_change_label, &fleet::take_over,
-          &fleet::log_outage_with_other_labels},
+         {&fleet::crash_and_change_label, &fleet::restart_with_other_label,
+          &fleet::take_over, &fleet::log_outage_with_other_labels},
          false,
          true,
          true},
@@ -362,15 +362,19 @@
     world_.set_label(id, kinds[static_cast<std::size_t>(below(2))]);
 }
 
+void random_fleet::restart_with_other_label()
+{
+    auto const id = any_worker();
+    if (id[1] < '4')
+        return;
+    world_.crash_worker(id);
+    world_.set_label(id, kinds[static_cast<std::size_t>(below(2))]);
+}
+
 void random_fleet::log_outage_with_other_labels()
 {
     world_.log_down(true);
-    for (int i = 0; i < 3; ++i)
-    {
-        submit_sound();
-        crash_and_change_label();
-        world_.run_for(below(max_outage_ms / 3));
-    }
+    submit_and(&random_fleet::crash_and_change_label);
     world_.log_down(false);
 }
 
@@ -479,12 +483,7 @@
 {
     world_.kill_leader();
     world_.log_down(true);
-    for (int i = 0; i < 4; ++i)
-    {
-        submit_sound();
-        shrink();
-        world_.run_for(below(max_outage_ms / 2));
-    }
+    submit_and(&random_fleet::shrink);
     world_.log_down(false);
     world_.run_for(holder_timeout_ms);
     world_.take_over();
@@ -493,13 +492,18 @@
 void random_fleet::list_outage()
 {
     world_.list_down(true);
+    submit_and(&random_fleet::shrink);
+    world_.list_down(false);
+}
+
+void random_fleet::submit_and(fleet_event event)
+{
     for (int i = 0; i < 4; ++i)
     {
         submit_sound();
-        shrink();
+        (this->*event)();
         world_.run_for(below(max_outage_ms / 2));
     }
-    world_.list_down(false);
 }
 
 void random_fleet::unlist()
--- a/tests/support/random_fleet.hpp
+++ b/tests/support/random_fleet.hpp
@@ -54,6 +54,7 @@
     void crash();
     void crash_and_change_kind();
     void crash_and_change_label();
+    void restart_with_other_label();
     void restart_at_once();
     void disconnect();
     void reconnect();
@@ -91,6 +92,8 @@
     [[nodiscard]] std::string any_worker();
     /// Adds what only some workers can satisfy.
     void constrain(job_spec& spec);
+    /// Submits jobs during an outage, with this event after each.
+    void submit_and(fleet_event event);
     void settle();
 
     std::mt19937 random_;
--- a/tests/unit/test_gangs.cpp
+++ b/tests/unit/test_gangs.cpp
@@ -68,6 +68,21 @@
         expect(faults.empty(), faults.empty() ? "" : faults.front());
     }
 
+    /// Waits until the job runs again, and some time longer.
+    static void expect_second_attempt(cluster_simulation& w, job_id const& id,
+                                      std::uint32_t seed)
+    {
+        auto const runs_again = [&]
+        {
+            return w.state().jobs.at(id).attempt == 2 &&
+                   has_state(w, id, job_state::running);
+        };
+        expect(w.run_until(runs_again, 60'000),
+               "the job runs on another worker, seed " + std::to_string(seed));
+        w.run(5000);
+        expect_no_gang_faults(w);
+    }
+
     static job_id start_spare_job(cluster_simulation& w, std::string const& key,
                                   std::string const& payload)
     {
@@ -338,15 +353,7 @@
             auto const neighbour = owner == "n0" ? "n1" : "n0";
             w.cut_off({owner, neighbour},
                       {w.state().jobs.at(id).places[0].worker});
-            auto const again = [&]
-            {
-                return w.state().jobs.at(id).attempt == 2 &&
-                       has_state(w, id, job_state::running);
-            };
-            expect(w.run_until(again, 60'000),
-                   "the job runs beyond the cut, seed " + std::to_string(seed));
-            w.run(5000);
-            expect_no_gang_faults(w);
+            expect_second_attempt(w, id, seed);
             w.end_cut();
             w.run(20'000);
             expect_no_gang_faults(w);
@@ -366,16 +373,7 @@
             auto const id = start_spare_job(w, "long", "run_ms=60000");
             w.run(100 * seed);
             w.lose_answers(w.state().jobs.at(id).places[0].worker);
-            auto const again = [&]
-            {
-                return w.state().jobs.at(id).attempt == 2 &&
-                       has_state(w, id, job_state::running);
-            };
-            expect(w.run_until(again, 60'000),
-                   "the job runs on another worker, seed " +
-                       std::to_string(seed));
-            w.run(5000);
-            expect_no_gang_faults(w);
+            expect_second_attempt(w, id, seed);
         }
     }
 
--- a/tests/unit/test_wrong_entries.cpp
+++ b/tests/unit/test_wrong_entries.cpp
@@ -153,16 +153,7 @@
     void an_entry_that_changes_before_the_start_is_heeded()
     {
         manual_dispatcher h;
-        h.add_worker("w1", 1);
-        auto entry = h.entry_of("w1");
-        entry.labels = {"a", "r1"};
-        h.put_entry(entry);
-        h.run_for(second_ms);
-        h.stores = false;
-        h.submit(constrained_job(1));
-        h.run_for(second_ms);
-        expect(h.newest("unit.place").find("first=w1") != std::string::npos,
-               "the task is placed");
+        auto entry = place_constrained_task(h, 1);
         entry.labels = {"b", "r1"};
         h.put_entry(entry);
         h.store_again();
@@ -180,22 +171,34 @@
     void a_run_that_is_found_before_the_start_counts()
     {
         manual_dispatcher h;
+        (void)place_constrained_task(h, 2);
+        h.running["w1"].insert({{"c", 0, 0, 1}, 7});
+        h.run_for(3 * second_ms);
+        h.store_again();
+        h.run_for(second_ms);
+        expect(h.starts.empty(), "no task is started beside it");
+    }
+
+private:
+    /// Places a task of a job with a label and a limit of one task a worker.
+    /// Its placement waits for the log.
+    /// \returns the entry of its worker.
+    static worker_info place_constrained_task(manual_dispatcher& h,
+                                              std::int64_t tasks)
+    {
         h.add_worker("w1", 1);
         auto entry = h.entry_of("w1");
         entry.labels = {"a", "r1"};
         h.put_entry(entry);
         h.run_for(second_ms);
         h.stores = false;
-        h.submit(constrained_job(2));
-        h.run_for(second_ms);
-        h.running["w1"].insert({{"c", 0, 0, 1}, 7});
-        h.run_for(3 * second_ms);
-        h.store_again();
+        h.submit(constrained_job(tasks));
         h.run_for(second_ms);
-        expect(h.starts.empty(), "no task is started beside it");
+        expect(h.newest("unit.place").find("first=w1") != std::string::npos,
+               "a task is placed");
+        return entry;
     }
 
-private:
     static accepted_job constrained_job(std::int64_t tasks)
     {
         accepted_job job;
