--- a/tests/unit/test_reservations.cpp
+++ b/tests/unit/test_reservations.cpp
@@ -68,14 +68,23 @@
     /// Guards against starts on workers without the label in `requires`
     /// (ROUTE): a reserved worker was back under its id as another kind.
     void a_reservation_ends_if_its_worker_is_back_as_another_kind()
+    {
+        constexpr unsigned seeds = 20;
+        for (unsigned seed = 1; seed <= seeds; ++seed)
+            section("seed " + std::to_string(seed),
+                    [&] { restart_a_reserved_worker(seed); });
+    }
+
+private:
+    static void restart_a_reserved_worker(unsigned seed)
     {
         simulation_faults faults;
         faults.slow_stops = true;
-        dispatch_simulation w(1, faults);
+        dispatch_simulation w(seed, faults);
         w.configure(two_queues());
         w.add_worker("w0", "r1", whole);
         w.submit("batch", "batch", simple_job(1, 8), {60'000});
-        w.run_for(3'000);
+        w.run_for(3'000 + 50 * seed);
         auto spec = simple_job(1, 8);
         spec.steps[0].label = "a";
         w.submit("urgent", "urgent", spec, {1'000});
@@ -100,7 +109,6 @@
                 });
     }
 
-private:
     /// \returns how often there were reservations.
     static int run_seed(unsigned seed)
     {
