A job whose progress does not fit a record stops no other job

Cause: the progress of a job is one record. The log refused one that was too large, and each append with it, for good.

A job that outgrows its record all the same loses its losses of workers first, then ends as failed; others go on.

That needs records of parts of a job, and is not done.

--- a/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -417,7 +417,11 @@
                                                unit_ref const& ref,
                                                std::string const& worker) const;
     /// Stores the changed progress of jobs, one batch at a time.
-    void emit_batch();
+    void emit_batch(milliseconds now);
+    /// Whether the log takes the job's progress as one record.
+    [[nodiscard]] static bool fits_record(job_entry const& e);
+    /// Drops what the job can do without, or the job, if it does not fit.
+    void bound_record(milliseconds now, job_entry& e);
 
     std::int64_t token_;
     dispatch_limits limits_;
--- a/packages/tasks/include/jasminetrack/tasks/model.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/model.hpp
@@ -179,6 +179,8 @@
 /// Limits of a job's size; larger jobs are refused on submission.
 inline constexpr std::int64_t max_tasks = 20'000;
 inline constexpr std::int64_t max_steps = 100;
+/// Largest record that the log takes, in bytes. The progress of a job is one.
+inline constexpr std::int64_t max_record_bytes = 262'144;
 
 /// \returns the reason why the specification is invalid, or nothing if it is
 /// valid.
--- a/packages/tasks/src/dispatcher.cpp
+++ b/packages/tasks/src/dispatcher.cpp
@@ -5,6 +5,15 @@
 
 namespace jasminetrack::tasks
 {
+namespace
+{
+
+/// Part of a record for its key, in bytes.
+constexpr std::int64_t max_key_bytes = 256;
+/// The progress of a job with fewer units fits a record, whatever it is.
+constexpr std::int64_t min_bounded_units = 500;
+
+} // namespace
 
 dispatcher::dispatcher(std::int64_t token, dispatch_limits limits,
                        milliseconds now, listener listen)
@@ -224,7 +233,7 @@
         jobs_.erase(at->first);
         at = final_batch_.erase(at);
     }
-    emit_batch();
+    emit_batch(now);
 }
 
 void dispatcher::on_role_confirmed(milliseconds sent_at) noexcept
@@ -241,18 +250,40 @@
     }
     send_due_renewals(now);
     if (jobs_read_)
-        emit_batch();
+        emit_batch(now);
+}
+
+bool dispatcher::fits_record(job_entry const& e)
+{
+    return std::ssize(encode(e.progress)) <= max_record_bytes - max_key_bytes;
 }
 
-void dispatcher::emit_batch()
+/// The log refuses a record that is too large, and all others of its append
+/// with it, so that nothing of any job would be stored any more.
+void dispatcher::bound_record(milliseconds now, job_entry& e)
+{
+    if (std::ssize(e.progress.units) < min_bounded_units || fits_record(e))
+        return;
+    log_job_decision("job.too_large", e,
+                     "why=\"its progress does not fit a record\"");
+    for (auto& [id, u] : e.progress.units)
+        u.losses.clear();
+    if (!fits_record(e))
+        finish_job(now, e, job_phase::failed);
+}
+
+void dispatcher::emit_batch(milliseconds now)
 {
     if (batch_sent_ || dirty_.empty())
         return;
     store_order order;
     order.batch = next_batch_++;
     for (auto const& id : dirty_)
-        if (auto const* e = find_job(id))
+        if (auto* e = find_job(id))
+        {
+            bound_record(now, *e);
             order.records.push_back({id, encode(e->progress)});
+        }
     dirty_.clear();
     batch_sent_ = true;
     out_.push_back(std::move(order));
--- a/packages/tasks/src/model.cpp
+++ b/packages/tasks/src/model.cpp
@@ -59,6 +59,25 @@
 namespace
 {
 
+/// Part of a job's progress record that a task takes, with an id of its worker
+/// of the platform's length, in bytes; and that of its checkpoint.
+constexpr std::int64_t task_record_bytes = 37;
+constexpr std::int64_t checkpoint_record_bytes = 18;
+
+std::optional<std::string> check_record_size(job_spec const& spec)
+{
+    std::int64_t bytes = 0;
+    for (auto const& s : spec.steps)
+        bytes += s.count * (task_record_bytes +
+                            (s.checkpoints ? checkpoint_record_bytes : 0));
+    bytes *= std::max<std::int64_t>(1, spec.occurrences);
+    if (bytes <= max_record_bytes)
+        return std::nullopt;
+    return "the progress of the job's tasks may take " + std::to_string(bytes) +
+           " bytes; the log keeps at most " + std::to_string(max_record_bytes) +
+           " bytes of a job";
+}
+
 std::optional<std::string> check_step(step_spec const& s, std::size_t number)
 {
     auto const name = "steps[" + std::to_string(number) + "].";
@@ -94,7 +113,7 @@
     }
     if (tasks * std::max<std::int64_t>(1, spec.occurrences) > max_tasks)
         return "a job may have at most " + std::to_string(max_tasks) + " tasks";
-    return std::nullopt;
+    return check_record_size(spec);
 }
 
 } // namespace jasminetrack::tasks
--- a/tests/support/dispatch_simulation_orders.cpp
+++ b/tests/support/dispatch_simulation_orders.cpp
@@ -3,6 +3,8 @@
 
 #include "dispatch_simulation.hpp"
 
+#include <algorithm>
+
 namespace support
 {
 namespace
@@ -13,6 +15,8 @@
 constexpr milliseconds min_late_ms = 2'000;
 constexpr milliseconds max_late_ms = 12'000;
 constexpr milliseconds poll_interval_ms = 20;
+/// Pause before an append is repeated.
+constexpr milliseconds retry_ms = 100;
 /// Time in which a successor cannot have claimed the role.
 constexpr milliseconds max_append_age_ms = 1'600;
 /// Share of the starts with a reset connection whose repeat is refused.
@@ -257,7 +261,6 @@
 void dispatch_simulation::send(std::size_t node, store_order const& o)
 {
     constexpr milliseconds append_ms = 8;
-    constexpr milliseconds retry_ms = 100;
     if (is_cut_from_log(node))
     {
         schedule(retry_ms,
@@ -282,6 +285,18 @@
             nodes_[node].reset(); // fenced by the log
         return;
     }
+    auto const is_too_large = [](log_record const& r)
+    { return std::ssize(r.value) > max_record_bytes; };
+    if (std::any_of(o.records.begin(), o.records.end(), is_too_large))
+    {
+        schedule(retry_ms,
+                 [this, node, o]
+                 {
+                     if (nodes_[node])
+                         send(node, o);
+                 });
+        return;
+    }
     for (auto const& r : o.records)
     {
         check_failed_job(r);
--- a/tests/unit/test_dispatch.cpp
+++ b/tests/unit/test_dispatch.cpp
@@ -38,9 +38,46 @@
     CPPUNIT_TEST(a_cancelled_job_stops);
     CPPUNIT_TEST(tasks_lost_in_a_worker_restart_run_again);
     CPPUNIT_TEST(random_faults_violate_no_invariant);
+    CPPUNIT_TEST(a_job_that_does_not_fit_a_record_stops_no_other);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    /// Guards against a standstill of all jobs: the log refused the progress of
+    /// one job as too large, and each append with it.
+    void a_job_that_does_not_fit_a_record_stops_no_other()
+    {
+        auto large = simple_job(9'000, 0);
+        large.steps[0].need = {50, 100, 0};
+        section("it is refused on submission, with the limit",
+                [&]
+                {
+                    auto const reason = validate(large);
+                    expect(reason &&
+                               reason->find("262144") != std::string::npos,
+                           reason.value_or("accepted"));
+                    large.steps[0].count = 7'000;
+                    expect(!validate(large), "7,000 tasks are accepted");
+                });
+        section(
+            "one that was accepted all the same ends by itself",
+            [&]
+            {
+                large.steps[0].count = 9'000;
+                dispatch_simulation w(1);
+                w.configure(two_queues());
+                for (int k = 0; k < 8; ++k)
+                    w.add_worker("worker-of-usual-length-" + std::to_string(k),
+                                 "r1", {64'000, 128'000, 8});
+                w.submit("large", "batch", large, {60'000});
+                w.run_for(2'000);
+                w.submit("small", "batch", simple_job(2, 1), {1'000});
+                w.run_for(4'000);
+                expect(w.phase("small") == job_phase::completed,
+                       "another job is done");
+                expect(w.phase("large") == job_phase::failed, "it has failed");
+            });
+    }
+
     void dependent_steps_run_in_order()
     {
         dispatch_simulation w(1);
