--- a/tests/unit/test_old_views.cpp
+++ b/tests/unit/test_old_views.cpp
@@ -51,13 +51,12 @@
                                         make_request(method, path_of, "key"));
     }
 
-    /// \returns the status of the answer of the node that can be cut off.
-    int submit_at_cut_node(std::string const& id)
+    /// Submits a job at the node that can be cut off.
+    entry::submit_result submit_at_cut_node(std::string const& id)
     {
-        auto r = make_request("POST", "/b/" + id, "key");
-        r.body = R"({"spec":"x","steps":[{"count":1,"cpu":1000,"mem_mb":1000,)"
-                 R"("gpu":1,"est_runtime_ms":100}]})";
-        return platform::handle_request(*cluster.nodes[1], r).status;
+        entry::caller const who{"team", 3'000};
+        return cluster.nodes[1]->requests().submit(who, "batch", id,
+                                                   two_step_job());
     }
 
     static runtime::http_request make_request(std::string const& method,
@@ -149,7 +148,8 @@
         half_cut_cluster c;
         std::string const path = std::string("/b/") + job_id;
         c.path.lose_appends(entry::topic::jobs, true);
-        expect(c.submit_at_cut_node(job_id) == 504, "the outcome is unknown");
+        expect(c.submit_at_cut_node(job_id) == entry::submit_result::unknown,
+               "the outcome is unknown");
         expect(c.send_elsewhere("DELETE", path).status == 410,
                "no such job is stored");
         c.path.lose_appends(entry::topic::jobs, false);
