--- a/packages/tasks/src/dispatcher.cpp
+++ b/packages/tasks/src/dispatcher.cpp
@@ -10,7 +10,8 @@
 
 /// Part of a record for its key, in bytes.
 constexpr std::int64_t max_key_bytes = 256;
-/// The progress of a job with fewer units fits a record, whatever it is.
+/// Jobs with fewer units are not measured in each batch: their progress fits a
+/// record, unless a wide gang has lost very many workers.
 constexpr std::int64_t min_bounded_units = 500;
 
 } // namespace
