--- a/packages/entry/src/dispatch_loop_workers.cpp
+++ b/packages/entry/src/dispatch_loop_workers.cpp
@@ -45,8 +45,8 @@
     dispatcher_->on_list_read(now);
 }
 
-/// Before the first list: the partition of the list may have been away while the
-/// others were not, so its entries may be old.
+/// Before the first list: the partition of the list may have been away while
+/// the others were not, so its entries may be old.
 void dispatch_loop::on_workers_read_failed()
 {
     if (dispatcher_ && listed_workers_.empty())
