--- a/packages/tasks/src/dispatcher.cpp
+++ b/packages/tasks/src/dispatcher.cpp
@@ -10,8 +10,8 @@
 
 /// Part of a record for its key, in bytes.
 constexpr std::int64_t max_key_bytes = 256;
-/// Jobs with fewer units are not measured in each batch: their progress fits a
-/// record, unless a wide gang has lost very many workers.
+/// The progress of a job with fewer units fits a record, so that its size is
+/// not checked. A gang counts as one unit, however many members it has.
 constexpr std::int64_t min_bounded_units = 500;
 
 } // namespace
@@ -260,7 +260,8 @@
 }
 
 /// The log refuses a record that is too large, and all others of its append
-/// with it, so that nothing of any job would be stored any more.
+/// with it, so that nothing of any job would be stored any more. Losses of
+/// workers are dropped first, then the job fails.
 void dispatcher::bound_record(milliseconds now, job_entry& e)
 {
     if (std::ssize(e.progress.units) < min_bounded_units || fits_record(e))
