The end of a task stops no other task of its step

What callers saw: when a task of a step completed, task 0 of that step was stopped and started again if its run had the same number and it ran on the same worker. Its work since the last checkpoint was lost.

Cause: run_ended marks the members of the completed run as ending, but named them as the members of a gang. For a task that is no gang's, that is task 0.

Evidence, on: test_dispatch::the_end_of_a_task_stops_no_other_of_its_step : assertion the others are not stopped > assertion failed - no stop Green with the fix.

Why it works: the run is named by the kind of its step, as at all other places.

--- a/packages/tasks/src/dispatcher_runs.cpp
+++ b/packages/tasks/src/dispatcher_runs.cpp
@@ -108,7 +108,8 @@
         for (std::size_t i = 0; i < a.members.size(); ++i)
             if (auto const w = workers_.find(a.members[i].worker);
                 w != workers_.end())
-                w->second.mark_ending(now, run_of(ref, a.run, i, true));
+                w->second.mark_ending(
+                    now, run_of(ref, a.run, i, step_of(e, ref).gang));
     }
     if (how == run_end::failed && !a.counted)
         count_failure(now, e, ref, u, a, worker);
--- a/tests/unit/test_dispatch.cpp
+++ b/tests/unit/test_dispatch.cpp
@@ -3,6 +3,7 @@
 /// their connection.
 
 #include "dispatch_simulation.hpp"
+#include "manual_dispatcher.hpp"
 #include "section.hpp"
 #include "small_jobs.hpp"
 
@@ -39,9 +40,40 @@
     CPPUNIT_TEST(tasks_lost_in_a_worker_restart_run_again);
     CPPUNIT_TEST(random_faults_violate_no_invariant);
     CPPUNIT_TEST(a_job_that_does_not_fit_a_record_stops_no_other);
+    CPPUNIT_TEST(the_end_of_a_task_stops_no_other_of_its_step);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    /// Guards against a healthy task 0 that is stopped with another task.
+    void the_end_of_a_task_stops_no_other_of_its_step()
+    {
+        manual_dispatcher h;
+        h.add_worker("w1", 1);
+        accepted_job job;
+        job.id = "a";
+        job.queue = "batch";
+        job.team = "team";
+        job.spec = simple_job(3, 1);
+        h.submit(job);
+        h.run_for(500);
+        expect(h.starts.size() == 3, "all tasks run on one worker");
+        task_run const last{{"a", 0, 0, 2}, 1};
+        h.held.insert("w1");
+        h.run_for(500);
+        h.running.at("w1").erase(last);
+        h.reply(answer_with_end(h, last));
+        h.held.clear();
+        h.run_for(2'000);
+        section("the others are not stopped",
+                [&] { expect(h.stops.empty(), "no stop"); });
+        section("and count as running",
+                [&]
+                {
+                    for (auto const& [run, o] : h.view_of("w1").hosted_runs)
+                        expect(!o.ending, "not ending");
+                });
+    }
+
     /// Guards against a standstill of all jobs: the log refused the progress of
     /// one job as too large, and each append with it.
     void a_job_that_does_not_fit_a_record_stops_no_other()
@@ -345,6 +377,21 @@
                    "job " + std::to_string(i) + " has reached a final phase");
     }
 
+    /// The answer of w1 after the run has completed there.
+    static renew_reply answer_with_end(manual_dispatcher const& h,
+                                       task_run const& run)
+    {
+        renew_reply r;
+        r.worker = "w1";
+        r.result = call_result::done;
+        r.incarnation = 1;
+        r.clock_ms = h.clock_of("w1");
+        for (auto const& other : h.running.at("w1"))
+            r.running.push_back({other, "", 1});
+        r.ended.push_back({1, run, run_end::done, ""});
+        return r;
+    }
+
     template <typename Below>
     static void submit_random(dispatch_simulation& w, std::string const& id,
                               Below const& below)
