Roles and leases age while a machine is suspended

What callers saw: none seen; a possible cause of two runs of one task (TWICE). A suspended dispatcher took its proof of the role for younger than it was, by the time of the suspension, and granted leases that its successor had counted as over. Where it was cut off from the log, and workers reached it but not its successor, their tasks got a second run. Answers of the log that were handled after a suspension counted as recent in the same way.

Cause: monotonic_ms() read std::chrono::steady_clock, which does not count the time of a suspension; CLOCK_BOOTTIME does (DEPLOY.md).

Why it works: all ages are differences of monotonic_ms(). Where they meet a wait (change_notifier, record_writer, the timers), only durations are passed on, so the two clocks are nowhere compared.

--- a/packages/runtime/include/jasminetrack/runtime/timer_service.hpp
+++ b/packages/runtime/include/jasminetrack/runtime/timer_service.hpp
@@ -9,7 +9,8 @@
 namespace jasminetrack::runtime
 {
 
-/// \returns milliseconds of the monotonic clock.
+/// \returns milliseconds of a monotonic clock that goes on while the machine is
+/// suspended. Timers do not, so they fire late after that.
 [[nodiscard]] std::int64_t monotonic_ms() noexcept;
 /// \returns milliseconds since 1970 by the system clock, which may be set
 /// back.
--- a/packages/runtime/src/timer_service.cpp
+++ b/packages/runtime/src/timer_service.cpp
@@ -7,6 +7,8 @@
 #include <chrono>
 #include <thread>
 
+#include <time.h>
+
 namespace jasminetrack::runtime
 {
 namespace
@@ -74,10 +76,15 @@
         impl_->thread.join();
 }
 
+/// A lease or a role goes on to age while the machine is suspended, which
+/// `std::chrono::steady_clock` does not count.
 std::int64_t monotonic_ms() noexcept
 {
     using namespace std::chrono;
-    return duration_cast<milliseconds>(steady_clock::now().time_since_epoch())
+    timespec now{};
+    (void)clock_gettime(CLOCK_BOOTTIME, &now);
+    return duration_cast<milliseconds>(seconds(now.tv_sec) +
+                                       nanoseconds(now.tv_nsec))
         .count();
 }
 
