An older list entry ends no adopted run

What callers saw: a task that ran soundly was stopped after a change of dispatcher, counted as a crash of its worker, and started again.

Cause: a new dispatcher that had read a worker's entry before the jobs kept the entry's incarnation, although a job's progress named a later one, on which its run had been placed. The first answer of that one then counted as a restart under the run.

Evidence, on: test_worker_restarts::an_older_entry_ends_no_adopted_run : assertion while the entry is the older one > assertion failed - the run is not stopped Green with the fix. No second run beside the first one was seen: the run counts as stray and is waited for.

Why it works: the incarnation of a recorded placement is known before any run of the job is adopted, as if it had been listed.

--- a/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -305,7 +305,9 @@
     /// Takes over the runs that an earlier dispatcher has placed.
     void adopt_runs(milliseconds now, job_entry& e);
     /// \param incarnation  to which the runs were sent; 0: not known
-    worker_view& adopt_worker(std::string const& id, std::int64_t incarnation);
+    void adopt_worker(milliseconds now, std::string const& id,
+                      std::int64_t incarnation);
+    void adopt_workers(milliseconds now, job_progress const& p);
     /// Ends runs that make no progress and quarantines their workers.
     void check_hanging(milliseconds now);
     /// Ends runs that cannot complete before their draining worker leaves.
--- a/packages/tasks/src/dispatcher_runs.cpp
+++ b/packages/tasks/src/dispatcher_runs.cpp
@@ -4,6 +4,17 @@
 
 namespace jasminetrack::tasks
 {
+namespace
+{
+
+/// \returns the incarnation on which a member was placed; 0: not recorded.
+std::int64_t incarnation_of(unit const& u, std::size_t index)
+{
+    return index < u.incarnations.size() ? u.incarnations[index] : 0;
+}
+
+} // namespace
+
 std::optional<std::size_t> dispatcher::member_index(unit_ref const& ref,
                                                     active_run const& a,
                                                     task_run const& run) const
@@ -232,21 +243,40 @@
 }
 
 /// A later incarnation that is listed or answers shows that the worker has
-/// crashed under the runs that an earlier dispatcher placed there.
-worker_view& dispatcher::adopt_worker(std::string const& id,
-                                      std::int64_t incarnation)
+/// crashed under the runs that an earlier dispatcher placed there. An entry
+/// that is older than such a placement shows nothing.
+void dispatcher::adopt_worker(milliseconds now, std::string const& id,
+                              std::int64_t incarnation)
 {
     auto& w = workers_[id];
-    if (!w.info.id.empty())
-        return w;
-    w.info.id = id;
-    w.info.incarnation = incarnation;
-    w.listed = false;
-    return w;
+    if (w.info.id.empty())
+    {
+        w.info.id = id;
+        w.listed = false;
+    }
+    if (w.info.incarnation != 0 && incarnation > w.info.incarnation)
+        start_incarnation(now, w, incarnation,
+                          "a run was placed on a later incarnation");
+    w.info.incarnation = std::max(w.info.incarnation, incarnation);
+}
+
+/// Before any run of the job is adopted: a later incarnation ends the runs on
+/// the earlier one.
+void dispatcher::adopt_workers(milliseconds now, job_progress const& p)
+{
+    for (auto const& [id, u] : p.units)
+    {
+        if (u.phase != unit_phase::active && u.phase != unit_phase::ending)
+            continue;
+        for (std::size_t i = 0; i < u.places.size(); ++i)
+            if (!u.places[i].empty())
+                adopt_worker(now, u.places[i], incarnation_of(u, i));
+    }
 }
 
 void dispatcher::adopt_runs(milliseconds now, job_entry& e)
 {
+    adopt_workers(now, e.progress);
     for (auto& [id, u] : e.progress.units)
     {
         unit_ref const ref{e.job.id, id};
@@ -270,13 +300,11 @@
             a.members.push_back(m);
             if (m.phase == member_phase::released)
                 continue;
-            auto& w = adopt_worker(
-                m.worker, i < u.incarnations.size() ? u.incarnations[i] : 0);
+            auto& w = workers_.at(m.worker);
             w.add(
                 run_of(ref, u.run, i, step.gang),
                 {ref, held_by(step), a.over, 0, a.over ? now : 0, a.isolated});
-            if (i < u.incarnations.size())
-                record_loss_before_adoption(w, ref, i, u.incarnations[i]);
+            record_loss_before_adoption(w, ref, i, incarnation_of(u, i));
         }
     }
     std::vector<unit_ref> empty;
--- a/tests/support/manual_dispatcher.hpp
+++ b/tests/support/manual_dispatcher.hpp
@@ -127,7 +127,13 @@
 
     void submit(accepted_job const& job)
     {
-        dispatcher_.put_job(now, job, initial_progress(job.spec));
+        submit(job, initial_progress(job.spec));
+    }
+
+    /// The dispatcher reads a job that has made this progress.
+    void submit(accepted_job const& job, job_progress progress)
+    {
+        dispatcher_.put_job(now, job, std::move(progress));
     }
 
     /// Submits a job of which each task needs a whole worker.
--- a/tests/unit/test_worker_restarts.cpp
+++ b/tests/unit/test_worker_restarts.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(unanswered_start_may_reach_the_next_incarnation);
     CPPUNIT_TEST(no_start_by_the_capacity_of_an_earlier_incarnation);
     CPPUNIT_TEST(a_renewal_that_is_lost_over_a_restart_is_waited_for);
+    CPPUNIT_TEST(an_older_entry_ends_no_adopted_run);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -102,6 +103,22 @@
                 });
     }
 
+    /// Guards against a live run that a new dispatcher stops as lost.
+    void an_older_entry_ends_no_adopted_run()
+    {
+        manual_dispatcher h;
+        h.add_worker("w1", 1);
+        h.restart_unlisted("w1", 2);
+        adopt_run(h, 2);
+        h.run_for(500);
+        section("while the entry is the older one",
+                [&] { expect_undisturbed(h); });
+        h.put_entry(entry_of_w1(h, 2));
+        h.run_for(2'000);
+        section("and once the list has the later one",
+                [&] { expect_undisturbed(h); });
+    }
+
     void no_start_by_the_capacity_of_an_earlier_incarnation()
     {
         manual_dispatcher h;
@@ -153,6 +170,41 @@
                     expect(h.starts.size() == 1, "started");
                 });
     }
+
+private:
+    /// The dispatcher reads a job whose task an earlier dispatcher has placed
+    /// on this incarnation of w1, where it runs.
+    static void adopt_run(manual_dispatcher& h, std::int64_t incarnation)
+    {
+        accepted_job job;
+        job.id = "a";
+        job.queue = "batch";
+        job.team = "team";
+        job.spec = simple_job(1, 1);
+        auto progress = initial_progress(job.spec);
+        auto& u = progress.units.begin()->second;
+        u.phase = unit_phase::active;
+        u.run = 1;
+        u.places = {"w1"};
+        u.incarnations = {incarnation};
+        h.submit(job, progress);
+        h.running["w1"].insert({{"a", 0, 0, 0}, 1});
+    }
+
+    static worker_info entry_of_w1(manual_dispatcher const& h,
+                                   std::int64_t incarnation)
+    {
+        auto entry = h.entry_of("w1");
+        entry.incarnation = incarnation;
+        return entry;
+    }
+
+    static void expect_undisturbed(manual_dispatcher const& h)
+    {
+        expect(h.stops.empty(), "the run is not stopped");
+        expect(h.newest("run.lost").empty(), "nor taken for lost");
+        expect(h.starts.empty(), "nor started again");
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(test_worker_restarts);
