A late entry of an ended process ends no run of its successor

What callers saw: none seen; a possible cause of two runs of one task (TWICE). A worker restarted under its id after its wall clock was set back, so that its later process had the lower `born`. An entry of the earlier process that was read after an answer of the later one then counted as another restart: the later one's runs were taken for lost and started elsewhere at once, while they went on. Starts were also sent by the capacity of that entry.

Cause: put_worker and has_outdated_entry took the higher of two incarnations for the later one, although an answer had shown which one followed the other.

Why it works: an incarnation that another one has followed is known as ended, whatever its number, until it answers again.

--- a/packages/tasks/include/jasminetrack/tasks/worker_view.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/worker_view.hpp
@@ -8,6 +8,7 @@
 #include <jasminetrack/tasks/worker_pace.hpp>
 
 #include <map>
+#include <set>
 
 namespace jasminetrack::tasks
 {
@@ -60,7 +61,15 @@
     /// earlier incarnation.
     [[nodiscard]] bool has_outdated_entry() const noexcept
     {
-        return listed_incarnation != 0 && listed_incarnation < info.incarnation;
+        return listed_incarnation != 0 &&
+               (listed_incarnation < info.incarnation ||
+                has_ended(listed_incarnation));
+    }
+    /// \returns whether another incarnation has followed this one. It may be
+    /// the lower one of the two if the wall clock was set back in between.
+    [[nodiscard]] bool has_ended(std::int64_t incarnation) const noexcept
+    {
+        return ended_incarnations_.count(incarnation) != 0;
     }
     /// \returns what its runs occupy, those that are being stopped included.
     [[nodiscard]] resources const& used() const noexcept
@@ -153,6 +162,7 @@
 private:
     resources used_;
     std::int64_t isolated_runs_ = 0;
+    std::set<std::int64_t> ended_incarnations_;
     milliseconds clock_ms_ = 0;
     milliseconds clock_at_ = -1;
     milliseconds lease_until_ = 0; ///< on the worker's clock
--- a/packages/tasks/src/dispatcher_workers.cpp
+++ b/packages/tasks/src/dispatcher_workers.cpp
@@ -36,9 +36,12 @@
                      "worker=" + info.id + " service=" + info.service);
         return;
     }
+    auto const incarnation =
+        w.has_ended(info.incarnation)
+            ? w.info.incarnation
+            : std::max(w.info.incarnation, info.incarnation);
     bool const restarted =
-        w.info.incarnation != 0 && info.incarnation > w.info.incarnation;
-    auto const incarnation = std::max(w.info.incarnation, info.incarnation);
+        w.info.incarnation != 0 && incarnation > w.info.incarnation;
     if (restarted)
         start_incarnation(now, w, incarnation, "a new incarnation is listed");
     if (info.draining && !w.info.draining)
--- a/packages/tasks/src/worker_view.cpp
+++ b/packages/tasks/src/worker_view.cpp
@@ -111,6 +111,8 @@
 
 void worker_view::reset_for_incarnation(std::int64_t incarnation)
 {
+    ended_incarnations_.insert(info.incarnation);
+    ended_incarnations_.erase(incarnation);
     info.incarnation = incarnation;
     hosted_runs.clear();
     used_ = {};
--- a/tests/unit/test_worker_restarts.cpp
+++ b/tests/unit/test_worker_restarts.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(no_start_by_the_capacity_of_an_earlier_incarnation);
     CPPUNIT_TEST(a_renewal_that_is_lost_over_a_restart_is_waited_for);
     CPPUNIT_TEST(an_older_entry_ends_no_adopted_run);
+    CPPUNIT_TEST(a_late_entry_of_an_ended_process_ends_no_run);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -119,6 +120,36 @@
                 [&] { expect_undisturbed(h); });
     }
 
+    /// Guards against two runs of one task (TWICE): the wall clock was set back
+    /// before a restart, so the later process seems to be the earlier one.
+    void a_late_entry_of_an_ended_process_ends_no_run()
+    {
+        manual_dispatcher h;
+        h.add_worker("w1", 100);
+        h.run_for(500);
+        h.restart_unlisted("w1", 90);
+        h.run_for(500);
+        h.submit("a", "batch");
+        section("nothing is started by the entry of the ended process",
+                [&]
+                {
+                    h.run_for(1'000);
+                    expect(h.starts.empty(), "no start");
+                });
+        h.put_entry(entry_of_w1(h, 90));
+        h.run_for(1'000);
+        expect(h.starts.size() == 1, "the later process is used");
+        h.add_worker("w2", 1);
+        h.put_entry(entry_of_w1(h, 100));
+        h.run_for(2'000);
+        section("its run goes on",
+                [&]
+                {
+                    expect(h.starts.size() == 1, "not started again");
+                    expect(h.stops.empty(), "not stopped");
+                });
+    }
+
     void no_start_by_the_capacity_of_an_earlier_incarnation()
     {
         manual_dispatcher h;
