Simulated fleet: profiles with leases of at most 6 s

Workers and dispatchers of all profiles knew leases of at most 10 s, while the longest lease that a dispatcher grants is 6 s, so that the wait after a first answer always had 4 s more than it needed. The limit is now one of the faults of a profile, and three profiles with take-overs have 6 s. In one of them a dispatcher is frozen, replaced, and cut off from the log while half of the workers do not reach its successor.

--- a/tests/support/dispatch_simulation.hpp
+++ b/tests/support/dispatch_simulation.hpp
@@ -50,6 +50,8 @@
     /// Also checks what late orders do at a later incarnation than the one
     /// that they were sent to.
     bool checks_stray_orders = false;
+    /// Workers cap longer leases, and the dispatchers know it.
+    milliseconds max_lease_ms = dispatch_limits{}.max_lease_ms;
 };
 
 /// Kinds of invariants.
--- a/tests/support/dispatch_simulation_nodes.cpp
+++ b/tests/support/dispatch_simulation_nodes.cpp
@@ -58,8 +58,10 @@
     for (auto const& [key, records] : history_)
         claimed_after_[key] = std::ssize(records);
     trace("take-over by " + std::to_string(leader_));
+    dispatch_limits limits;
+    limits.max_lease_ms = faults_.max_lease_ms;
     auto const node = std::make_shared<dispatcher>(
-        epoch_, dispatch_limits{}, now_,
+        epoch_, limits, now_,
         [this, number = leader_](decision const& d)
         {
             if (trace_)
--- a/tests/support/dispatch_simulation_workers.cpp
+++ b/tests/support/dispatch_simulation_workers.cpp
@@ -16,7 +16,6 @@
 constexpr milliseconds max_slow_stop_ms = 900;
 constexpr milliseconds gang_wait_ms = 3'000;
 constexpr milliseconds checkpoint_ms = 2'000;
-constexpr milliseconds max_lease_ms = 10'000;
 /// The default of dispatch_limits.
 constexpr double far_factor = 3;
 
@@ -76,7 +75,8 @@
 
 void dispatch_simulation::extend_lease(sim_worker& w, milliseconds until) const
 {
-    w.lease = std::max(w.lease, std::min(until, clock_of(w) + max_lease_ms));
+    w.lease =
+        std::max(w.lease, std::min(until, clock_of(w) + faults_.max_lease_ms));
 }
 
 resources dispatch_simulation::held_on(sim_worker const& w) const
--- a/tests/support/random_fleet.cpp
+++ b/tests/support/random_fleet.cpp
@@ -72,6 +72,12 @@
     return f;
 }
 
+simulation_faults with_short_leases(simulation_faults f)
+{
+    f.max_lease_ms = 6'000;
+    return f;
+}
+
 simulation_faults with_rejecting_workers(simulation_faults f)
 {
     f.rejecting_workers = true;
@@ -145,6 +151,15 @@
         {"isolated dispatchers that reach other workers",
          lossy,
          {&fleet::isolate_with_workers, &fleet::restore_links}},
+        {"short leases and frozen dispatchers",
+         with_short_leases(lossy),
+         {&fleet::freeze_leader, &fleet::wake}},
+        {"short leases and isolated dispatchers",
+         with_short_leases(lossy),
+         {&fleet::isolate_with_workers, &fleet::restore_links}},
+        {"short leases and frozen dispatchers that are isolated",
+         with_short_leases(lossy),
+         {&fleet::freeze_and_isolate, &fleet::restore_links}},
         {"partial cuts",
          lossy,
          {&fleet::cut_from_leader, &fleet::cut_from_earlier, &fleet::take_over,
@@ -436,6 +451,23 @@
     world_.take_over();
 }
 
+void random_fleet::freeze_and_isolate()
+{
+    constexpr int max_freeze_ms = 4'000;
+    constexpr milliseconds isolated_ms = 16'000;
+    auto const node = world_.leader_node();
+    world_.freeze(node, true);
+    world_.run_for(holder_timeout_ms);
+    world_.take_over();
+    for (auto const& id : world_.live_workers())
+        if (below(2) == 0)
+            world_.cut_link(world_.leader_node(), id, true);
+    world_.run_for(below(max_freeze_ms));
+    world_.cut_from_log(node, true);
+    world_.freeze(node, false);
+    world_.run_for(isolated_ms);
+}
+
 void random_fleet::wake()
 {
     for (std::size_t i = 0; i < world_.node_count(); ++i)
--- a/tests/support/random_fleet.hpp
+++ b/tests/support/random_fleet.hpp
@@ -66,6 +66,9 @@
     /// The dispatcher is replaced while it is frozen, and wakes up later.
     void freeze_leader();
     void wake();
+    /// Freezes the dispatcher, then cuts it off from the log while half of the
+    /// workers do not reach its successor.
+    void freeze_and_isolate();
     /// The dispatcher is replaced while it is cut off from the log.
     void isolate_leader();
     /// The same, while it alone reaches some workers.
