Nothing is started at a restarted worker while a late start may arrive there

What callers saw: none seen; a possible cause of two runs of one task (TWICE). A start that awaited its answer when its worker was found to have restarted did not count among the orders that may still be carried out, as only those with a missing answer did. If it is carried out late, its end, a time on the earlier process's clock, sets the longest lease for all that runs at the later one, also where it is refused as old. Runs that were started there meanwhile then outlast the lease that the dispatcher knows, and would be started elsewhere too early if it lost contact to the worker.

Cause: start_incarnation took the time of the newest order that had no answer yet as known, and left out starts that were under way.

Evidence, on the commit before: test_worker_restarts::a_late_start_prolongs_the_lease_of_no_other_run : assertion nothing is started there while it may arrive > assertion failed - no other start Green with the fix.

Why it works: the wait for late orders covers the starts that are under way, as it does those without an answer.

--- a/packages/tasks/src/dispatcher_workers.cpp
+++ b/packages/tasks/src/dispatcher_workers.cpp
@@ -157,6 +157,9 @@
             continue;
         auto& m = at->second.members[*index];
         auto stray = stray_run(now, o, m);
+        // It would set the longest lease, and so prolong that of other runs.
+        w.starts_blocked_until =
+            std::max(w.starts_blocked_until, stray.late_start_until);
         w.late_runs_until =
             std::max(w.late_runs_until,
                      std::max(now, stray.late_start_until) + longest_lease);
--- a/tests/unit/test_worker_restarts.cpp
+++ b/tests/unit/test_worker_restarts.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(unanswered_start_may_reach_the_next_incarnation);
     CPPUNIT_TEST(no_start_by_the_capacity_of_an_earlier_incarnation);
     CPPUNIT_TEST(a_renewal_that_is_lost_over_a_restart_is_waited_for);
+    CPPUNIT_TEST(a_late_start_prolongs_the_lease_of_no_other_run);
     CPPUNIT_TEST(an_older_entry_ends_no_adopted_run);
     CPPUNIT_TEST(a_late_entry_of_an_ended_process_ends_no_run);
     CPPUNIT_TEST_SUITE_END();
@@ -104,6 +105,35 @@
                 });
     }
 
+    /// Guards against two runs of one task (TWICE): the start, whose end is on
+    /// the earlier clock, sets the longest lease for all runs there.
+    void a_late_start_prolongs_the_lease_of_no_other_run()
+    {
+        manual_dispatcher h;
+        h.add_worker("w1", 1);
+        h.run_for(500);
+        h.answers_starts = false;
+        h.submit("a", "batch", {1'000, 1'000, 1});
+        h.run_for(200);
+        h.answers_starts = true;
+        expect(h.starts.size() == 1, "a start awaits its answer");
+        h.restart_unlisted("w1", 2);
+        h.put_entry(entry_of_w1(h, 2));
+        h.submit("b", "batch", {1'000, 1'000, 1});
+        section("nothing is started there while it may arrive",
+                [&]
+                {
+                    h.run_for(max_late_order_ms - 1'000);
+                    expect(h.starts.size() == 1, "no other start");
+                });
+        section("then the worker is used",
+                [&]
+                {
+                    h.run_for(4'000);
+                    expect(h.starts.size() > 1, "started");
+                });
+    }
+
     /// Guards against a live run that a new dispatcher stops as lost.
     void an_older_entry_ends_no_adopted_run()
     {
