Log what each loss of a worker counts as

run.lost tells whether the start was answered and the run ever listed, and at which incarnation; run.crashed and unit.given_up tell what each crash counted as. A crash that a successor infers from the list was not logged at all.

--- a/packages/tasks/include/jasminetrack/tasks/crash_history.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/crash_history.hpp
@@ -19,6 +19,8 @@
     isolated, ///< just started, and nothing else was
 };
 
+[[nodiscard]] char const* to_text(crash_exposure e) noexcept;
+
 /// A worker that was lost while a task was on it.
 struct worker_loss
 {
--- a/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -267,6 +267,7 @@
     void mark_starting_candidates(std::string const& service,
                                   std::int64_t priority);
     void remove_candidates(std::vector<std::string> const& places);
+    void log_crash(unit_ref const& ref, worker_loss const& l) const;
     void log_given_up(job_entry const& e, unit_id const& id,
                       unit const& u) const;
 
--- a/packages/tasks/src/crash_history.cpp
+++ b/packages/tasks/src/crash_history.cpp
@@ -1,6 +1,7 @@
 #include <jasminetrack/tasks/crash_history.hpp>
 
 #include <algorithm>
+#include <array>
 #include <map>
 
 namespace jasminetrack::tasks
@@ -59,6 +60,12 @@
 
 } // namespace
 
+char const* to_text(crash_exposure e) noexcept
+{
+    constexpr std::array names{"established", "starting", "isolated"};
+    return names[static_cast<std::size_t>(e)];
+}
+
 crash_verdict judge(std::vector<worker_loss> const& losses)
 {
     auto verdict = crash_verdict::none;
--- a/packages/tasks/src/dispatcher_crashes.cpp
+++ b/packages/tasks/src/dispatcher_crashes.cpp
@@ -124,10 +124,7 @@
             l.incarnation >= before_incarnation)
             continue;
         l.crashed = any = true;
-        log_decision("run.crashed", ref.job,
-                     "worker=" + worker +
-                         " step=" + std::to_string(ref.unit.step) +
-                         " index=" + std::to_string(ref.unit.index));
+        log_crash(ref, l);
     }
     if (!any)
         return false;
@@ -194,8 +191,11 @@
     if (sent_to == 0 || w.info.incarnation <= sent_to || w.info.draining)
         return;
     auto& u = *find_unit(ref);
-    add_loss(u.losses, {static_cast<std::int64_t>(index), u.run, w.info.id,
-                        sent_to, crash_exposure::starting, true});
+    worker_loss const loss{
+        static_cast<std::int64_t>(index), u.run, w.info.id, sent_to,
+        crash_exposure::starting,         true};
+    log_crash(ref, loss);
+    add_loss(u.losses, loss);
     mark_dirty(ref.job);
 }
 
@@ -223,6 +223,17 @@
         });
 }
 
+void dispatcher::log_crash(unit_ref const& ref, worker_loss const& l) const
+{
+    log_decision("run.crashed", ref.job,
+                 "worker=" + l.worker +
+                     " incarnation=" + std::to_string(l.incarnation) +
+                     " step=" + std::to_string(ref.unit.step) +
+                     " index=" + std::to_string(ref.unit.index) + " task=" +
+                     std::to_string(l.index) + " run=" + std::to_string(l.run) +
+                     " exposure=" + to_text(l.exposure));
+}
+
 void dispatcher::log_given_up(job_entry const& e, unit_id const& id,
                               unit const& u) const
 {
@@ -230,7 +241,8 @@
     std::string workers;
     for (auto const& l : u.losses)
         if (l.index == task && l.crashed)
-            workers += (workers.empty() ? "" : ",") + l.worker;
+            workers += (workers.empty() ? "" : ",") + l.worker + ":" +
+                       to_text(l.exposure);
     bool const is_gang =
         e.job.spec.steps[static_cast<std::size_t>(id.step)].gang;
     log_job_decision(
--- a/packages/tasks/src/dispatcher_losses.cpp
+++ b/packages/tasks/src/dispatcher_losses.cpp
@@ -117,6 +117,10 @@
                      " run=" + std::to_string(run.run) +
                      " ran_ms=" + std::to_string(ran_ms) +
                      " established=" + (detail::is_established(m) ? "1" : "0") +
+                     " answered=" + (m.started_ms > 0 ? "1" : "0") +
+                     " listed=" + (m.reported_at >= 0 ? "1" : "0") +
+                     " incarnation=" + std::to_string(w.info.incarnation) +
+                     " exposure=" + to_text(exposure_of(w, at->second, m)) +
                      " others=" + std::to_string(w.hosted_runs.size() - 1));
 }
 
