--- a/tests/support/random_fleet.cpp
+++ b/tests/support/random_fleet.cpp
@@ -66,6 +66,15 @@
     return f;
 }
 
+simulation_faults with_unanswered_orders(simulation_faults f)
+{
+    f.lost_orders = 0.2;
+    f.late_orders = 0.2;
+    f.lost_answers = 0.1;
+    f.max_latency_ms = 300;
+    return f;
+}
+
 simulation_faults with_late_jobs(simulation_faults f)
 {
     f.max_job_lag_ms = 6'000;
@@ -101,6 +110,17 @@
          with_stray_checks(lossy),
          {&fleet::crash, &fleet::take_over, &fleet::replace_leader,
           &fleet::freeze_leader, &fleet::wake}},
+        {"unanswered orders",
+         with_unanswered_orders(usual),
+         {&fleet::crash_many, &fleet::restart_many},
+         false},
+        {"unanswered orders and crashing tasks",
+         with_unanswered_orders(usual),
+         {&fleet::crash, &fleet::restart_at_once}},
+        {"unanswered orders and take-overs",
+         with_unanswered_orders(usual),
+         {&fleet::crash_many, &fleet::restart_many, &fleet::replace_leader},
+         false},
         {"other kinds", lossy, {&fleet::crash_and_change_kind}},
         {"cut workers", lossy, {&fleet::disconnect, &fleet::reconnect}},
         {"refusals", lossy, {&fleet::refuse, &fleet::accept}},
@@ -385,6 +405,24 @@
     world_.publish(id);
 }
 
+void random_fleet::crash_many()
+{
+    for (auto const& id : world_.live_workers())
+        if (below(2) == 0)
+            world_.crash_for_a_while(id);
+}
+
+void random_fleet::restart_many()
+{
+    for (auto const& id : world_.live_workers())
+    {
+        if (below(2) == 0)
+            continue;
+        world_.crash_worker(id);
+        world_.publish(id);
+    }
+}
+
 void random_fleet::disconnect()
 {
     world_.disconnect_worker(any_worker(), true);
--- a/tests/support/random_fleet.hpp
+++ b/tests/support/random_fleet.hpp
@@ -56,6 +56,9 @@
     void crash_and_change_label();
     void restart_with_other_label();
     void restart_at_once();
+    /// About half of the workers at the same time.
+    void crash_many();
+    void restart_many();
     void disconnect();
     void reconnect();
     void refuse();
--- a/tests/unit/test_crashes.cpp
+++ b/tests/unit/test_crashes.cpp
@@ -33,6 +33,9 @@
     CPPUNIT_TEST(a_worker_that_was_only_silent_is_no_evidence);
     CPPUNIT_TEST(another_incarnation_at_the_address_is_evidence);
     CPPUNIT_TEST(runs_of_a_replaced_worker_start_again_without_delay);
+    CPPUNIT_TEST(starts_without_an_answer_do_not_fail_a_sound_job);
+    CPPUNIT_TEST(a_task_whose_starts_are_never_answered_is_given_up);
+    CPPUNIT_TEST(a_run_that_a_successor_never_saw_does_not_wait_for_isolation);
     CPPUNIT_TEST(nothing_is_started_beside_a_suspected_task);
     CPPUNIT_TEST(a_suspected_task_on_a_busy_fleet_does_not_wait_for_good);
     CPPUNIT_TEST(workers_that_stay_silent_do_not_hold_a_task_for_good);
@@ -279,6 +282,50 @@
         expect(h.starts.size() == 2, "once another one answers: yes");
     }
 
+    void starts_without_an_answer_do_not_fail_a_sound_job()
+    {
+        manual_dispatcher h;
+        lose_unanswered_starts(h, 4);
+        expect(h.newest("unit.given_up").empty(), "it is not given up");
+        h.answers_starts = true;
+        run_until_started(h, 5);
+        expect(h.starts.size() == 5, "it is started again");
+    }
+
+    void a_task_whose_starts_are_never_answered_is_given_up()
+    {
+        manual_dispatcher h;
+        lose_unanswered_starts(h, 5);
+        expect(!h.newest("unit.given_up").empty(), "after five crashes");
+        h.run_for(60'000);
+        expect(h.starts.size() == 5, "it is not started again");
+    }
+
+    void a_run_that_a_successor_never_saw_does_not_wait_for_isolation()
+    {
+        manual_dispatcher h;
+        h.add_worker("w1", 1);
+        h.run_for(500);
+        accepted_job job;
+        job.id = "a";
+        job.queue = "batch";
+        job.team = "team";
+        job.spec.steps.resize(1);
+        job.spec.steps[0].need = {1'000, 1'000, 1};
+        job.spec.steps[0].estimate_ms = 20'000;
+        auto progress = initial_progress(job.spec);
+        auto& u = progress.units.begin()->second;
+        u.phase = unit_phase::active;
+        u.run = 1;
+        u.places = {"gone"};
+        u.incarnations = {1};
+        h.adopt(job, progress);
+        h.run_for(2 * until_lost_ms);
+        expect(has(h.newest("worker.lost"), "worker=gone"), "it was lost");
+        expect(has(h.newest("unit.place"), "isolated=0"),
+               "its task is not suspected");
+    }
+
     void nothing_is_started_beside_a_suspected_task()
     {
         dispatch_simulation w(6);
@@ -343,6 +390,24 @@
     }
 
 private:
+    /// Each worker is replaced before it answers the start.
+    static void lose_unanswered_starts(manual_dispatcher& h, std::size_t starts)
+    {
+        for (int i = 0; i < 8; ++i)
+            h.add_worker(name_of(i), 1);
+        h.unanswered_result = call_result::other_incarnation;
+        h.answers_starts = false;
+        h.run_for(500);
+        h.submit("a", "batch");
+        for (std::size_t i = 1; i <= starts; ++i)
+        {
+            run_until_started(h, i);
+            expect(h.starts.size() == i, "start " + std::to_string(i));
+            h.unresponsive.insert(h.starts.back().worker);
+            h.run_for(500);
+        }
+    }
+
     static void run_until_started(manual_dispatcher& h, std::size_t starts)
     {
         for (int i = 0; i < 200 && h.starts.size() < starts; ++i)
--- a/tests/unit/test_random_fleet.cpp
+++ b/tests/unit/test_random_fleet.cpp
@@ -69,6 +69,9 @@
 constexpr std::array separate_profiles{"stray orders and take-overs",
                                        "stray orders",
                                        "stray orders of crashing tasks",
+                                       "unanswered orders",
+                                       "unanswered orders and crashing tasks",
+                                       "unanswered orders and take-overs",
                                        "late jobs",
                                        "reset starts",
                                        "log outages",
@@ -82,6 +85,7 @@
     CPPUNIT_TEST_SUITE(test_random_fleet);
     CPPUNIT_TEST(random_days_violate_no_invariant);
     CPPUNIT_TEST(days_with_stray_orders);
+    CPPUNIT_TEST(days_with_unanswered_orders);
     CPPUNIT_TEST(days_with_reset_starts);
     CPPUNIT_TEST(days_with_late_jobs);
     CPPUNIT_TEST(days_with_log_outages);
@@ -106,6 +110,13 @@
         play_named("stray orders and take-overs");
     }
 
+    void days_with_unanswered_orders()
+    {
+        play_named("unanswered orders");
+        play_named("unanswered orders and crashing tasks");
+        play_named("unanswered orders and take-overs");
+    }
+
     void days_with_reset_starts()
     {
         play_named("reset starts");
