--- a/tests/support/dispatch_simulation.hpp
+++ b/tests/support/dispatch_simulation.hpp
@@ -6,6 +6,7 @@
 
 #include <jasminetrack/tasks/dispatcher.hpp>
 
+#include <algorithm>
 #include <cstddef>
 #include <functional>
 #include <iosfwd>
@@ -177,6 +178,13 @@
     {
         comeback_ = how;
     }
+    /// From now on no larger share of the orders is lost, late or not answered.
+    void limit_order_faults(double share) noexcept
+    {
+        for (auto* s : {&faults_.lost_orders, &faults_.late_orders,
+                        &faults_.lost_answers})
+            *s = std::min(*s, share);
+    }
     void disconnect_worker(std::string const& id, bool disconnected);
     void hang_worker(std::string const& id, bool hangs);
     void slow_worker(std::string const& id, double factor);
