A start without an answer is no crash under its task

Cause: a run that was lost with its worker counted as just started there, whether or not the worker had ever answered the start or listed the run. Three such losses, two of them isolated, failed the job; one was enough to isolate it.

Now such a loss is `unanswered`. One has no consequence, two isolate the task, and it counts among four crashes only beside strong evidence. Five crashes of any kind give the task up: a task that crashes its workers before they answer leaves nothing else, and a sixth start after five crashes would be the third one after the third.

--- a/packages/tasks/include/jasminetrack/tasks/crash_history.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/crash_history.hpp
@@ -17,6 +17,9 @@
     established,
     starting, ///< just started, as other tasks there may have been
     isolated, ///< just started, and nothing else was
+              /// The worker neither answered the start nor listed the run, so
+              /// the task may not have been started there.
+    unanswered,
 };
 
 [[nodiscard]] char const* to_text(crash_exposure e) noexcept;
@@ -49,10 +52,14 @@
 /// \returns the strictest verdict on any of its tasks. A sound task is never
 /// given up because of workers that were silent, and only if it was isolated on
 /// two workers that crashed just then, after a third one, or if four crashed.
+/// Crashes before the start was answered count only beside such that are strong
+/// evidence, or once there are five in all: a task may crash each worker so
+/// soon.
 [[nodiscard]] crash_verdict judge(std::vector<worker_loss> const& losses);
 
 /// Adds a loss, unless there is one of this run of the task already: the worker
-/// may restart again while it is not known whether it still has the run.
+/// may restart again while it is not known whether it still has the run. One
+/// with an answered start takes the place of one without.
 void add_loss(std::vector<worker_loss>& losses, worker_loss loss);
 
 /// \returns the task of the unit that most crashed workers had.
--- a/packages/tasks/src/crash_history.cpp
+++ b/packages/tasks/src/crash_history.cpp
@@ -17,17 +17,32 @@
 /// A task that crashes its workers only some time after its start never counts
 /// as isolated.
 constexpr std::int64_t max_unclear_crashes = 4;
+/// What these have to weigh: a crash just after the start counts twice, one
+/// before an answer to it not at all.
+constexpr std::int64_t min_weight = 4;
+/// A task that crashes its workers before they answer leaves no others.
+constexpr std::int64_t max_unanswered_crashes = 5;
 /// Losses after which a task is isolated, whatever its part in them.
 constexpr std::int64_t min_losses_to_isolate = 2;
 
 struct loss_counts
 {
     std::int64_t crashed = 0;
-    std::int64_t isolated = 0; ///< of the crashed ones
+    std::int64_t fresh = 0;    ///< of these, it was just started there
+    std::int64_t isolated = 0; ///< of these, nothing else was
     std::int64_t silent = 0;   ///< not known to have crashed
-    bool suspected = false;    ///< it was just started on one of them
+    /// The same of workers that did not answer the start.
+    std::int64_t unanswered_crashed = 0;
+    std::int64_t unanswered_silent = 0;
+    bool suspected = false; ///< it was just started on one of them
 };
 
+void count_unanswered(loss_counts& c, bool crashed)
+{
+    c.unanswered_crashed += crashed ? 1 : 0;
+    c.unanswered_silent += crashed ? 0 : 1;
+}
+
 std::map<std::int64_t, loss_counts>
 count_by_task(std::vector<worker_loss> const& losses)
 {
@@ -35,23 +50,40 @@
     for (auto const& l : losses)
     {
         auto& c = tasks[l.index];
+        if (l.exposure == crash_exposure::unanswered)
+        {
+            count_unanswered(c, l.crashed);
+            continue;
+        }
+        bool const fresh = l.exposure != crash_exposure::established;
         bool const isolated = l.exposure == crash_exposure::isolated;
         c.crashed += l.crashed ? 1 : 0;
+        c.fresh += l.crashed && fresh ? 1 : 0;
         c.silent += l.crashed ? 0 : 1;
         c.isolated += l.crashed && isolated ? 1 : 0;
-        c.suspected = c.suspected || l.exposure != crash_exposure::established;
+        c.suspected = c.suspected || fresh;
     }
     return tasks;
 }
 
+std::int64_t all_crashed(loss_counts const& c)
+{
+    return c.crashed + c.unanswered_crashed;
+}
+
 crash_verdict judge_task(loss_counts const& c)
 {
     bool const shown =
         c.crashed >= max_crashes && c.isolated >= min_isolated_crashes;
-    if (shown || c.crashed >= max_unclear_crashes)
+    auto const crashed = all_crashed(c);
+    bool const likely =
+        crashed >= max_unclear_crashes && c.crashed + c.fresh >= min_weight;
+    if (shown || likely || crashed >= max_unanswered_crashes)
         return crash_verdict::give_up;
-    auto const losses = c.crashed + c.silent;
-    if (c.silent > 0 && losses >= max_crashes)
+    auto const all_silent = c.silent + c.unanswered_silent;
+    auto const losses = crashed + all_silent;
+    bool const unclear = c.silent > 0 && c.crashed + c.silent >= max_crashes;
+    if (unclear || (all_silent > 0 && losses >= max_unanswered_crashes))
         return crash_verdict::wait;
     if (c.suspected || losses >= min_losses_to_isolate)
         return crash_verdict::isolate;
@@ -62,7 +94,8 @@
 
 char const* to_text(crash_exposure e) noexcept
 {
-    constexpr std::array names{"established", "starting", "isolated"};
+    constexpr std::array names{"established", "starting", "isolated",
+                               "unanswered"};
     return names[static_cast<std::size_t>(e)];
 }
 
@@ -82,6 +115,9 @@
                      { return l.index == loss.index && l.run == loss.run; });
     if (at == losses.end())
         losses.push_back(std::move(loss));
+    else if (at->exposure == crash_exposure::unanswered &&
+             loss.exposure != crash_exposure::unanswered)
+        *at = std::move(loss);
     else
         at->crashed = at->crashed || loss.crashed;
 }
@@ -89,10 +125,10 @@
 std::int64_t most_crashed_task(std::vector<worker_loss> const& losses)
 {
     auto const tasks = count_by_task(losses);
-    auto const at =
-        std::max_element(tasks.begin(), tasks.end(),
-                         [](auto const& a, auto const& b)
-                         { return a.second.crashed < b.second.crashed; });
+    auto const at = std::max_element(
+        tasks.begin(), tasks.end(),
+        [](auto const& a, auto const& b)
+        { return all_crashed(a.second) < all_crashed(b.second); });
     return at == tasks.end() ? 0 : at->first;
 }
 
--- a/packages/tasks/src/dispatcher_crashes.cpp
+++ b/packages/tasks/src/dispatcher_crashes.cpp
@@ -68,11 +68,11 @@
                                        active_run const& a,
                                        member const& m) const
 {
+    if (m.phase != member_phase::running)
+        return crash_exposure::unanswered;
     if (detail::is_established(m) || lost_with_rack(w))
         return crash_exposure::established;
-    // What was started beside an adopted run is not known.
-    bool const isolated = a.isolated && m.phase != member_phase::adopted;
-    return isolated ? crash_exposure::isolated : crash_exposure::starting;
+    return a.isolated ? crash_exposure::isolated : crash_exposure::starting;
 }
 
 bool dispatcher::lost_with_rack(worker_view const& w) const
@@ -193,7 +193,7 @@
     auto& u = *find_unit(ref);
     worker_loss const loss{
         static_cast<std::int64_t>(index), u.run, w.info.id, sent_to,
-        crash_exposure::starting,         true};
+        crash_exposure::unanswered,       true};
     log_crash(ref, loss);
     add_loss(u.losses, loss);
     mark_dirty(ref.job);
--- a/tests/unit/test_crash_history.cpp
+++ b/tests/unit/test_crash_history.cpp
@@ -32,6 +32,8 @@
     CPPUNIT_TEST(a_task_is_given_up_after_isolated_crashes);
     CPPUNIT_TEST(an_unclear_cause_takes_more_crashes);
     CPPUNIT_TEST(silence_is_no_crash);
+    CPPUNIT_TEST(crashes_before_the_answer_do_not_show_a_crashing_task);
+    CPPUNIT_TEST(an_answered_start_replaces_one_without_an_answer);
     CPPUNIT_TEST(members_of_a_gang_are_judged_one_by_one);
     CPPUNIT_TEST(one_run_is_one_loss);
     CPPUNIT_TEST_SUITE_END();
@@ -84,6 +86,57 @@
                "it waits until the workers' fate is known");
     }
 
+    void crashes_before_the_answer_do_not_show_a_crashing_task()
+    {
+        std::vector<worker_loss> losses{crash(1, exposure::unanswered)};
+        expect(judge(losses) == crash_verdict::none, "it may not have started");
+        losses.push_back(crash(2, exposure::unanswered));
+        expect(judge(losses) == crash_verdict::isolate, "it is suspected");
+        losses.push_back(crash(3, exposure::unanswered));
+        losses.push_back(crash(4, exposure::unanswered));
+        expect(judge(losses) == crash_verdict::isolate, "four may be chance");
+        section("a fifth worker",
+                [&]
+                {
+                    auto five = losses;
+                    five.push_back(crash(5, exposure::established));
+                    expect(judge(five) == crash_verdict::give_up, "crashed");
+                    five.back().crashed = false;
+                    expect(judge(five) == crash_verdict::wait, "is silent");
+                });
+        section("beside three crashes that may be chance",
+                [&]
+                {
+                    for (std::size_t i = 0; i < 3; ++i)
+                        losses[i].exposure = exposure::established;
+                    expect(judge(losses) == crash_verdict::isolate,
+                           "a while after the start");
+                    losses[0].exposure = exposure::starting;
+                    expect(judge(losses) == crash_verdict::give_up,
+                           "one of them just after it");
+                });
+        section("beside crashes just after an answer",
+                [&]
+                {
+                    for (auto& l : losses)
+                        l.exposure = exposure::unanswered;
+                    losses[0].exposure = exposure::starting;
+                    expect(judge(losses) == crash_verdict::isolate, "one");
+                    losses[1].exposure = exposure::isolated;
+                    expect(judge(losses) == crash_verdict::give_up, "two");
+                });
+    }
+
+    void an_answered_start_replaces_one_without_an_answer()
+    {
+        std::vector<worker_loss> losses;
+        add_loss(losses, crash(1, exposure::unanswered));
+        auto const later = crash(1, exposure::starting);
+        add_loss(losses, later);
+        add_loss(losses, crash(1, exposure::unanswered));
+        expect(losses == std::vector<worker_loss>{later}, "the answered one");
+    }
+
     void members_of_a_gang_are_judged_one_by_one()
     {
         std::vector<worker_loss> losses;
