--- a/tests/support/random_fleet.cpp
+++ b/tests/support/random_fleet.cpp
@@ -22,6 +22,8 @@
 constexpr std::array<char const*, 2> kinds{"a", "b"};
 /// Above the longest lag of the list.
 constexpr milliseconds list_settled_ms = 3'000;
+/// Of the orders that are lost, late or not answered.
+constexpr double usual_share = 0.02;
 constexpr milliseconds settle_ms = 240'000;
 constexpr milliseconds settle_step_ms = 5'000;
 
@@ -41,8 +43,8 @@
 simulation_faults lossy_faults()
 {
     auto f = usual_faults();
-    f.lost_orders = 0.02;
-    f.lost_answers = 0.02;
+    f.lost_orders = usual_share;
+    f.lost_answers = usual_share;
     return f;
 }
 
@@ -66,6 +68,15 @@
     return f;
 }
 
+simulation_faults with_unanswered_orders(simulation_faults f)
+{
+    f.lost_orders = 0.2;
+    f.late_orders = 0.2;
+    f.lost_answers = 0.1;
+    f.max_latency_ms = 300;
+    return f;
+}
+
 simulation_faults with_late_jobs(simulation_faults f)
 {
     f.max_job_lag_ms = 6'000;
@@ -107,6 +118,17 @@
          with_stray_checks(lossy),
          {&fleet::crash, &fleet::take_over, &fleet::replace_leader,
           &fleet::freeze_leader, &fleet::wake}},
+        {"unanswered orders",
+         with_unanswered_orders(usual),
+         {&fleet::crash_many, &fleet::restart_many},
+         false},
+        {"unanswered orders and crashing tasks",
+         with_unanswered_orders(usual),
+         {&fleet::crash, &fleet::restart_at_once}},
+        {"unanswered orders and take-overs",
+         with_unanswered_orders(usual),
+         {&fleet::crash_many, &fleet::restart_many, &fleet::replace_leader},
+         false},
         {"other kinds", lossy, {&fleet::crash_and_change_kind}},
         {"cut workers", lossy, {&fleet::disconnect, &fleet::reconnect}},
         {"refusals", lossy, {&fleet::refuse, &fleet::accept}},
@@ -255,6 +277,7 @@
 {
     restore_links();
     correct_entries();
+    world_.limit_order_faults(usual_share);
     for (auto const& id : world_.live_workers())
     {
         world_.disconnect_worker(id, false);
@@ -400,6 +423,24 @@
     world_.publish(id);
 }
 
+void random_fleet::crash_many()
+{
+    for (auto const& id : world_.live_workers())
+        if (below(2) == 0)
+            world_.crash_for_a_while(id);
+}
+
+void random_fleet::restart_many()
+{
+    for (auto const& id : world_.live_workers())
+    {
+        if (below(2) == 0)
+            continue;
+        world_.crash_worker(id);
+        world_.publish(id);
+    }
+}
+
 void random_fleet::disconnect()
 {
     world_.disconnect_worker(any_worker(), true);
