--- a/packages/tasks/include/jasminetrack/tasks/crash_history.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/crash_history.hpp
@@ -15,10 +15,12 @@
 {
     /// The task had run there for a while, or the whole rack was lost.
     established,
-    starting, ///< just started, as other tasks there may have been
-    isolated, ///< just started, and nothing else was
-              /// The worker neither answered the start nor listed the run, so
-              /// the task may not have been started there.
+    /// It was just started, as other tasks there may have been.
+    starting,
+    /// It was just started, and nothing else was.
+    isolated,
+    /// The worker neither answered the start nor listed the run, so the task
+    /// may not have been started there.
     unanswered,
 };
 
--- a/tests/support/manual_dispatcher.hpp
+++ b/tests/support/manual_dispatcher.hpp
@@ -136,12 +136,6 @@
         dispatcher_.put_job(now, job, std::move(progress));
     }
 
-    /// Adds a job that an earlier dispatcher has placed.
-    void adopt(accepted_job const& job, job_progress progress)
-    {
-        dispatcher_.put_job(now, job, std::move(progress));
-    }
-
     /// Submits a job of which each task needs a whole worker.
     void submit(std::string const& id, std::string const& queue,
                 std::int64_t members = 1, bool checkpoints = false)
--- a/tests/unit/test_crashes.cpp
+++ b/tests/unit/test_crashes.cpp
@@ -319,7 +319,7 @@
         u.run = 1;
         u.places = {"gone"};
         u.incarnations = {1};
-        h.adopt(job, progress);
+        h.submit(job, progress);
         h.run_for(2 * until_lost_ms);
         expect(has(h.newest("worker.lost"), "worker=gone"), "it was lost");
         expect(has(h.newest("unit.place"), "isolated=0"),
