Red tests: a late start after its worker restarted, with the task placed elsewhere

A call without an answer may be carried out up to 12 s later, and a process that starts under the same id knows neither the fencing token nor the stops of the one before, and its clock starts anew. Five ways in which the dispatcher places the task elsewhere while that is possible: the worker shows the run absent, its lease expires, its next incarnation is listed only after the start can have arrived, the run fails while an earlier send of its start is out, and the process that took the stop is replaced in turn.

--- a/tests/support/manual_dispatcher.hpp
+++ b/tests/support/manual_dispatcher.hpp
@@ -69,6 +69,11 @@
         dispatcher_.put_worker(now, w);
     }
 
+    void unlist_worker(std::string const& id)
+    {
+        dispatcher_.unlist_worker(now, id);
+    }
+
     /// Replaces the worker's entry in the platform's list.
     void put_entry(worker_info const& w)
     {
--- a/tests/unit/test_stray_starts.cpp
+++ b/tests/unit/test_stray_starts.cpp
@@ -23,6 +23,11 @@
     CPPUNIT_TEST(a_next_incarnation_found_late_may_still_start_it);
     CPPUNIT_TEST(a_stop_at_the_next_incarnation_settles_it);
     CPPUNIT_TEST(members_of_a_gang_on_one_worker);
+    CPPUNIT_TEST(a_worker_without_the_run_may_get_its_start_after_a_restart);
+    CPPUNIT_TEST(a_lost_worker_may_get_the_start_after_a_restart);
+    CPPUNIT_TEST(an_incarnation_listed_late_may_run_it_already);
+    CPPUNIT_TEST(a_failed_run_may_start_again_after_a_restart);
+    CPPUNIT_TEST(a_stop_is_forgotten_with_the_process_that_took_it);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -109,7 +114,159 @@
         expect(h.starts.size() == 4, "both are started again");
     }
 
+    void a_worker_without_the_run_may_get_its_start_after_a_restart()
+    {
+        manual_dispatcher h;
+        auto const sent = start_unanswered_beside_w2(h);
+        h.run_for(5 * second_ms);
+        section("it is started nowhere else",
+                [&] { expect_only_first_run(h); });
+        h.answers_starts = false;
+        h.running["w1"].clear();
+        h.add_worker("w1", 2);
+        section("nor after the restart",
+                [&]
+                {
+                    h.run_for(sent + max_late_order_ms - h.now);
+                    expect_only_first_run(h);
+                });
+        section("it is when the start can no longer arrive",
+                [&]
+                {
+                    h.run_for(10 * second_ms);
+                    expect(h.starts.back().run.run > h.starts.front().run.run,
+                           "another run is started");
+                });
+    }
+
+    void a_lost_worker_may_get_the_start_after_a_restart()
+    {
+        manual_dispatcher h;
+        auto const sent = start_unanswered_beside_w2(h);
+        h.unresponsive.insert("w1");
+        section("it is not started elsewhere when the lease has expired",
+                [&]
+                {
+                    h.run_for(sent + max_late_order_ms - h.now);
+                    expect(h.starts.size() == 1, "no second start");
+                });
+        section("it is when no later process has been listed",
+                [&]
+                {
+                    h.unlist_worker("w1");
+                    h.run_for(5 * second_ms);
+                    expect(h.starts.size() == 2, "a second start");
+                });
+    }
+
+    void an_incarnation_listed_late_may_run_it_already()
+    {
+        manual_dispatcher h;
+        auto const sent = start_unanswered_beside_w2(h);
+        h.unresponsive.insert("w1");
+        h.run_for(sent + 14 * second_ms - h.now);
+        h.add_worker("w1", 2);
+        section("it is not started elsewhere while it may have a lease there",
+                [&]
+                {
+                    h.run_for(sent + 22 * second_ms - h.now);
+                    expect(h.starts.size() == 1, "no second start");
+                });
+        section("it is when that lease must have ended",
+                [&]
+                {
+                    h.run_for(5 * second_ms);
+                    expect(h.starts.size() == 2, "a second start");
+                });
+    }
+
+    void a_failed_run_may_start_again_after_a_restart()
+    {
+        manual_dispatcher h;
+        h.add_worker("w1", 1);
+        h.run_for(second_ms);
+        h.start_results = {call_result::no_answer, call_result::done};
+        h.submit("a", "batch");
+        h.run_now();
+        h.add_worker("w2", 1);
+        auto const sent = h.now;
+        expect(h.starts.size() == 2, "the start is repeated and accepted");
+        h.run_for(500);
+        report_failure_on_w1(h);
+        h.run_for(second_ms);
+        section("it is not started elsewhere",
+                [&] { expect(h.starts.size() == 2, "no third start"); });
+        section("it is when the first send can no longer arrive",
+                [&]
+                {
+                    h.run_for(sent + 16 * second_ms - h.now);
+                    expect(h.starts.size() == 3, "a third start");
+                });
+    }
+
+    void a_stop_is_forgotten_with_the_process_that_took_it()
+    {
+        manual_dispatcher h;
+        h.add_worker("w1", 1);
+        h.run_for(second_ms);
+        lose_start_on_w1(h);
+        auto const sent = h.now;
+        h.add_worker("w2", 1);
+        h.add_worker("w1", 2);
+        h.run_for(second_ms);
+        h.reply(stop_reply{"w1", h.starts.front().run, call_result::done});
+        h.run_for(second_ms);
+        section("it is not started elsewhere after the stop",
+                [&] { expect(h.starts.size() == 1, "no second start"); });
+        h.stops.clear();
+        h.add_worker("w1", 3);
+        section("the next process is told to stop it as well",
+                [&]
+                {
+                    h.run_for(sent + max_late_order_ms - h.now);
+                    expect(h.starts.size() == 1, "no second start");
+                    expect(!h.stops.empty(), "a stop");
+                });
+        section("it is started elsewhere when the start can no longer arrive",
+                [&]
+                {
+                    h.run_for(4 * second_ms);
+                    expect(h.starts.size() == 2, "a second start");
+                });
+    }
+
 private:
+    /// \returns when the start was sent to w1.
+    static milliseconds start_unanswered_beside_w2(manual_dispatcher& h)
+    {
+        h.add_worker("w1", 1);
+        h.run_for(second_ms);
+        auto const sent = h.now;
+        lose_start_on_w1(h);
+        h.add_worker("w2", 1);
+        return sent;
+    }
+
+    static void expect_only_first_run(manual_dispatcher const& h)
+    {
+        for (auto const& s : h.starts)
+            expect(s.worker == "w1" && s.run == h.starts.front().run,
+                   "only the first run is started, and only on its worker");
+    }
+
+    /// Its worker reports that the run has failed.
+    static void report_failure_on_w1(manual_dispatcher& h)
+    {
+        renew_reply r;
+        r.worker = "w1";
+        r.result = call_result::done;
+        r.incarnation = 1;
+        r.clock_ms = h.clock_of("w1");
+        r.ended = {{1, h.starts.front().run, run_end::failed, ""}};
+        h.running["w1"].clear();
+        h.reply(r);
+    }
+
     static void lose_start_on_w1(manual_dispatcher& h)
     {
         h.answers_starts = false;
