A task is placed elsewhere only when no start of it can come late

Callers saw one task run twice at the same time: a start that got no answer was carried out up to 12 s later by the next process under the worker's id, which knows no fencing token and no stop and whose clock starts anew, while the dispatcher had started the task elsewhere.

Cause: a run counted as over as soon as its worker did not show it after the start's window, its lease had expired, it had ended while an earlier send of its start was out, or the next process had taken the stop. All of these speak only for the process that answered.

Now a member with a start that may come late keeps its place, without its capacity, until a renewal sent after that time (13 s after the latest send without an answer) is answered. On a silent worker that is also when the lease of such a run must have ended, or, if the worker has left the list, when a later process would be listed. A run that its worker does not show is first sent there again under the same number, which the worker answers with 200 if it is there, so that the wait is rare. A unit that is done, or whose job is final, is released at once, and so is one whose address another process answers for.

Tests. a_stop_at_the_next_incarnation_settles_it was wrong: it asserted that the unit starts elsewhere within 1 s of the stop's answer, but the stop is forgotten with the process that took it. Its replacement, a_stop_is_forgotten_with_the_process_that_took_it, asserts the stop, no start elsewhere until the late start can no longer arrive, the stop at the third process, and the start after it. a_run_that_its_worker_never_got_is_placed_again asserted another run within 3 s of a send without an answer, which a restart of the worker turns into two runs; a_run_that_its_worker_never_got_is_sent_there_again asserts the same run on the same worker within the same 3 s, and a_run_that_its_worker_keeps_refusing_is_placed_again that another run follows. In a_failed_run_may_start_again_after_a_restart the worker now runs the task before it fails.

--- a/packages/tasks/include/jasminetrack/tasks/detail/dispatcher_state.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/detail/dispatcher_state.hpp
@@ -25,6 +25,9 @@
     /// runs.
     adopted,
     running,
+    /// No longer on its worker, but a later incarnation there may still carry
+    /// out a start, so the unit is not placed again yet.
+    awaiting_late_start,
     released, ///< no longer on its worker
 };
 
@@ -51,14 +54,23 @@
     milliseconds started_ms = 0;
     milliseconds sent_at = 0;      ///< first send of the start
     milliseconds last_sent_at = 0; ///< latest send, retries included
-    /// A send of the start got no answer; the worker may have carried it out.
-    bool answer_missing = false;
+    /// Latest send that got no answer and may be carried out; -1: none.
+    milliseconds unanswered_at = -1;
     milliseconds reported_at = -1; ///< when it was last listed as running
     std::int64_t percent = 0;      ///< done, as the worker reports it
     milliseconds progress_at = 0;  ///< when `percent` last rose
     run_progress progress;
 };
 
+/// \returns until when a start without an answer may be carried out; 0 if all
+/// were answered.
+[[nodiscard]] inline milliseconds late_start_end(member const& m) noexcept
+{
+    auto const sent_at =
+        m.phase == member_phase::starting ? m.last_sent_at : m.unanswered_at;
+    return sent_at < 0 ? 0 : sent_at + late_order_ms;
+}
+
 /// A run that its worker still reports this long after its start has not
 /// crashed the worker by being started.
 inline constexpr milliseconds established_ms = 1'000;
--- a/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -169,15 +169,15 @@
                            std::int64_t incarnation, std::string const& why);
     /// \returns the run as it counts at the worker's next incarnation, which
     /// may carry out its start.
-    [[nodiscard]] static hosted_run
-    stray_run(milliseconds now, hosted_run const& o, member const& m);
+    [[nodiscard]] hosted_run stray_run(milliseconds now, hosted_run const& o,
+                                       member const& m) const;
     /// \returns whether a queue uses the service.
     [[nodiscard]] bool is_used(std::string const& service) const;
     void log_capacity(worker_view const& w, worker_info const& info) const;
     static void record_remaining_time(milliseconds now, worker_view& w,
                                       worker_info const& info);
     [[nodiscard]] std::map<task_run, hosted_run>
-    unconfirmed_starts(milliseconds now, worker_view const& w);
+    unconfirmed_starts(worker_view const& w) const;
     void send_due_renewals(milliseconds now);
     void send_renewal(milliseconds now, worker_view& w, bool wait);
     /// \returns how long a lease that is granted now may last, as successors
@@ -207,7 +207,8 @@
     /// should not run there.
     void process_running(milliseconds now, worker_view& w,
                          renew_reply const& r);
-    /// Ends runs that should be on the worker but are certainly not.
+    /// Ends runs that should be on the worker but are certainly not, or sends
+    /// their starts again.
     void process_missing(milliseconds now, worker_view& w,
                          renew_reply const& r);
     void stop_unexpected_run(milliseconds now, worker_view& w,
@@ -220,6 +221,13 @@
 
     // dispatcher_losses.cpp
     void check_lost_workers(milliseconds now);
+    void end_expired_runs(milliseconds now, worker_view& w);
+    [[nodiscard]] milliseconds late_run_end(milliseconds now,
+                                            worker_view const& w,
+                                            task_run const& run,
+                                            unit_ref const& ref) const;
+    /// \returns after how long each lease has ended, on any worker's clock.
+    [[nodiscard]] milliseconds longest_lease() const noexcept;
     /// Ends the runs on a lost worker, except those in `kept`.
     void end_lost_runs(milliseconds now, worker_view& w, std::string const& why,
                        std::map<task_run, hosted_run> const& kept = {});
@@ -278,6 +286,7 @@
     void send_starts(milliseconds now, unit_ref const& ref);
     void send_start(milliseconds now, job_entry& e, unit_ref const& ref,
                     std::size_t index);
+    bool resend_start(milliseconds now, unit_ref const& ref, std::size_t index);
     void member_started(milliseconds now, unit_ref const& ref,
                         std::size_t index, milliseconds clock_ms);
     void start_failed(milliseconds now, unit_ref const& ref, std::size_t index,
@@ -286,6 +295,16 @@
                                  active_run const& a) const;
     void release_member(milliseconds now, unit_ref const& ref,
                         std::size_t index);
+    void release_or_await(milliseconds now, unit_ref const& ref,
+                          std::size_t index);
+    void await_late_start(milliseconds now, unit_ref const& ref,
+                          std::size_t index);
+    /// \returns whether the unit has further runs after this one.
+    [[nodiscard]] bool is_placed_again(unit_ref const& ref) const;
+    [[nodiscard]] static bool may_start_late(worker_view const& w,
+                                             member const& m);
+    /// A send that awaits its answer may get none.
+    static void note_unanswered(member& m) noexcept;
     /// Ends a run and stops its remaining members.
     /// \param ended  member that has already ended on its worker
     void end_run(milliseconds now, unit_ref const& ref, std::string const& why,
--- a/packages/tasks/include/jasminetrack/tasks/worker_view.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/worker_view.hpp
@@ -33,8 +33,6 @@
     /// Its start may be carried out at the worker's next incarnation until
     /// then.
     milliseconds late_start_until = 0;
-    /// The answer to a stop shows that its start is no longer carried out.
-    bool stop_settles = false;
 };
 
 /// One worker. Times are on the dispatcher's monotonic clock unless their
--- a/packages/tasks/src/dispatcher_crashes.cpp
+++ b/packages/tasks/src/dispatcher_crashes.cpp
@@ -53,7 +53,9 @@
         return; // a worker that leaves as announced has not crashed
     auto& u = *find_unit(ref);
     auto const& m = at->second.members[*index];
-    if (m.phase == member_phase::recorded || u.phase == unit_phase::done)
+    if (m.phase == member_phase::recorded ||
+        m.phase == member_phase::awaiting_late_start ||
+        u.phase == unit_phase::done)
         return;
     add_loss(u.losses,
              {static_cast<std::int64_t>(*index), run.run, m.worker,
@@ -219,7 +221,11 @@
             if (at == active_.end())
                 return false;
             auto const index = member_index(o.unit, at->second, run);
-            return index && !detail::is_established(at->second.members[*index]);
+            if (!index)
+                return false;
+            auto const& m = at->second.members[*index];
+            return m.phase != member_phase::awaiting_late_start &&
+                   !detail::is_established(m);
         });
 }
 
--- a/packages/tasks/src/dispatcher_losses.cpp
+++ b/packages/tasks/src/dispatcher_losses.cpp
@@ -9,6 +9,8 @@
 
 /// Unlisted workers are kept for this time, as they may be listed again.
 constexpr milliseconds unlisted_keep_ms = 60'000;
+/// A process that has started is in the list by then.
+constexpr milliseconds max_listing_delay_ms = 3'000;
 
 } // namespace
 
@@ -23,7 +25,7 @@
             !w.token_known && w.clock_at_ < 0 && now > runs_until;
         if (!w.hosted_runs.empty() &&
             (never_reached || w.is_lease_expired(now)))
-            end_lost_runs(now, w, "its lease expired");
+            end_expired_runs(now, w);
         bool const gone = !w.listed && w.hosted_runs.empty() &&
                           now - w.unlisted_since > unlisted_keep_ms;
         if (gone)
@@ -36,6 +38,54 @@
     confirm_gone_workers(now);
 }
 
+/// The runs have ended. A unit with a start that may be carried out late is not
+/// placed again before that run must have ended as well.
+void dispatcher::end_expired_runs(milliseconds now, worker_view& w)
+{
+    std::map<task_run, hosted_run> kept;
+    for (auto const& [run, o] : w.hosted_runs)
+        if (now < late_run_end(now, w, run, o.unit))
+            kept.emplace(run, o);
+    if (kept.size() < w.hosted_runs.size())
+        end_lost_runs(now, w, "its lease expired", kept);
+    for (auto const& [run, o] : kept)
+    {
+        log_lost_run(now, w, run, o.unit);
+        record_loss(now, w, run, o.unit, w.replaced);
+        end_run(now, o.unit, "its worker was lost");
+        auto const at = active_.find(o.unit);
+        auto const index = at == active_.end()
+                               ? std::nullopt
+                               : member_index(o.unit, at->second, run);
+        if (index)
+            await_late_start(now, o.unit, *index);
+    }
+}
+
+/// \returns until when a late start of the run may keep it on a silent worker;
+/// 0 if none can come late.
+milliseconds dispatcher::late_run_end(milliseconds now, worker_view const& w,
+                                      task_run const& run,
+                                      unit_ref const& ref) const
+{
+    auto const at = active_.find(ref);
+    auto const index =
+        at == active_.end() ? std::nullopt : member_index(ref, at->second, run);
+    if (!index || !is_placed_again(ref))
+        return 0;
+    auto const& m = at->second.members[*index];
+    if (!may_start_late(w, m))
+        return 0;
+    bool const has_left = !w.listed && list_currency_.is_current(now);
+    return detail::late_start_end(m) +
+           (has_left ? max_listing_delay_ms : longest_lease());
+}
+
+milliseconds dispatcher::longest_lease() const noexcept
+{
+    return limits_.max_lease_ms + limits_.max_lease_ms / clock_drift_divisor;
+}
+
 void dispatcher::end_lost_runs(milliseconds now, worker_view& w,
                                std::string const& why,
                                std::map<task_run, hosted_run> const& kept)
@@ -103,7 +153,8 @@
     if (!index)
         return;
     auto const& m = at->second.members[*index];
-    if (m.phase == member_phase::recorded)
+    if (m.phase == member_phase::recorded ||
+        m.phase == member_phase::awaiting_late_start)
         return;
     auto const silent_at =
         w.unresponsive_since >= 0 ? w.unresponsive_since : now;
--- a/packages/tasks/src/dispatcher_replies.cpp
+++ b/packages/tasks/src/dispatcher_replies.cpp
@@ -88,6 +88,9 @@
         m.reported_at = now;
         if (m.phase == member_phase::adopted || is_unconfirmed(m.phase))
         {
+            // One of the sends was carried out; others may be yet.
+            if (m.unanswered_at >= 0)
+                note_unanswered(m);
             m.phase = member_phase::running;
             m.started_ms = r.clock_ms;
             m.progress_at = now;
@@ -162,9 +165,10 @@
         auto const& m = at->second.members[*index];
         bool const surely_released =
             m.phase == member_phase::adopted ||
+            m.phase == member_phase::awaiting_late_start ||
             (is_unconfirmed(m.phase) && r.clock_ms > m.until_ms) ||
             (m.phase == member_phase::running && r.clock_ms > m.started_ms);
-        if (!surely_released)
+        if (!surely_released || resend_start(now, ref, *index))
             continue;
         log_decision("run.absent", run.task.job,
                      "worker=" + w.info.id +
@@ -173,7 +177,7 @@
                          " phase=" + std::to_string(static_cast<int>(m.phase)));
         end_run(now, ref, "a task is missing on its worker");
         if (active_.count(ref) != 0)
-            release_member(now, ref, *index);
+            release_or_await(now, ref, *index);
     }
 }
 
--- a/packages/tasks/src/dispatcher_runs.cpp
+++ b/packages/tasks/src/dispatcher_runs.cpp
@@ -45,6 +45,64 @@
         finish_run(now, ref);
 }
 
+/// The member has ended on its worker.
+void dispatcher::release_or_await(milliseconds now, unit_ref const& ref,
+                                  std::size_t index)
+{
+    auto const& m = active_.at(ref).members[index];
+    auto const w = workers_.find(m.worker);
+    if (w != workers_.end() && is_placed_again(ref) &&
+        may_start_late(w->second, m))
+        await_late_start(now, ref, index);
+    else
+        release_member(now, ref, index);
+}
+
+/// Keeps the member's place without its capacity: only a later incarnation can
+/// carry out the start.
+void dispatcher::await_late_start(milliseconds now, unit_ref const& ref,
+                                  std::size_t index)
+{
+    auto& a = active_.at(ref);
+    auto& m = a.members[index];
+    auto& w = workers_.at(m.worker);
+    auto const gang = step_of(jobs_.at(ref.job), ref).gang;
+    auto const run = run_of(ref, a.run, index, gang);
+    if (m.phase == member_phase::awaiting_late_start &&
+        w.hosted_runs.count(run) != 0)
+        return;
+    note_unanswered(m);
+    m.phase = member_phase::awaiting_late_start;
+    hosted_run o{ref, {}, true, 0, now};
+    o.late_start_until = detail::late_start_end(m);
+    w.add(run, std::move(o));
+    changed_ = true;
+    log_decision("unit.await_late_start", ref.job,
+                 "worker=" + m.worker + " index=" + std::to_string(index) +
+                     " run=" + std::to_string(a.run) + " wait_ms=" +
+                     std::to_string(detail::late_start_end(m) - now));
+}
+
+bool dispatcher::is_placed_again(unit_ref const& ref) const
+{
+    auto const& p = jobs_.at(ref.job).progress;
+    return !is_final(p.phase) && p.units.at(ref.unit).phase != unit_phase::done;
+}
+
+/// \returns whether a start of the member may reach a later incarnation of the
+/// worker than the one whose answer is the latest.
+bool dispatcher::may_start_late(worker_view const& w, member const& m)
+{
+    return detail::late_start_end(m) >
+           std::max<milliseconds>(0, w.answered_renewal_at);
+}
+
+void dispatcher::note_unanswered(member& m) noexcept
+{
+    if (m.phase == member_phase::starting)
+        m.unanswered_at = m.last_sent_at;
+}
+
 void dispatcher::end_run(milliseconds now, unit_ref const& ref,
                          std::string const& why,
                          std::optional<std::size_t> ended)
@@ -114,7 +172,7 @@
         count_failure(now, e, ref, u, a, worker);
     end_run(now, ref, to_text(how), index);
     if (active_.count(ref) != 0)
-        release_member(now, ref, index);
+        release_or_await(now, ref, index);
     update_job_phase(now, e);
 }
 
--- a/packages/tasks/src/dispatcher_starts.cpp
+++ b/packages/tasks/src/dispatcher_starts.cpp
@@ -12,6 +12,8 @@
 constexpr milliseconds start_window_ms = 1'500;
 /// A start is retried only while this much of its window is left.
 constexpr milliseconds min_retry_window_ms = 300;
+/// A start that its worker did not get is sent there again for this time.
+constexpr milliseconds max_resend_ms = 4'000;
 /// An answer to a renewal arrives at most this long after the worker gave it.
 constexpr milliseconds max_answer_delay_ms = 5'000;
 constexpr milliseconds refused_quarantine_ms = 2'000;
@@ -118,7 +120,7 @@
     auto& a = active_.at(ref);
     auto& m = a.members[index];
     auto& w = workers_.at(m.worker);
-    if (m.phase == member_phase::recorded)
+    if (m.phase != member_phase::starting)
     {
         m.sent_at = now;
         m.until_ms = w.clock_floor(now) + start_window_ms;
@@ -139,6 +141,24 @@
     out_.push_back(std::move(order));
 }
 
+/// \returns whether the start was sent again to the worker, which does not have
+/// the run. No other worker may get it before that start can no longer arrive.
+bool dispatcher::resend_start(milliseconds now, unit_ref const& ref,
+                              std::size_t index)
+{
+    auto& a = active_.at(ref);
+    auto& m = a.members[index];
+    bool const may_resend = is_unconfirmed(m.phase) && !a.over &&
+                            may_start_late(workers_.at(m.worker), m) &&
+                            now - a.first_sent <= max_resend_ms;
+    if (!may_resend || !can_start(now, ref, a))
+        return false;
+    note_unanswered(m);
+    m.phase = member_phase::unconfirmed;
+    send_start(now, *find_job(ref.job), ref, index);
+    return true;
+}
+
 void dispatcher::on_start(milliseconds now, start_reply const& r)
 {
     if (r.result == call_result::fenced)
@@ -171,6 +191,7 @@
     if (w.is_before(clock_ms, m.last_sent_at))
     {
         // The worker has restarted: an answer to a renewal shows what runs.
+        m.unanswered_at = m.last_sent_at;
         m.phase = member_phase::unconfirmed;
         m.until_ms = w.clock_floor(now) + max_answer_delay_ms;
         return;
@@ -204,7 +225,7 @@
                      " result=" + to_text(result));
     if (result == call_result::no_answer)
     {
-        m.answer_missing = true;
+        m.unanswered_at = m.last_sent_at;
         w.last_unanswered_at = now;
         bool const has_time =
             now - m.sent_at < start_window_ms - min_retry_window_ms;
@@ -216,7 +237,7 @@
     }
     w.quarantined_until =
         std::max(w.quarantined_until, now + refused_quarantine_ms);
-    if (result == call_result::old_run || m.answer_missing)
+    if (result == call_result::old_run || m.unanswered_at >= 0)
     {
         // An earlier send of the order may have started the run.
         m.phase = member_phase::unconfirmed;
--- a/packages/tasks/src/dispatcher_workers.cpp
+++ b/packages/tasks/src/dispatcher_workers.cpp
@@ -14,16 +14,6 @@
 /// Far below the times that are monitored.
 constexpr milliseconds monitor_interval_ms = 50;
 
-/// \returns until when a start, of which a send got no answer, may be carried
-/// out; 0 if all were answered. One of an earlier dispatcher is refused by a
-/// worker that has answered this one.
-milliseconds late_start_end(detail::member const& m)
-{
-    bool const may_come_late = m.phase != detail::member_phase::adopted &&
-                               (is_unconfirmed(m.phase) || m.answer_missing);
-    return may_come_late ? m.last_sent_at + detail::late_order_ms : 0;
-}
-
 } // namespace
 
 void dispatcher::put_worker(milliseconds now, worker_info const& info)
@@ -131,7 +121,7 @@
                                    std::string const& why)
 {
     w.replaced = true;
-    auto const kept = unconfirmed_starts(now, w);
+    auto const kept = unconfirmed_starts(w);
     for (auto const& [run, o] : kept)
     {
         log_lost_run(now, w, run, o.unit);
@@ -140,8 +130,6 @@
     }
     end_lost_runs(now, w, why, kept);
     w.reset_for_incarnation(incarnation);
-    auto const longest_lease =
-        limits_.max_lease_ms + limits_.max_lease_ms / clock_drift_divisor;
     if (w.last_unanswered_at >= 0)
         w.starts_blocked_until = w.last_unanswered_at + detail::late_order_ms;
     for (auto const& [run, o] : kept)
@@ -156,7 +144,8 @@
         auto stray = stray_run(now, o, m);
         w.late_runs_until =
             std::max(w.late_runs_until,
-                     std::max(now, stray.late_start_until) + longest_lease);
+                     std::max(now, stray.late_start_until) + longest_lease());
+        note_unanswered(m);
         m.phase = member_phase::unconfirmed;
         m.until_ms = 0;
         w.add(run, std::move(stray));
@@ -165,18 +154,18 @@
 }
 
 hosted_run dispatcher::stray_run(milliseconds now, hosted_run const& o,
-                                 member const& m)
+                                 member const& m) const
 {
-    hosted_run stray{o.unit, o.held, true, 0, now};
+    auto const& step = step_of(jobs_.at(o.unit.job), o.unit);
+    hosted_run stray{o.unit, held_by(step), true, 0, now};
     stray.late_start_until = late_start_end(m);
-    stray.stop_settles = o.stop_sent == 0;
     return stray;
 }
 
 /// \returns the runs whose starts may reach, or may have reached, a later
 /// incarnation than the one they were sent to.
 std::map<task_run, hosted_run>
-dispatcher::unconfirmed_starts(milliseconds now, worker_view const& w)
+dispatcher::unconfirmed_starts(worker_view const& w) const
 {
     std::map<task_run, hosted_run> list;
     for (auto const& [run, o] : w.hosted_runs)
@@ -190,7 +179,7 @@
         auto const& m = at->second.members[*index];
         // A start sent after the latest renewal that the earlier incarnation
         // has answered may have been answered by the new one.
-        if (is_unconfirmed(m.phase) || now < late_start_end(m) ||
+        if (is_unconfirmed(m.phase) || may_start_late(w, m) ||
             (m.phase != member_phase::recorded &&
              m.last_sent_at >= w.answered_renewal_at))
             list.emplace(run, o);
@@ -244,12 +233,7 @@
     if (at == workers_.end())
         return;
     if (r.result == call_result::done)
-    {
-        auto const o = at->second.hosted_runs.find(r.run);
-        if (o != at->second.hosted_runs.end() && o->second.stop_settles)
-            o->second.late_start_until = now;
         return;
-    }
     log_decision("stop.failed", r.run.task.job,
                  "worker=" + r.worker + " run=" + std::to_string(r.run.run) +
                      " result=" + to_text(r.result));
--- a/tests/unit/test_stray_starts.cpp
+++ b/tests/unit/test_stray_starts.cpp
@@ -21,7 +21,6 @@
     CPPUNIT_TEST_SUITE(test_stray_starts);
     CPPUNIT_TEST(a_silent_next_incarnation_may_run_it);
     CPPUNIT_TEST(a_next_incarnation_found_late_may_still_start_it);
-    CPPUNIT_TEST(a_stop_at_the_next_incarnation_settles_it);
     CPPUNIT_TEST(members_of_a_gang_on_one_worker);
     CPPUNIT_TEST(a_worker_without_the_run_may_get_its_start_after_a_restart);
     CPPUNIT_TEST(a_lost_worker_may_get_the_start_after_a_restart);
@@ -80,21 +79,6 @@
                 });
     }
 
-    void a_stop_at_the_next_incarnation_settles_it()
-    {
-        manual_dispatcher h;
-        h.add_worker("w1", 1);
-        h.run_for(second_ms);
-        lose_start_on_w1(h);
-        h.add_worker("w2", 1);
-        h.add_worker("w1", 2);
-        h.run_for(second_ms);
-        expect(h.starts.size() == 1, "no second start yet");
-        h.reply(stop_reply{"w1", h.starts.front().run, call_result::done});
-        h.run_for(second_ms);
-        expect(h.starts.size() == 2, "a second start");
-    }
-
     void members_of_a_gang_on_one_worker()
     {
         manual_dispatcher h;
@@ -191,6 +175,7 @@
         h.add_worker("w2", 1);
         auto const sent = h.now;
         expect(h.starts.size() == 2, "the start is repeated and accepted");
+        h.running["w1"].insert(h.starts.front().run);
         h.run_for(500);
         report_failure_on_w1(h);
         h.run_for(second_ms);
@@ -214,13 +199,15 @@
         h.add_worker("w2", 1);
         h.add_worker("w1", 2);
         h.run_for(second_ms);
+        expect(!h.stops.empty() && h.stops[0].run == h.starts[0].run,
+               "the next process is told to stop it");
         h.reply(stop_reply{"w1", h.starts.front().run, call_result::done});
         h.run_for(second_ms);
         section("it is not started elsewhere after the stop",
                 [&] { expect(h.starts.size() == 1, "no second start"); });
         h.stops.clear();
         h.add_worker("w1", 3);
-        section("the next process is told to stop it as well",
+        section("the process after it is told as well",
                 [&]
                 {
                     h.run_for(sent + max_late_order_ms - h.now);
--- a/tests/unit/test_unanswered_starts.cpp
+++ b/tests/unit/test_unanswered_starts.cpp
@@ -22,12 +22,18 @@
 /// Longer than the window in which a worker accepts a start, and shorter than
 /// the time after which a run without progress is ended.
 constexpr milliseconds observed_ms = 3'000;
+/// A send that got no answer is carried out at most this much later.
+constexpr milliseconds late_order_ms = 12'000;
+/// A worker that refuses a start is sent it for less than this time.
+constexpr milliseconds resend_ms = 6'000;
+constexpr std::size_t refused_resends = 20;
 
 class test_unanswered_starts : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(test_unanswered_starts);
     CPPUNIT_TEST(a_run_whose_repeat_is_refused_is_not_placed_again);
-    CPPUNIT_TEST(a_run_that_its_worker_never_got_is_placed_again);
+    CPPUNIT_TEST(a_run_that_its_worker_never_got_is_sent_there_again);
+    CPPUNIT_TEST(a_run_that_its_worker_keeps_refusing_is_placed_again);
     CPPUNIT_TEST(a_start_that_was_sent_once_and_refused_is_placed_again);
     CPPUNIT_TEST_SUITE_END();
 
@@ -75,7 +81,9 @@
                     });
     }
 
-    void a_run_that_its_worker_never_got_is_placed_again()
+    /// Guards against two runs of one task (TWICE): the first send may still
+    /// arrive, so no other run may start before.
+    void a_run_that_its_worker_never_got_is_sent_there_again()
     {
         for (auto const refusal : refusals)
             section(std::string("refused as ") + to_text(refusal),
@@ -86,11 +94,41 @@
                         auto const first = h.starts.front();
                         h.run_for(observed_ms);
                         expect(h.starts.size() == 3, "it is started again");
-                        expect(h.starts[2].run.run > first.run.run,
-                               "as another run");
+                        expect(h.starts[2].run == first.run &&
+                                   h.starts[2].worker == first.worker,
+                               "as the same run on the same worker");
+                        expect(h.starts[2].until_ms > first.until_ms,
+                               "with time to arrive");
+                        expect(h.running[first.worker].count(first.run) == 1 &&
+                                   h.stops.empty(),
+                               "it runs there");
                     });
     }
 
+    void a_run_that_its_worker_keeps_refusing_is_placed_again()
+    {
+        manual_dispatcher h;
+        start_unanswered(h, call_result::unhealthy, false);
+        auto const first = h.starts.front();
+        h.start_results.assign(refused_resends, call_result::unhealthy);
+        h.run_for(late_order_ms);
+        section("it is sent nowhere else while the first send may arrive",
+                [&]
+                {
+                    for (auto const& s : h.starts)
+                        expect(s.run == first.run && s.worker == first.worker,
+                               "the same run on the same worker");
+                });
+        h.start_results.clear();
+        section("it is placed again when no send can arrive",
+                [&]
+                {
+                    h.run_for(resend_ms + observed_ms);
+                    expect(h.starts.back().run.run > first.run.run,
+                           "another run is started");
+                });
+    }
+
     void a_start_that_was_sent_once_and_refused_is_placed_again()
     {
         manual_dispatcher h;
