A suspected task whose run a successor never saw: evidence as before

Now the loss of an adopted run of a task that is suspected already counts as just started, and four crashes end a task if two of them came after an answer, one of these just after the start.

--- a/packages/tasks/include/jasminetrack/tasks/crash_history.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/crash_history.hpp
@@ -52,9 +52,9 @@
 /// \returns the strictest verdict on any of its tasks. A sound task is never
 /// given up because of workers that were silent, and only if it was isolated on
 /// two workers that crashed just then, after a third one, or if four crashed.
-/// Crashes before the start was answered count only beside such that are strong
-/// evidence, or once there are five in all: a task may crash each worker so
-/// soon.
+/// Crashes before the start was answered count only beside two others, one of
+/// them just after the start, or once there are five in all: a task may crash
+/// each worker so soon.
 [[nodiscard]] crash_verdict judge(std::vector<worker_loss> const& losses);
 
 /// Adds a loss, unless there is one of this run of the task already: the worker
--- a/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -243,6 +243,8 @@
     [[nodiscard]] crash_exposure exposure_of(worker_view const& w,
                                              active_run const& a,
                                              member const& m) const;
+    [[nodiscard]] static crash_exposure
+    exposure_before_adoption(active_run const& a);
     /// \returns whether most workers of its rack became silent with it.
     [[nodiscard]] bool lost_with_rack(worker_view const& w) const;
     /// Earlier losses of the worker were crashes, up to this incarnation.
--- a/packages/tasks/src/crash_history.cpp
+++ b/packages/tasks/src/crash_history.cpp
@@ -17,9 +17,8 @@
 /// A task that crashes its workers only some time after its start never counts
 /// as isolated.
 constexpr std::int64_t max_unclear_crashes = 4;
-/// What these have to weigh: a crash just after the start counts twice, one
-/// before an answer to it not at all.
-constexpr std::int64_t min_weight = 4;
+/// Of these, crashes after an answer to the start, if one came just after it.
+constexpr std::int64_t min_answered_crashes = 2;
 /// A task that crashes its workers before they answer leaves no others.
 constexpr std::int64_t max_unanswered_crashes = 5;
 /// Losses after which a task is isolated, whatever its part in them.
@@ -76,9 +75,10 @@
     bool const shown =
         c.crashed >= max_crashes && c.isolated >= min_isolated_crashes;
     auto const crashed = all_crashed(c);
-    bool const likely =
-        crashed >= max_unclear_crashes && c.crashed + c.fresh >= min_weight;
-    if (shown || likely || crashed >= max_unanswered_crashes)
+    bool const likely = c.fresh > 0 && c.crashed >= min_answered_crashes &&
+                        crashed >= max_unclear_crashes;
+    if (shown || likely || c.crashed >= max_unclear_crashes ||
+        crashed >= max_unanswered_crashes)
         return crash_verdict::give_up;
     auto const all_silent = c.silent + c.unanswered_silent;
     auto const losses = crashed + all_silent;
--- a/packages/tasks/src/dispatcher_crashes.cpp
+++ b/packages/tasks/src/dispatcher_crashes.cpp
@@ -68,6 +68,8 @@
                                        active_run const& a,
                                        member const& m) const
 {
+    if (m.phase == member_phase::adopted)
+        return exposure_before_adoption(a);
     if (m.phase != member_phase::running)
         return crash_exposure::unanswered;
     if (detail::is_established(m) || lost_with_rack(w))
@@ -75,6 +77,13 @@
     return a.isolated ? crash_exposure::isolated : crash_exposure::starting;
 }
 
+/// The earlier dispatcher may have had an answer, which speaks against a task
+/// that is suspected already.
+crash_exposure dispatcher::exposure_before_adoption(active_run const& a)
+{
+    return a.isolated ? crash_exposure::starting : crash_exposure::unanswered;
+}
+
 bool dispatcher::lost_with_rack(worker_view const& w) const
 {
     if (w.unresponsive_since < 0)
@@ -192,8 +201,8 @@
         return;
     auto& u = *find_unit(ref);
     worker_loss const loss{
-        static_cast<std::int64_t>(index), u.run, w.info.id, sent_to,
-        crash_exposure::unanswered,       true};
+        static_cast<std::int64_t>(index),          u.run, w.info.id, sent_to,
+        exposure_before_adoption(active_.at(ref)), true};
     log_crash(ref, loss);
     add_loss(u.losses, loss);
     mark_dirty(ref.job);
--- a/tests/unit/test_crash_history.cpp
+++ b/tests/unit/test_crash_history.cpp
@@ -115,15 +115,17 @@
                     expect(judge(losses) == crash_verdict::give_up,
                            "one of them just after it");
                 });
-        section("beside crashes just after an answer",
+        section("beside one crash just after an answer",
                 [&]
                 {
                     for (auto& l : losses)
                         l.exposure = exposure::unanswered;
                     losses[0].exposure = exposure::starting;
-                    expect(judge(losses) == crash_verdict::isolate, "one");
-                    losses[1].exposure = exposure::isolated;
-                    expect(judge(losses) == crash_verdict::give_up, "two");
+                    expect(judge(losses) == crash_verdict::isolate,
+                           "no other answer");
+                    losses[1].exposure = exposure::established;
+                    expect(judge(losses) == crash_verdict::give_up,
+                           "another crash after an answer");
                 });
     }
 
