A successor waits for starts of its predecessor

What callers saw: none seen; a cause of two runs of one task (TWICE), found by the review of the fix: a successor took an adopted run that its worker did not show for over, and placed the task elsewhere, though its predecessor may have had no answer to a start, which a later process under the worker's id carries out.

Cause: an adopted member knew of no unanswered sends.

Evidence, on the commit before: test_stray_starts::a_successor_sends_a_run_that_is_absent_to_its_worker: as the same run > assertion failed test_stray_starts::a_successor_waits_for_starts_of_its_predecessor: after a restart it is not started elsewhere > assertion failed Green with the fix.

Why it works: an adopted run that is absent is sent to its worker again under the same number, so that the task stays there; a restart soon after the take-over counts as one that such a start may reach.

--- a/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -311,6 +311,8 @@
                                              member const& m);
     /// A send that awaits its answer may get none.
     static void note_unanswered(member& m) noexcept;
+    /// Starts of an earlier dispatcher may have got no answer.
+    static void note_earlier_sends(member& m) noexcept;
     /// Ends a run and stops its remaining members.
     /// \param ended  member that has already ended on its worker
     void end_run(milliseconds now, unit_ref const& ref, std::string const& why,
--- a/packages/tasks/src/dispatcher_replies.cpp
+++ b/packages/tasks/src/dispatcher_replies.cpp
@@ -178,7 +178,9 @@
             changed_ = true;
             continue;
         }
-        auto const& m = at->second.members[*index];
+        auto& m = at->second.members[*index];
+        if (m.phase == member_phase::adopted)
+            note_earlier_sends(m);
         bool const surely_released =
             m.phase == member_phase::adopted ||
             m.phase == member_phase::awaiting_late_start ||
--- a/packages/tasks/src/dispatcher_runs.cpp
+++ b/packages/tasks/src/dispatcher_runs.cpp
@@ -114,6 +114,11 @@
         m.unanswered_at = m.last_sent_at;
 }
 
+void dispatcher::note_earlier_sends(member& m) noexcept
+{
+    m.unanswered_at = std::max(m.unanswered_at, m.sent_before);
+}
+
 void dispatcher::end_run(milliseconds now, unit_ref const& ref,
                          std::string const& why,
                          std::optional<std::size_t> ended)
@@ -355,6 +360,7 @@
             m.worker = u.places[i];
             m.phase = u.places[i].empty() ? member_phase::released
                                           : member_phase::adopted;
+            m.sent_before = created_at_;
             a.members.push_back(m);
             if (m.phase == member_phase::released)
                 continue;
--- a/packages/tasks/src/dispatcher_starts.cpp
+++ b/packages/tasks/src/dispatcher_starts.cpp
@@ -12,7 +12,7 @@
 constexpr milliseconds start_window_ms = 1'500;
 /// A start is retried only while this much of its window is left.
 constexpr milliseconds min_retry_window_ms = 300;
-/// A start that its worker did not get is sent there again for this time.
+/// A start that its worker did not get is repeated there for at most this long.
 constexpr milliseconds max_resend_ms = 4'000;
 /// An answer to a renewal arrives at most this long after the worker gave it.
 constexpr milliseconds max_answer_delay_ms = 5'000;
@@ -147,17 +147,23 @@
 }
 
 /// \returns whether the start was sent again to the worker, which does not have
-/// the run. No other worker may get it before that start can no longer arrive.
+/// the run, or will be. No other worker may get it before the earlier start can
+/// no longer arrive.
 bool dispatcher::resend_start(milliseconds now, unit_ref const& ref,
                               std::size_t index)
 {
     auto& a = active_.at(ref);
     auto& m = a.members[index];
-    bool const may_resend = is_unconfirmed(m.phase) && !a.over &&
+    bool const is_adopted = m.phase == member_phase::adopted;
+    bool const may_resend = (is_adopted || is_unconfirmed(m.phase)) &&
+                            !a.over &&
                             may_start_late(workers_.at(m.worker), m) &&
                             now - a.first_sent <= max_resend_ms;
-    if (!may_resend || !can_start(now, ref, a))
+    if (!may_resend)
         return false;
+    // A new dispatcher's list of workers is not current yet.
+    if (!can_start(now, ref, a))
+        return is_adopted;
     note_unanswered(m);
     m.phase = member_phase::unconfirmed;
     send_start(now, *find_job(ref.job), ref, index);
--- a/packages/tasks/src/dispatcher_workers.cpp
+++ b/packages/tasks/src/dispatcher_workers.cpp
@@ -144,6 +144,7 @@
         if (!index)
             continue;
         auto& m = at->second.members[*index];
+        note_earlier_sends(m);
         auto stray = stray_run(now, o, m);
         // It would set the longest lease, and so prolong that of other runs.
         w.starts_blocked_until =
@@ -183,9 +184,13 @@
         if (!index)
             continue;
         auto const& m = at->second.members[*index];
+        bool const was_sent_before =
+            m.sent_before >= 0 &&
+            m.sent_before + detail::late_order_ms > w.answered_renewal_at;
         // A start sent after the latest renewal that the earlier incarnation
         // has answered may have been answered by the new one.
         if (is_unconfirmed(m.phase) || may_start_late(w, m) ||
+            was_sent_before ||
             (m.phase != member_phase::recorded &&
              m.last_sent_at >= w.answered_renewal_at))
             list.emplace(run, o);
--- a/tests/support/manual_dispatcher.hpp
+++ b/tests/support/manual_dispatcher.hpp
@@ -141,6 +141,25 @@
         dispatcher_.put_job(now, job, std::move(progress));
     }
 
+    /// The dispatcher reads a job whose only task an earlier dispatcher has
+    /// placed there.
+    void adopt(std::string const& id, std::string const& worker,
+               std::int64_t incarnation)
+    {
+        accepted_job job;
+        job.id = id;
+        job.queue = "batch";
+        job.team = "team";
+        job.spec = simple_job(1, 1);
+        auto progress = initial_progress(job.spec);
+        auto& u = progress.units.begin()->second;
+        u.phase = unit_phase::active;
+        u.run = 1;
+        u.places = {worker};
+        u.incarnations = {incarnation};
+        submit(job, progress);
+    }
+
     /// Submits a job of which each task needs a whole worker.
     void submit(std::string const& id, std::string const& queue,
                 std::int64_t members = 1, bool checkpoints = false)
--- a/tests/unit/test_stray_starts.cpp
+++ b/tests/unit/test_stray_starts.cpp
@@ -27,6 +27,8 @@
     CPPUNIT_TEST(an_incarnation_listed_late_may_run_it_already);
     CPPUNIT_TEST(a_failed_run_may_start_again_after_a_restart);
     CPPUNIT_TEST(a_stop_is_forgotten_with_the_process_that_took_it);
+    CPPUNIT_TEST(a_successor_sends_a_run_that_is_absent_to_its_worker);
+    CPPUNIT_TEST(a_successor_waits_for_starts_of_its_predecessor);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -222,7 +224,68 @@
                 });
     }
 
+    void a_successor_sends_a_run_that_is_absent_to_its_worker()
+    {
+        manual_dispatcher h;
+        auto const taken_over = h.now;
+        h.add_worker("w1", 1);
+        h.add_worker("w2", 1);
+        h.adopt("a", "w1", 1);
+        h.run_for(3 * second_ms);
+        section("as the same run",
+                [&]
+                {
+                    expect(h.starts.size() == 1 && h.stops.empty(), "a start");
+                    expect(h.starts[0].worker == "w1" &&
+                               h.starts[0].run.run == 1,
+                           "of the run that was recorded");
+                });
+        restart_w1(h);
+        expect_waits_for_predecessor(h, taken_over, 1);
+    }
+
+    void a_successor_waits_for_starts_of_its_predecessor()
+    {
+        manual_dispatcher h;
+        auto const taken_over = h.now;
+        h.add_worker("w1", 1);
+        h.add_worker("w2", 1);
+        h.adopt("a", "w1", 1);
+        h.running["w1"].insert({{"a", 0, 0, 0}, 1});
+        h.run_for(3 * second_ms);
+        expect(h.starts.empty(), "it runs");
+        restart_w1(h);
+        expect_waits_for_predecessor(h, taken_over, 0);
+    }
+
 private:
+    static void restart_w1(manual_dispatcher& h)
+    {
+        h.answers_starts = false;
+        h.running["w1"].clear();
+        h.add_worker("w1", 2);
+    }
+
+    static void expect_waits_for_predecessor(manual_dispatcher& h,
+                                             milliseconds taken_over,
+                                             std::size_t starts)
+    {
+        section("after a restart it is not started elsewhere",
+                [&]
+                {
+                    h.run_for(taken_over + max_late_order_ms - h.now);
+                    expect(h.starts.size() == starts, "no other start");
+                });
+        section("it is when no earlier start can arrive",
+                [&]
+                {
+                    h.run_for(10 * second_ms);
+                    expect(h.starts.size() > starts &&
+                               h.starts.back().run.run == 2,
+                           "another run");
+                });
+    }
+
     /// \returns when the start was sent to w1.
     static milliseconds start_unanswered_beside_w2(manual_dispatcher& h)
     {
--- a/tests/unit/test_worker_restarts.cpp
+++ b/tests/unit/test_worker_restarts.cpp
@@ -267,18 +267,7 @@
     /// on this incarnation of w1, where it runs.
     static void adopt_run(manual_dispatcher& h, std::int64_t incarnation)
     {
-        accepted_job job;
-        job.id = "a";
-        job.queue = "batch";
-        job.team = "team";
-        job.spec = simple_job(1, 1);
-        auto progress = initial_progress(job.spec);
-        auto& u = progress.units.begin()->second;
-        u.phase = unit_phase::active;
-        u.run = 1;
-        u.places = {"w1"};
-        u.incarnations = {incarnation};
-        h.submit(job, progress);
+        h.adopt("a", "w1", incarnation);
         h.running["w1"].insert({{"a", 0, 0, 0}, 1});
     }
 
