An earlier placement ends no run of the process that answers

What callers saw: none seen; a possible cause of two runs (TWICE), by the review. A worker restarted under its id after its wall clock was set back. A successor that had an answer of the later process adopted a run on the ended one, whose incarnation is the higher number, and took the runs of the later one for lost.

Cause: adopt_worker() compared incarnations, though an answer to this dispatcher is later than every placement of an earlier one.

Evidence, on the code before: test_worker_restarts:: an_earlier_placement_ends_no_run_of_the_process_that_answers: assertion failed. Green with the fix.

--- a/packages/tasks/src/dispatcher_runs.cpp
+++ b/packages/tasks/src/dispatcher_runs.cpp
@@ -317,6 +317,9 @@
         w.info.id = id;
         w.listed = false;
     }
+    // What has answered this dispatcher is later than any earlier placement.
+    if (w.answered_at >= 0)
+        return;
     if (w.info.incarnation != 0 && incarnation > w.info.incarnation)
         start_incarnation(now, w, incarnation,
                           "a run was placed on a later incarnation");
--- a/tests/unit/test_worker_restarts.cpp
+++ b/tests/unit/test_worker_restarts.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(no_start_beside_an_earlier_run_that_goes_on);
     CPPUNIT_TEST(an_older_entry_ends_no_adopted_run);
     CPPUNIT_TEST(a_late_entry_of_an_ended_process_ends_no_run);
+    CPPUNIT_TEST(an_earlier_placement_ends_no_run_of_the_process_that_answers);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -210,6 +211,23 @@
                 });
     }
 
+    /// Guards against two runs of one task (TWICE): the wall clock was set
+    /// back, so the placement on the ended process has the higher incarnation.
+    void an_earlier_placement_ends_no_run_of_the_process_that_answers()
+    {
+        manual_dispatcher h;
+        h.add_worker("w1", 90);
+        h.add_worker("w2", 1);
+        h.run_for(500);
+        adopt_run(h, 90);
+        h.adopt("b", "w1", 100);
+        h.run_for(3'000);
+        for (auto const& s : h.starts)
+            expect(s.run.task.job != "a", "not started again");
+        for (auto const& s : h.stops)
+            expect(s.run.task.job != "a", "not stopped");
+    }
+
     void no_start_by_the_capacity_of_an_earlier_incarnation()
     {
         manual_dispatcher h;
