A start under way is not sent again

What callers saw: none seen, by the review: a start was sent again while an earlier send of it awaited its answer. The refusal of the earlier one then hid that the later one had none, so that the wait for late starts ended up to 1.5 s too early.

Evidence, on the code before: test_stray_starts::a_start_under_way_is_not_sent_again: while its repeat may still be answered > assertion failed. Green with the fix.

Why it works: only one send of a start is under way; it is answered or given up within a second.

--- a/packages/tasks/src/dispatcher_starts.cpp
+++ b/packages/tasks/src/dispatcher_starts.cpp
@@ -14,6 +14,8 @@
 constexpr milliseconds min_retry_window_ms = 300;
 /// A start that its worker did not get is repeated there for at most this long.
 constexpr milliseconds max_resend_ms = 4'000;
+/// A call of a worker has ended by then, with or without an answer.
+constexpr milliseconds max_call_ms = 1'000;
 /// An answer to a renewal arrives at most this long after the worker gave it.
 constexpr milliseconds max_answer_delay_ms = 5'000;
 constexpr milliseconds refused_quarantine_ms = 2'000;
@@ -161,6 +163,8 @@
                             now - a.first_sent <= max_resend_ms;
     if (!may_resend)
         return false;
+    if (m.phase == member_phase::starting && now - m.last_sent_at < max_call_ms)
+        return true; // once that send is answered or given up
     // A new dispatcher's list of workers is not current yet.
     if (!can_start(now, ref, a))
         return is_adopted;
@@ -187,7 +191,11 @@
     if (!index)
         return;
     if (at->second.members[*index].phase != member_phase::starting)
+    {
+        if (r.result == call_result::no_answer)
+            workers_.at(r.worker).last_unanswered_at = now;
         return;
+    }
     if (r.result == call_result::done)
         member_started(now, *ref, *index, r.clock_ms);
     else
--- a/tests/unit/test_stray_starts.cpp
+++ b/tests/unit/test_stray_starts.cpp
@@ -29,6 +29,7 @@
     CPPUNIT_TEST(a_stop_is_forgotten_with_the_process_that_took_it);
     CPPUNIT_TEST(a_successor_sends_a_run_that_is_absent_to_its_worker);
     CPPUNIT_TEST(a_successor_waits_for_starts_of_its_predecessor);
+    CPPUNIT_TEST(a_start_under_way_is_not_sent_again);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -258,6 +259,26 @@
         expect_waits_for_predecessor(h, taken_over, 0);
     }
 
+    void a_start_under_way_is_not_sent_again()
+    {
+        manual_dispatcher h;
+        auto const sent = start_unanswered_beside_w2(h);
+        h.answers_starts = false;
+        h.run_for(sent + 1'100 - h.now);
+        h.answer_start(h.starts.front(), call_result::no_answer);
+        h.run_for(sent + 1'900 - h.now);
+        section("while its repeat may still be answered",
+                [&] { expect(h.starts.size() == 2, "no third send"); });
+        section("it is when that has got no answer",
+                [&]
+                {
+                    h.answer_start(h.starts.back(), call_result::no_answer);
+                    h.run_for(second_ms);
+                    expect(h.starts.size() == 3, "a third send");
+                    expect_only_first_run(h);
+                });
+    }
+
 private:
     static void restart_w1(manual_dispatcher& h)
     {
