A member that waits for a late start keeps its capacity; cancelled jobs do not wait

A late start that runs at a restarted worker could exceed its capacity (LIMIT), as the waiting member held none. Jobs that were cancelled meanwhile stayed in memory until the wait was over. The block of starts at a restarted worker could be shortened by a second restart, and a loss that was known as a crash became an unclear one when its start was found answered.

Evidence, on the code before: test_stray_starts:: a_failed_run_may_start_again_after_a_restart: and keeps its capacity > assertion failed; a_cancelled_job_does_not_wait_for_late_starts: assertion failed. Both green with the fix; the block and the loss are by reading. The test of a run that its worker keeps refusing now covers each refusal. confirm_running() is moved code.

--- a/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -207,6 +207,9 @@
     /// should not run there.
     void process_running(milliseconds now, worker_view& w,
                          renew_reply const& r);
+    /// \param clock_ms  the worker's, when it listed the run
+    void confirm_running(milliseconds now, unit_ref const& ref, member& m,
+                         milliseconds clock_ms);
     /// Ends runs that should be on the worker but are certainly not, or sends
     /// their starts again.
     void process_missing(milliseconds now, worker_view& w,
@@ -313,6 +316,8 @@
     static void note_unanswered(member& m) noexcept;
     /// Starts of an earlier dispatcher may have got no answer.
     static void note_earlier_sends(member& m) noexcept;
+    /// Releases the members that only await late starts.
+    void release_awaiting(milliseconds now, unit_ref const& ref);
     /// Ends a run and stops its remaining members.
     /// \param ended  member that has already ended on its worker
     void end_run(milliseconds now, unit_ref const& ref, std::string const& why,
--- a/packages/tasks/include/jasminetrack/tasks/worker_view.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/worker_view.hpp
@@ -31,7 +31,7 @@
     milliseconds stop_sent = 0;    ///< latest stop order; 0: none
     milliseconds ending_since = 0; ///< when `ending` was set
     bool isolated = false;         ///< nothing may be started beside it
-    /// Its start may be carried out at the worker's next incarnation until
+    /// Its start may be carried out at a later incarnation of the worker until
     /// then.
     milliseconds late_start_until = 0;
 };
--- a/packages/tasks/src/crash_history.cpp
+++ b/packages/tasks/src/crash_history.cpp
@@ -19,7 +19,7 @@
 constexpr std::int64_t max_unclear_crashes = 4;
 /// Of these, crashes after an answer to the start, if one came just after it.
 constexpr std::int64_t min_answered_crashes = 2;
-/// A task that crashes its workers before they answer leaves no others.
+/// A task that crashes its workers before they answer leaves no other evidence.
 constexpr std::int64_t max_unanswered_crashes = 5;
 /// Losses after which a task is isolated, whatever its part in them.
 constexpr std::int64_t min_losses_to_isolate = 2;
@@ -115,11 +115,13 @@
                      { return l.index == loss.index && l.run == loss.run; });
     if (at == losses.end())
         losses.push_back(std::move(loss));
-    else if (at->exposure == crash_exposure::unanswered &&
-             loss.exposure != crash_exposure::unanswered)
-        *at = std::move(loss);
     else
-        at->crashed = at->crashed || loss.crashed;
+    {
+        bool const crashed = at->crashed || loss.crashed;
+        if (at->exposure == crash_exposure::unanswered)
+            *at = std::move(loss);
+        at->crashed = crashed;
+    }
 }
 
 std::int64_t most_crashed_task(std::vector<worker_loss> const& losses)
--- a/packages/tasks/src/dispatcher_losses.cpp
+++ b/packages/tasks/src/dispatcher_losses.cpp
@@ -38,8 +38,9 @@
     confirm_gone_workers(now);
 }
 
-/// The runs have ended. A unit with a start that may be carried out late is not
-/// placed again before that run must have ended as well.
+/// The runs that the worker's leases covered have ended. A unit with a start
+/// that may be carried out late is not placed again before that run must have
+/// ended as well.
 void dispatcher::end_expired_runs(milliseconds now, worker_view& w)
 {
     std::map<task_run, hosted_run> kept;
@@ -52,7 +53,8 @@
     {
         log_lost_run(now, w, run, o.unit);
         record_loss(now, w, run, o.unit, w.replaced);
-        end_run(now, o.unit, "its worker was lost");
+        if (active_.count(o.unit) != 0)
+            end_run(now, o.unit, "its worker was lost");
         auto const at = active_.find(o.unit);
         auto const index = at == active_.end()
                                ? std::nullopt
--- a/packages/tasks/src/dispatcher_replies.cpp
+++ b/packages/tasks/src/dispatcher_replies.cpp
@@ -87,20 +87,7 @@
         auto& m = a.members[*index];
         m.reported_at = now;
         if (m.phase == member_phase::adopted || is_unconfirmed(m.phase))
-        {
-            // One of the sends was carried out; others may be yet.
-            if (m.unanswered_at >= 0)
-                note_unanswered(m);
-            m.phase = member_phase::running;
-            m.started_ms = r.clock_ms;
-            m.progress_at = now;
-            auto* e = find_job(o.unit.job);
-            if (e && !e->progress.begun)
-            {
-                e->progress.begun = true;
-                update_job_phase(now, *e);
-            }
-        }
+            confirm_running(now, o.unit, m, r.clock_ms);
         update_pace(now, w, o.unit, m, r.clock_ms, t.percent);
         if (t.percent > m.percent)
         {
@@ -115,6 +102,22 @@
     }
 }
 
+void dispatcher::confirm_running(milliseconds now, unit_ref const& ref,
+                                 member& m, milliseconds clock_ms)
+{
+    // One of the sends was carried out; others may be yet.
+    if (m.unanswered_at >= 0)
+        note_unanswered(m);
+    m.phase = member_phase::running;
+    m.started_ms = clock_ms;
+    m.progress_at = now;
+    auto* e = find_job(ref.job);
+    if (!e || e->progress.begun)
+        return;
+    e->progress.begun = true;
+    update_job_phase(now, *e);
+}
+
 void dispatcher::stop_unexpected_run(milliseconds now, worker_view& w,
                                      running_task const& t)
 {
--- a/packages/tasks/src/dispatcher_runs.cpp
+++ b/packages/tasks/src/dispatcher_runs.cpp
@@ -69,22 +69,22 @@
         release_member(now, ref, index);
 }
 
-/// Keeps the member's place without its capacity: only a later incarnation can
-/// carry out the start.
+/// Keeps the member's place and capacity: a later incarnation may carry out the
+/// start.
 void dispatcher::await_late_start(milliseconds now, unit_ref const& ref,
                                   std::size_t index)
 {
     auto& a = active_.at(ref);
     auto& m = a.members[index];
     auto& w = workers_.at(m.worker);
-    auto const gang = step_of(jobs_.at(ref.job), ref).gang;
-    auto const run = run_of(ref, a.run, index, gang);
+    auto const& step = step_of(jobs_.at(ref.job), ref);
+    auto const run = run_of(ref, a.run, index, step.gang);
     if (m.phase == member_phase::awaiting_late_start &&
         w.hosted_runs.count(run) != 0)
         return;
     note_unanswered(m);
     m.phase = member_phase::awaiting_late_start;
-    hosted_run o{ref, {}, true, 0, now};
+    hosted_run o{ref, held_by(step), true};
     o.late_start_until = detail::late_start_end(m);
     w.add(run, std::move(o));
     changed_ = true;
@@ -119,6 +119,14 @@
     m.unanswered_at = std::max(m.unanswered_at, m.sent_before);
 }
 
+void dispatcher::release_awaiting(milliseconds now, unit_ref const& ref)
+{
+    auto const members = active_.at(ref).members;
+    for (std::size_t i = 0; i < members.size(); ++i)
+        if (members[i].phase == member_phase::awaiting_late_start)
+            release_member(now, ref, i);
+}
+
 void dispatcher::end_run(milliseconds now, unit_ref const& ref,
                          std::string const& why,
                          std::optional<std::size_t> ended)
@@ -294,8 +302,12 @@
          at != active_.end() && at->first.job == id; ++at)
         runs.push_back(at->first);
     for (auto const& ref : runs)
+    {
         if (active_.count(ref) != 0)
             end_run(now, ref, std::string("job ") + to_text(phase));
+        if (active_.count(ref) != 0)
+            release_awaiting(now, ref);
+    }
     std::vector<unit_ref> reserved;
     for (auto at = reservations_.lower_bound({id, {}});
          at != reservations_.end() && at->first.job == id; ++at)
--- a/packages/tasks/src/dispatcher_workers.cpp
+++ b/packages/tasks/src/dispatcher_workers.cpp
@@ -129,12 +129,15 @@
     {
         log_lost_run(now, w, run, o.unit);
         record_loss(now, w, run, o.unit, true);
-        end_run(now, o.unit, why);
+        if (active_.count(o.unit) != 0)
+            end_run(now, o.unit, why);
     }
     end_lost_runs(now, w, why, kept);
     w.reset_for_incarnation(incarnation);
     if (w.last_unanswered_at >= 0)
-        w.starts_blocked_until = w.last_unanswered_at + detail::late_order_ms;
+        w.starts_blocked_until =
+            std::max(w.starts_blocked_until,
+                     w.last_unanswered_at + detail::late_order_ms);
     for (auto const& [run, o] : kept)
     {
         auto const at = active_.find(o.unit);
--- a/tests/unit/test_stray_starts.cpp
+++ b/tests/unit/test_stray_starts.cpp
@@ -30,6 +30,7 @@
     CPPUNIT_TEST(a_successor_sends_a_run_that_is_absent_to_its_worker);
     CPPUNIT_TEST(a_successor_waits_for_starts_of_its_predecessor);
     CPPUNIT_TEST(a_start_under_way_is_not_sent_again);
+    CPPUNIT_TEST(a_cancelled_job_does_not_wait_for_late_starts);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -184,6 +185,11 @@
         h.run_for(second_ms);
         section("it is not started elsewhere",
                 [&] { expect(h.starts.size() == 2, "no third start"); });
+        section("and keeps its capacity, as it may run there",
+                [&] {
+                    expect(h.view_of("w1").used() != resources{},
+                           "w1 is not empty");
+                });
         section("it is when the first send can no longer arrive",
                 [&]
                 {
@@ -279,6 +285,24 @@
                 });
     }
 
+    void a_cancelled_job_does_not_wait_for_late_starts()
+    {
+        manual_dispatcher h;
+        h.add_worker("w1", 1);
+        h.run_for(second_ms);
+        h.start_results = {call_result::no_answer, call_result::done};
+        h.submit("a", "batch");
+        h.run_now();
+        h.running["w1"].insert(h.starts.front().run);
+        h.run_for(500);
+        report_failure_on_w1(h);
+        h.run_for(500);
+        expect(!h.view_of("w1").hosted_runs.empty(), "it waits");
+        h.cancel("a");
+        h.run_for(500);
+        expect(h.view_of("w1").hosted_runs.empty(), "it no longer does");
+    }
+
 private:
     static void restart_w1(manual_dispatcher& h)
     {
--- a/tests/unit/test_unanswered_starts.cpp
+++ b/tests/unit/test_unanswered_starts.cpp
@@ -23,7 +23,7 @@
 /// the time after which a run without progress is ended.
 constexpr milliseconds observed_ms = 3'000;
 /// A send that got no answer is carried out at most this much later.
-constexpr milliseconds late_order_ms = 12'000;
+constexpr milliseconds max_late_order_ms = 12'000;
 /// A worker that refuses a start is sent it for less than this time.
 constexpr milliseconds resend_ms = 6'000;
 constexpr std::size_t refused_resends = 20;
@@ -106,12 +106,33 @@
     }
 
     void a_run_that_its_worker_keeps_refusing_is_placed_again()
+    {
+        for (auto const refusal : refusals)
+            section(std::string("refused as ") + to_text(refusal),
+                    [&] { expect_placed_again_late(refusal); });
+    }
+
+    void a_start_that_was_sent_once_and_refused_is_placed_again()
     {
         manual_dispatcher h;
-        start_unanswered(h, call_result::unhealthy, false);
+        add_workers(h);
+        h.start_results = {call_result::unhealthy};
+        h.submit("a", "batch");
+        h.run_for(4 * manual_dispatcher::step_ms);
+        expect(h.starts.size() == 2, "it is started again at once");
+        expect(h.starts[1].run.run > h.starts[0].run.run &&
+                   h.starts[1].worker != h.starts[0].worker,
+               "as another run on another worker");
+    }
+
+private:
+    static void expect_placed_again_late(call_result refusal)
+    {
+        manual_dispatcher h;
+        start_unanswered(h, refusal, false);
         auto const first = h.starts.front();
-        h.start_results.assign(refused_resends, call_result::unhealthy);
-        h.run_for(late_order_ms);
+        h.start_results.assign(refused_resends, refusal);
+        h.run_for(max_late_order_ms);
         section("it is sent nowhere else while the first send may arrive",
                 [&]
                 {
@@ -128,19 +149,6 @@
                            "another run is started");
                 });
     }
-
-    void a_start_that_was_sent_once_and_refused_is_placed_again()
-    {
-        manual_dispatcher h;
-        add_workers(h);
-        h.start_results = {call_result::unhealthy};
-        h.submit("a", "batch");
-        h.run_for(4 * manual_dispatcher::step_ms);
-        expect(h.starts.size() == 2, "it is started again at once");
-        expect(h.starts[1].run.run > h.starts[0].run.run &&
-                   h.starts[1].worker != h.starts[0].worker,
-               "as another run on another worker");
-    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(test_unanswered_starts);
