--- a/packages/tasks/include/jasminetrack/tasks/detail/dispatcher_state.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/detail/dispatcher_state.hpp
@@ -56,8 +56,8 @@
     milliseconds last_sent_at = 0; ///< latest send, retries included
     /// Latest send that got no answer and may be carried out; -1: none.
     milliseconds unanswered_at = -1;
-    /// Bound of the sends of an earlier dispatcher, whose answers are not
-    /// known; -1: this one has placed it.
+    /// When an earlier dispatcher, whose answers are not known, sent its start
+    /// at the latest; -1: this one has placed it.
     milliseconds sent_before = -1;
     milliseconds reported_at = -1; ///< when it was last listed as running
     std::int64_t percent = 0;      ///< done, as the worker reports it
--- a/packages/tasks/include/jasminetrack/tasks/worker_view.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/worker_view.hpp
@@ -91,6 +91,9 @@
     [[nodiscard]] bool answered_recently(milliseconds now) const noexcept;
     /// \returns whether its entry and its answers allow starts now.
     [[nodiscard]] bool accepts_starts(milliseconds now) const noexcept;
+    /// \returns the time until the next late start can no longer arrive, from
+    /// when on a renewal shows whether it was carried out.
+    [[nodiscard]] milliseconds late_start_wait(milliseconds now) const noexcept;
     /// \returns whether it hosts a run beside which nothing may be started.
     [[nodiscard]] bool hosts_isolated_run() const noexcept
     {
--- a/packages/tasks/src/dispatcher_renewals.cpp
+++ b/packages/tasks/src/dispatcher_renewals.cpp
@@ -116,6 +116,7 @@
             (w.info.draining ? std::min(lease, draining_lease_ms) : lease);
         w.extend_lease(order.until_ms);
     }
+    order.wait_ms = std::min(order.wait_ms, w.late_start_wait(now));
     w.renewal_sent = true;
     w.renewal_at = now;
     w.renewal_address = w.info.address;
--- a/packages/tasks/src/worker_view.cpp
+++ b/packages/tasks/src/worker_view.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <limits>
 
 namespace jasminetrack::tasks
 {
@@ -56,6 +57,15 @@
     return capacity;
 }
 
+milliseconds worker_view::late_start_wait(milliseconds now) const noexcept
+{
+    auto wait = std::numeric_limits<milliseconds>::max();
+    for (auto const& [run, o] : hosted_runs)
+        if (o.late_start_until > now)
+            wait = std::min(wait, o.late_start_until - now);
+    return wait;
+}
+
 bool worker_view::answered_recently(milliseconds now) const noexcept
 {
     return token_known &&
