A successor repeats a start only at the process that it was recorded for

A successor repeated the start of an absent run at a worker that had restarted since the placement, as the task had crashed it.

Change: the start is repeated only where the worker's incarnation is the recorded one.

--- a/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -296,6 +296,10 @@
     void send_start(milliseconds now, job_entry& e, unit_ref const& ref,
                     std::size_t index);
     bool resend_start(milliseconds now, unit_ref const& ref, std::size_t index);
+    /// \returns whether the member's worker has not restarted since the member
+    /// was placed.
+    [[nodiscard]] bool is_on_recorded_process(unit_ref const& ref,
+                                              std::size_t index);
     void member_started(milliseconds now, unit_ref const& ref,
                         std::size_t index, milliseconds clock_ms);
     void start_failed(milliseconds now, unit_ref const& ref, std::size_t index,
--- a/packages/tasks/src/dispatcher_starts.cpp
+++ b/packages/tasks/src/dispatcher_starts.cpp
@@ -148,6 +148,14 @@
     out_.push_back(std::move(order));
 }
 
+bool dispatcher::is_on_recorded_process(unit_ref const& ref, std::size_t index)
+{
+    auto const& recorded = find_unit(ref)->incarnations;
+    auto const& worker = active_.at(ref).members[index].worker;
+    return index < recorded.size() &&
+           recorded[index] == workers_.at(worker).info.incarnation;
+}
+
 /// \returns whether the start was sent again to the worker, which does not have
 /// the run, or will be. No other worker may get it before the earlier start can
 /// no longer arrive.
@@ -157,8 +165,10 @@
     auto& a = active_.at(ref);
     auto& m = a.members[index];
     bool const is_adopted = m.phase == member_phase::adopted;
-    bool const may_resend = (is_adopted || is_unconfirmed(m.phase)) &&
-                            !a.over &&
+    // A later process may have followed a crash of the task.
+    bool const is_open = is_adopted ? is_on_recorded_process(ref, index)
+                                    : is_unconfirmed(m.phase);
+    bool const may_resend = is_open && !a.over &&
                             may_start_late(workers_.at(m.worker), m) &&
                             now - a.first_sent <= max_resend_ms;
     if (!may_resend)
