A late start of a done task counts towards the limit of its step

What workers see: two tasks of a step with a limit of one on one worker (ROUTE). A start got no answer, was sent again and carried out, and the task is done. The first send may still be carried out for 12 s if the worker restarts under its id, as nothing of the earlier process protects the later one. The task's place was released with its end, so another task of the step was started there.

Cause: what may still arrive was counted only while its task needed it (release_or_await).

--- a/packages/tasks/include/jasminetrack/tasks/worker_view.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/worker_view.hpp
@@ -36,6 +36,16 @@
     milliseconds late_start_until = 0;
 };
 
+/// A start of a run that has ended. An earlier send of it may still be carried
+/// out by a later incarnation of the worker.
+struct late_start
+{
+    unit_ref unit;
+    milliseconds until = 0; ///< it cannot arrive from then on
+
+    friend auto operator<=>(late_start const&, late_start const&) = default;
+};
+
 /// One worker. Times are on the dispatcher's monotonic clock unless their
 /// comment names the worker's clock.
 class worker_view
@@ -144,6 +154,7 @@
     std::int64_t processed_batch = 0; ///< log batch with its effects
 
     std::map<task_run, hosted_run> hosted_runs;
+    std::map<task_run, late_start> late_starts; ///< of runs not hosted
     resources reserved; ///< for units that wait for stops
 
     /// Failures since the last completed run; consecutive ones of one job count
--- a/packages/tasks/src/dispatcher_candidates.cpp
+++ b/packages/tasks/src/dispatcher_candidates.cpp
@@ -88,7 +88,7 @@
 }
 
 /// Tasks that are being stopped count, and so do those that wait for stops
-/// there.
+/// there and those that a late start may bring.
 std::int64_t dispatcher::count_same_step(unit_ref const& ref,
                                          std::string const& worker) const
 {
@@ -100,6 +100,8 @@
     std::int64_t count = 0;
     for (auto const& [run, o] : workers_.at(worker).hosted_runs)
         count += is_same(o.unit) ? 1 : 0;
+    for (auto const& [run, late] : workers_.at(worker).late_starts)
+        count += is_same(late.unit) ? 1 : 0;
     auto at = reservations_.lower_bound(
         {ref.job, {ref.unit.occurrence, ref.unit.step, 0}});
     for (; at != reservations_.end() && is_same(at->first); ++at)
--- a/tests/unit/test_stray_starts.cpp
+++ b/tests/unit/test_stray_starts.cpp
@@ -35,6 +35,7 @@
     CPPUNIT_TEST(a_successor_waits_for_starts_of_its_predecessor);
     CPPUNIT_TEST(a_start_under_way_is_not_sent_again);
     CPPUNIT_TEST(a_cancelled_job_does_not_wait_for_late_starts);
+    CPPUNIT_TEST(a_late_start_of_a_done_task_counts_towards_its_steps_limit);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -316,6 +317,33 @@
         expect(h.view_of("w1").hosted_runs.empty(), "it no longer does");
     }
 
+    void a_late_start_of_a_done_task_counts_towards_its_steps_limit()
+    {
+        manual_dispatcher h;
+        h.add_worker("w1", 1);
+        h.run_for(second_ms);
+        auto const sent = h.now;
+        h.start_results = {call_result::no_answer, call_result::done};
+        h.submit(two_tasks_apart());
+        h.run_now();
+        h.running["w1"].insert(h.starts.front().run);
+        h.run_for(500);
+        report_end_on_w1(h, run_end::done);
+        section("no other task of the step is started there",
+                [&]
+                {
+                    h.run_for(sent + max_late_order_ms - h.now);
+                    expect(h.starts.size() == 2, "no third start");
+                });
+        section("one is when the first send can no longer arrive",
+                [&]
+                {
+                    h.run_for(2 * second_ms);
+                    expect(h.starts.size() == 3 && h.starts[2].worker == "w1",
+                           "a third start");
+                });
+    }
+
 private:
     static void restart_w1(manual_dispatcher& h)
     {
@@ -365,13 +393,19 @@
 
     /// Its worker reports that the run has failed.
     static void report_failure_on_w1(manual_dispatcher& h)
+    {
+        report_end_on_w1(h, run_end::failed);
+    }
+
+    /// w1 reports the end of the first run.
+    static void report_end_on_w1(manual_dispatcher& h, run_end how)
     {
         renew_reply r;
         r.worker = "w1";
         r.result = call_result::done;
         r.incarnation = 1;
         r.clock_ms = h.clock_of("w1");
-        r.ended = {{1, h.starts.front().run, run_end::failed, ""}};
+        r.ended = {{1, h.starts.front().run, how, ""}};
         h.running["w1"].clear();
         h.reply(r);
     }
@@ -385,6 +419,19 @@
         expect(h.starts.size() == 1, "the start was sent and not answered");
     }
 
+    /// A worker may run only one of them.
+    static accepted_job two_tasks_apart()
+    {
+        accepted_job job;
+        job.id = "a";
+        job.queue = "batch";
+        job.team = "team";
+        job.spec = simple_job(2, 1);
+        job.spec.steps[0].most_per_worker = 1;
+        job.spec.steps[0].estimate_ms = 20'000;
+        return job;
+    }
+
     static accepted_job gang_of_two()
     {
         accepted_job job;
