A start that fails after its task is done blocks a later process

What workers see: a start beside a late one, at a later process of the worker (ROUTE, LIMIT). Nothing is started at a restarted worker for 13 s after the newest order without an answer. An answer that failed to come was not noted if the run had been listed, had ended and its job was over by then.

Cause: on_start() looked up the run before it noted the missing answer.

Evidence: a_start_that_fails_after_its_task_is_done_may_come_late, red without the change ("nothing is started after a restart"), green with it.

--- a/packages/tasks/src/dispatcher_starts.cpp
+++ b/packages/tasks/src/dispatcher_starts.cpp
@@ -193,19 +193,16 @@
                      "worker=" + r.worker);
         return;
     }
+    auto const worker = workers_.find(r.worker);
+    if (r.result == call_result::no_answer && worker != workers_.end())
+        worker->second.last_unanswered_at = now;
     auto const ref = ref_of(r.run);
     auto const at = ref ? active_.find(*ref) : active_.end();
     if (at == active_.end())
         return;
     auto const index = member_index(*ref, at->second, r.run);
-    if (!index)
+    if (!index || at->second.members[*index].phase != member_phase::starting)
         return;
-    if (at->second.members[*index].phase != member_phase::starting)
-    {
-        if (r.result == call_result::no_answer)
-            workers_.at(r.worker).last_unanswered_at = now;
-        return;
-    }
     if (r.result == call_result::done)
         member_started(now, *ref, *index, r.clock_ms);
     else
@@ -255,7 +252,6 @@
     if (result == call_result::no_answer)
     {
         m.unanswered_at = m.last_sent_at;
-        w.last_unanswered_at = now;
         bool const has_time =
             now - m.sent_at < start_window_ms - min_retry_window_ms;
         if (has_time && can_start(now, ref, a))
--- a/tests/unit/test_stray_starts.cpp
+++ b/tests/unit/test_stray_starts.cpp
@@ -36,6 +36,7 @@
     CPPUNIT_TEST(a_start_under_way_is_not_sent_again);
     CPPUNIT_TEST(a_cancelled_job_does_not_wait_for_late_starts);
     CPPUNIT_TEST(a_late_start_of_a_done_task_counts_towards_its_steps_limit);
+    CPPUNIT_TEST(a_start_that_fails_after_its_task_is_done_may_come_late);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -344,6 +345,28 @@
                 });
     }
 
+    void a_start_that_fails_after_its_task_is_done_may_come_late()
+    {
+        manual_dispatcher h;
+        h.add_worker("w1", 1);
+        h.run_for(second_ms);
+        h.start_results = {call_result::no_answer};
+        h.submit("a", "batch");
+        h.answers_starts = false;
+        while (h.starts.size() < 3)
+            h.run_for(manual_dispatcher::step_ms);
+        auto const sent = h.now;
+        h.running["w1"].insert(h.starts.front().run);
+        h.run_for(200);
+        report_end_on_w1(h, run_end::done);
+        h.run_for(500);
+        h.answer_start(h.starts.back(), call_result::no_answer);
+        h.add_worker("w1", 2);
+        h.submit("b", "batch");
+        h.run_for(sent + max_late_order_ms - h.now);
+        expect(h.starts.size() == 3, "nothing is started after a restart");
+    }
+
 private:
     static void restart_w1(manual_dispatcher& h)
     {
