--- a/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -180,6 +180,10 @@
     unconfirmed_starts(worker_view const& w) const;
     void send_due_renewals(milliseconds now);
     void send_renewal(milliseconds now, worker_view& w, bool wait);
+    /// \returns whether no successor can have claimed the role yet. Starts are
+    /// repeated only then: a successor counts on none being sent after its
+    /// claim.
+    [[nodiscard]] bool is_role_proven(milliseconds now) const noexcept;
     /// \returns how long a lease that is granted now may last, as successors
     /// rely on its end; not positive if no lease may be granted.
     [[nodiscard]] milliseconds grantable_lease(milliseconds now) const noexcept;
--- a/packages/tasks/src/dispatcher_renewals.cpp
+++ b/packages/tasks/src/dispatcher_renewals.cpp
@@ -98,6 +98,11 @@
     return std::min({lease_ms, limits_.max_lease_ms, left});
 }
 
+bool dispatcher::is_role_proven(milliseconds now) const noexcept
+{
+    return now - confirmed_at_ < holder_timeout_ms;
+}
+
 void dispatcher::send_renewal(milliseconds now, worker_view& w, bool wait)
 {
     if (w.processed_batch <= stored_batch_)
--- a/packages/tasks/src/dispatcher_runs.cpp
+++ b/packages/tasks/src/dispatcher_runs.cpp
@@ -384,7 +384,7 @@
             m.worker = u.places[i];
             m.phase = u.places[i].empty() ? member_phase::released
                                           : member_phase::adopted;
-            m.sent_before = created_at_ - holder_timeout_ms;
+            m.sent_before = created_at_;
             a.members.push_back(m);
             if (m.phase == member_phase::released)
                 continue;
--- a/tests/unit/test_stray_starts.cpp
+++ b/tests/unit/test_stray_starts.cpp
@@ -36,6 +36,7 @@
     CPPUNIT_TEST(a_start_under_way_is_not_sent_again);
     CPPUNIT_TEST(a_cancelled_job_does_not_wait_for_late_starts);
     CPPUNIT_TEST(a_late_start_of_a_done_task_counts_towards_its_steps_limit);
+    CPPUNIT_TEST(a_dispatcher_without_proof_of_its_role_repeats_no_start);
     CPPUNIT_TEST(a_start_that_fails_after_its_task_is_done_may_come_late);
     CPPUNIT_TEST_SUITE_END();
 
@@ -345,6 +346,32 @@
                 });
     }
 
+    void a_dispatcher_without_proof_of_its_role_repeats_no_start()
+    {
+        manual_dispatcher h;
+        h.add_worker("w1", 1);
+        h.run_for(second_ms);
+        lose_start_on_w1(h);
+        h.stores = false;
+        h.answers_starts = false;
+        h.run_for(holder_timeout_ms);
+        auto const sends = h.starts.size();
+        section("once a successor may have the role",
+                [&]
+                {
+                    h.run_for(1'900);
+                    expect(h.starts.size() == sends, "no further send");
+                });
+        section("it does when it holds the role",
+                [&]
+                {
+                    h.store_again();
+                    h.run_for(200);
+                    expect(h.starts.size() > sends, "a further send");
+                    expect_only_first_run(h);
+                });
+    }
+
     void a_start_that_fails_after_its_task_is_done_may_come_late()
     {
         manual_dispatcher h;
