No start at a worker that runs a task of an unknown job

What workers see: a start on a worker that has listed a run of a job which the dispatcher does not know, so beyond its capacity if the two do not fit (LIMIT).

Cause: such a worker was refused when a place was chosen, and not asked about again before the start, its repeats and after stops. Now can_start() and is_reservable() ask as well.

--- a/packages/tasks/src/dispatcher_reclaim.cpp
+++ b/packages/tasks/src/dispatcher_reclaim.cpp
@@ -122,7 +122,7 @@
 {
     auto const at = workers_.find(worker);
     return at != workers_.end() && at->second.listed &&
-           !at->second.info.draining &&
+           !at->second.info.draining && !at->second.runs_unknown_task &&
            now >= at->second.starts_blocked_until && is_eligible(ref, worker);
 }
 
--- a/packages/tasks/src/dispatcher_starts.cpp
+++ b/packages/tasks/src/dispatcher_starts.cpp
@@ -94,6 +94,7 @@
                            auto const at = workers_.find(m.worker);
                            return at != workers_.end() &&
                                   at->second.accepts_starts(now) &&
+                                  !at->second.runs_unknown_task &&
                                   !at->second.is_over_capacity() &&
                                   is_eligible(ref, m.worker) &&
                                   (!advised || ticket_of(now, ref, m.worker));
--- a/tests/unit/test_wrong_entries.cpp
+++ b/tests/unit/test_wrong_entries.cpp
@@ -58,6 +58,7 @@
     CPPUNIT_TEST(a_refusal_to_an_earlier_incarnation_ends_no_run);
     CPPUNIT_TEST(an_entry_that_changes_before_the_start_is_heeded);
     CPPUNIT_TEST(a_run_that_is_found_before_the_start_counts);
+    CPPUNIT_TEST(no_start_beside_a_run_of_an_unknown_job);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -179,7 +180,66 @@
         expect(h.starts.empty(), "no task is started beside it");
     }
 
+    /// Guards against starts beyond the worker's capacity (LIMIT).
+    void no_start_beside_a_run_of_an_unknown_job()
+    {
+        section("if it is found while the placement waits for the log",
+                []
+                {
+                    manual_dispatcher h;
+                    add_w1(h);
+                    h.stores = false;
+                    h.submit("a", "batch");
+                    h.run_for(500);
+                    h.running["w1"].insert(unknown_run());
+                    h.run_for(2 * second_ms);
+                    h.store_again();
+                    h.run_for(second_ms);
+                    expect(h.starts.empty(), "no start");
+                });
+        section("if it is found while a unit waits for stops",
+                []
+                {
+                    manual_dispatcher h;
+                    add_w1(h);
+                    h.submit("a", "batch");
+                    h.run_for(500);
+                    h.submit("b", "urgent");
+                    h.run_for(100);
+                    h.running["w1"].insert(unknown_run());
+                    h.run_for(300);
+                    h.end("w1", "a");
+                    h.run_for(second_ms);
+                    expect(h.starts.size() == 1, "no second start");
+                });
+        section("if it is found before a start is repeated",
+                []
+                {
+                    manual_dispatcher h;
+                    add_w1(h);
+                    h.answers_starts = false;
+                    h.submit("a", "batch");
+                    h.run_for(200);
+                    h.running["w1"].insert(unknown_run());
+                    h.run_for(100);
+                    h.answer_start(h.starts.front(), call_result::no_answer);
+                    h.run_for(2 * second_ms);
+                    expect(h.starts.size() == 1, "no repeat");
+                });
+    }
+
 private:
+    static void add_w1(manual_dispatcher& h)
+    {
+        h.add_worker("w1", 1);
+        h.run_for(500);
+    }
+
+    static task_run unknown_run()
+    {
+        return {{"unknown", 0, 0, 0}, 1};
+    }
+
     /// Places a task of a job with a label and a limit of one task a worker.
     /// Its placement waits for the log.
     /// \returns the entry of its worker.
