--- a/packages/entry/include/jasminetrack/entry/gauges.hpp
+++ b/packages/entry/include/jasminetrack/entry/gauges.hpp
@@ -21,6 +21,7 @@
     std::int64_t batches = 0;
     std::int64_t takeovers = 0;
     std::int64_t lost_runs = 0;     ///< their worker was lost
+    std::int64_t stale_runs = 0;    ///< a worker lists them, against its orders
     std::int64_t given_up_jobs = 0; ///< a task of them crashed its workers
     std::map<std::string, tasks::service_utilization>
         utilization; ///< by service
--- a/packages/entry/src/dispatch_loop.cpp
+++ b/packages/entry/src/dispatch_loop.cpp
@@ -183,6 +183,8 @@
     write_log(log_level::info, d.step, {{"job", d.job}, {"", d.text}});
     if (d.step == "run.lost")
         count(&dispatch_metrics::lost_runs);
+    if (d.step == "run.stale")
+        count(&dispatch_metrics::stale_runs);
     if (d.step == "unit.given_up")
         count(&dispatch_metrics::given_up_jobs);
     if (d.accepted_ms == 0)
--- a/packages/entry/src/gauges.cpp
+++ b/packages/entry/src/gauges.cpp
@@ -54,6 +54,9 @@
     gauge<dispatch_metrics>{"jasminetrack_lost_runs_total",
                             "Runs whose worker was lost",
                             &dispatch_metrics::lost_runs},
+    gauge<dispatch_metrics>{"jasminetrack_stale_runs_total",
+                            "Runs that a worker listed and should not run",
+                            &dispatch_metrics::stale_runs},
     gauge<dispatch_metrics>{"jasminetrack_given_up_jobs_total",
                             "Jobs failed because a task crashed its workers",
                             &dispatch_metrics::given_up_jobs}};
--- a/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -220,6 +220,9 @@
                          renew_reply const& r);
     void stop_unexpected_run(milliseconds now, worker_view& w,
                              running_task const& t);
+    /// Logs how many tasks of its step the worker may have, and has.
+    void log_stale_run(worker_view const& w, task_run const& run,
+                       unit_ref const& ref) const;
     /// \returns whether a worker has listed an earlier run of the unit, which
     /// has not ended since.
     [[nodiscard]] bool has_stale_run(unit_ref const& ref);
--- a/packages/tasks/src/dispatcher_replies.cpp
+++ b/packages/tasks/src/dispatcher_replies.cpp
@@ -131,18 +131,31 @@
     }
     else
     {
-        hosted_run o{*ref, held_by(step_of(*find_job(ref->job), *ref)), true, 0,
-                     now};
-        w.add(t.run, o);
+        auto const held = held_by(step_of(*find_job(ref->job), *ref));
+        w.add(t.run, {*ref, held, true, 0, now});
+        w.late_starts.erase(t.run);
         stale_units_.insert(*ref);
         drop_reservation(*ref);
-        log_decision("run.stale", t.run.task.job,
-                     "worker=" + w.info.id +
-                         " run=" + std::to_string(t.run.run));
+        log_stale_run(w, t.run, *ref);
     }
     send_stop(now, w, t.run);
 }
 
+void dispatcher::log_stale_run(worker_view const& w, task_run const& run,
+                               unit_ref const& ref) const
+{
+    auto const& e = jobs_.at(ref.job);
+    log_decision(
+        "run.stale", run.task.job,
+        "worker=" + w.info.id + " step=" + std::to_string(run.task.step) +
+            " index=" + std::to_string(run.task.index) +
+            " run=" + std::to_string(run.run) + " current_run=" +
+            std::to_string(e.progress.units.at(ref.unit).run) +
+            " incarnation=" + std::to_string(w.info.incarnation) +
+            " same_step=" + std::to_string(count_same_step(ref, w.info.id)) +
+            " limit=" + std::to_string(step_of(e, ref).most_per_worker));
+}
+
 bool dispatcher::has_stale_run(unit_ref const& ref)
 {
     if (stale_units_.count(ref) == 0)
--- a/packages/tasks/src/dispatcher_starts.cpp
+++ b/packages/tasks/src/dispatcher_starts.cpp
@@ -65,6 +65,7 @@
                      " first=" + places[0] +
                      " racks=" + std::to_string(count_racks(places)) +
                      " wants_rack=" + (step.same_rack ? "1" : "0") +
+                     " limit=" + std::to_string(step.most_per_worker) +
                      " estimate_ms=" + std::to_string(step.estimate_ms) +
                      " priority=" + std::to_string(e.priority) +
                      " isolated=" + (a.isolated ? "1" : "0") +
--- a/tests/unit/test_stray_starts.cpp
+++ b/tests/unit/test_stray_starts.cpp
@@ -19,6 +19,7 @@
 constexpr milliseconds max_late_order_ms = 12'000;
 /// The dispatcher counts on one second more.
 constexpr milliseconds late_order_ms = 13'000;
+constexpr milliseconds lease_ms = 6'000;
 
 class test_stray_starts : public CppUnit::TestFixture
 {
@@ -38,6 +39,9 @@
     CPPUNIT_TEST(a_late_start_of_a_done_task_counts_towards_its_steps_limit);
     CPPUNIT_TEST(a_dispatcher_without_proof_of_its_role_repeats_no_start);
     CPPUNIT_TEST(a_start_that_fails_after_its_task_is_done_may_come_late);
+    CPPUNIT_TEST(a_done_task_keeps_its_capacity_while_its_start_may_come_late);
+    CPPUNIT_TEST(a_silent_worker_may_get_a_start_of_the_predecessor);
+    CPPUNIT_TEST(a_failed_run_of_the_predecessor_may_start_again);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -188,7 +192,7 @@
         expect(h.starts.size() == 2, "the start is repeated and accepted");
         h.running["w1"].insert(h.starts.front().run);
         h.run_for(500);
-        report_failure_on_w1(h);
+        report_end_on_w1(h, run_end::failed);
         h.run_for(second_ms);
         section("it is not started elsewhere",
                 [&] { expect(h.starts.size() == 2, "no third start"); });
@@ -311,7 +315,7 @@
         h.run_now();
         h.running["w1"].insert(h.starts.front().run);
         h.run_for(500);
-        report_failure_on_w1(h);
+        report_end_on_w1(h, run_end::failed);
         h.run_for(500);
         expect(!h.view_of("w1").hosted_runs.empty(), "it waits");
         h.cancel("a");
@@ -321,31 +325,48 @@
 
     void a_late_start_of_a_done_task_counts_towards_its_steps_limit()
     {
-        manual_dispatcher h;
-        h.add_worker("w1", 1);
-        h.run_for(second_ms);
-        auto const sent = h.now;
-        h.start_results = {call_result::no_answer, call_result::done};
-        h.submit(two_tasks_apart());
-        h.run_now();
-        h.running["w1"].insert(h.starts.front().run);
-        h.run_for(500);
-        report_end_on_w1(h, run_end::done);
-        section("no other task of the step is started there",
+        auto job = two_tasks({1'000, 1'000, 1});
+        job.spec.steps[0].most_per_worker = 1;
+        expect_next_task_waits(job);
+    }
+
+    void a_done_task_keeps_its_capacity_while_its_start_may_come_late()
+    {
+        expect_next_task_waits(two_tasks({8'000, 8'000, 8}));
+    }
+
+    void a_silent_worker_may_get_a_start_of_the_predecessor()
+    {
+        constexpr milliseconds until = max_late_order_ms - holder_timeout_ms;
+        section("if it never answers the successor",
                 [&]
                 {
-                    h.run_for(sent + max_late_order_ms - h.now);
-                    expect(h.starts.size() == 2, "no third start");
+                    manual_dispatcher h(two_queues(), short_leases());
+                    h.unresponsive.insert("w1");
+                    adopt_on_silent_w1(h, 0, until);
                 });
-        section("one is when the first send can no longer arrive",
+        section("if it has shown the run before",
                 [&]
                 {
-                    h.run_for(2 * second_ms);
-                    expect(h.starts.size() == 3 && h.starts[2].worker == "w1",
-                           "a third start");
+                    manual_dispatcher h(two_queues(), short_leases());
+                    adopt_on_silent_w1(h, 500, until);
                 });
     }
 
+    void a_failed_run_of_the_predecessor_may_start_again()
+    {
+        manual_dispatcher h;
+        auto const taken_over = h.now;
+        h.add_worker("w1", 1);
+        h.add_worker("w2", 1);
+        h.adopt("a", "w1", 1);
+        task_run const run{{"a", 0, 0, 0}, 1};
+        h.running["w1"].insert(run);
+        h.run_for(500);
+        report_end_on_w1(h, run_end::failed, run);
+        expect_waits_for_predecessor(h, taken_over, 0);
+    }
+
     void a_dispatcher_without_proof_of_its_role_repeats_no_start()
     {
         manual_dispatcher h;
@@ -395,6 +416,72 @@
     }
 
 private:
+    static dispatch_limits short_leases()
+    {
+        dispatch_limits limits;
+        limits.max_lease_ms = lease_ms;
+        return limits;
+    }
+
+    /// \param answers_ms  for how long w1 answers
+    /// \param until       when a start of the predecessor is carried out at the
+    ///                    latest, after the take-over
+    static void adopt_on_silent_w1(manual_dispatcher& h,
+                                   milliseconds answers_ms, milliseconds until)
+    {
+        auto const taken_over = h.now;
+        h.add_worker("w1", 1);
+        h.add_worker("w2", 1);
+        h.adopt("a", "w1", 1);
+        h.running["w1"].insert({{"a", 0, 0, 0}, 1});
+        h.run_for(answers_ms);
+        h.unresponsive.insert("w1");
+        section("it is not started elsewhere while it may have a lease there",
+                [&]
+                {
+                    h.run_for(taken_over + until + lease_ms - h.now);
+                    expect(h.starts.empty(), "no start");
+                });
+        section("it is when that lease must have ended",
+                [&]
+                {
+                    h.run_for(15 * second_ms);
+                    expect(h.starts.size() == 1, "a start");
+                });
+    }
+
+    /// The first send of task 0 gets no answer, its repeat is carried out, and
+    /// the task is done. Only w1 may run the other task.
+    static void expect_next_task_waits(accepted_job const& job)
+    {
+        manual_dispatcher h;
+        h.add_worker("w1", 1);
+        h.run_for(second_ms);
+        auto const sent = h.now;
+        h.start_results = {call_result::no_answer, call_result::done};
+        h.submit(job);
+        h.run_now();
+        expect(h.starts.size() == 2 && h.starts[0].run == h.starts[1].run,
+               "the start is repeated and accepted");
+        h.running["w1"].insert(h.starts.front().run);
+        h.run_for(500);
+        report_end_on_w1(h, run_end::done);
+        section("the other task is not started there while the first send may "
+                "reach the next process",
+                [&]
+                {
+                    h.run_for(sent + max_late_order_ms - h.now);
+                    expect(h.starts.size() == 2, "no third start");
+                });
+        section("it is when the first send can no longer arrive",
+                [&]
+                {
+                    h.run_for(2 * second_ms);
+                    expect(h.starts.size() == 3 && h.starts[2].worker == "w1",
+                           "a third start");
+                });
+    }
+
     static void restart_w1(manual_dispatcher& h)
     {
         h.answers_starts = false;
@@ -441,21 +528,20 @@
                    "only the first run is started, and only on its worker");
     }
 
-    /// Its worker reports that the run has failed.
-    static void report_failure_on_w1(manual_dispatcher& h)
+    static void report_end_on_w1(manual_dispatcher& h, run_end how)
     {
-        report_end_on_w1(h, run_end::failed);
+        report_end_on_w1(h, how, h.starts.front().run);
     }
 
-    /// w1 reports the end of the first run.
-    static void report_end_on_w1(manual_dispatcher& h, run_end how)
+    static void report_end_on_w1(manual_dispatcher& h, run_end how,
+                                 task_run const& run)
     {
         renew_reply r;
         r.worker = "w1";
         r.result = call_result::done;
         r.incarnation = 1;
         r.clock_ms = h.clock_of("w1");
-        r.ended = {{1, h.starts.front().run, how, ""}};
+        r.ended = {{1, run, how, ""}};
         h.running["w1"].clear();
         h.reply(r);
     }
@@ -469,15 +555,14 @@
         expect(h.starts.size() == 1, "the start was sent and not answered");
     }
 
-    /// A worker may run only one of them.
-    static accepted_job two_tasks_apart()
+    static accepted_job two_tasks(resources const& need)
     {
         accepted_job job;
         job.id = "a";
         job.queue = "batch";
         job.team = "team";
         job.spec = simple_job(2, 1);
-        job.spec.steps[0].most_per_worker = 1;
+        job.spec.steps[0].need = need;
         job.spec.steps[0].estimate_ms = 20'000;
         return job;
     }
