Test: a start by a list entry that names no incarnation

Workers see a start without the label in `requires` (ROUTE), or beyond their capacity: a worker has restarted under its id as another kind, and an entry of another writer, without `born`, makes its old entry count as current again. worker_view.hpp:62: `listed_incarnation != 0 &&` lets an entry that names no incarnation pass. Red on: test_wrong_entries, "after an entry that names an earlier one > no start".

--- a/tests/unit/test_wrong_entries.cpp
+++ b/tests/unit/test_wrong_entries.cpp
@@ -58,6 +58,7 @@
     CPPUNIT_TEST(a_refusal_to_an_earlier_incarnation_ends_no_run);
     CPPUNIT_TEST(an_entry_that_changes_before_the_start_is_heeded);
     CPPUNIT_TEST(a_run_that_is_found_before_the_start_counts);
+    CPPUNIT_TEST(nothing_starts_by_an_entry_that_names_no_incarnation);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -179,7 +180,59 @@
         expect(h.starts.empty(), "no task is started beside it");
     }
 
+    /// Guards against starts on a worker without the label in `requires`
+    /// (ROUTE): it has restarted as another kind.
+    void nothing_starts_by_an_entry_that_names_no_incarnation()
+    {
+        section("after an entry that names an earlier one",
+                [&]
+                {
+                    manual_dispatcher h;
+                    h.add_worker("w1", 1);
+                    auto entry = h.entry_of("w1");
+                    entry.labels = {"a", "r1"};
+                    h.put_entry(entry);
+                    h.run_for(500);
+                    h.restart_unlisted("w1", 2);
+                    expect_no_start_by(h, entry);
+                });
+        section("before any other entry of the worker",
+                [&]
+                {
+                    manual_dispatcher h;
+                    h.add_worker("w1", 0);
+                    h.restart_unlisted("w1", 2);
+                    auto entry = h.entry_of("w1");
+                    entry.labels = {"a", "r1"};
+                    expect_no_start_by(h, entry);
+                });
+        section("the worker is used once its own entry is read",
+                [&]
+                {
+                    manual_dispatcher h;
+                    h.add_worker("w1", 0);
+                    h.restart_unlisted("w1", 2);
+                    auto entry = h.entry_of("w1");
+                    entry.labels = {"a", "r1"};
+                    expect_no_start_by(h, entry);
+                    entry.incarnation = 2;
+                    h.put_entry(entry);
+                    h.run_for(second_ms);
+                    expect(h.starts.size() == 1, "started");
+                });
+    }
+
 private:
+    static void expect_no_start_by(manual_dispatcher& h, worker_info entry)
+    {
+        h.run_for(500);
+        entry.incarnation = 0;
+        h.put_entry(entry);
+        h.submit(constrained_job(1));
+        h.run_for(2 * second_ms);
+        expect(h.starts.empty(), "no start");
+    }
+
     /// Places a task of a job with a label and a limit of one task a worker.
     /// Its placement waits for the log.
     /// \returns the entry of its worker.
