An entry without an incarnation starts nothing at a worker that has one

Such an entry is not the worker's own: it is ignored once the worker's incarnation is known, and no start follows it before. Where neither entries nor answers name an incarnation, nothing changes.

--- a/packages/tasks/include/jasminetrack/tasks/worker_view.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/worker_view.hpp
@@ -59,9 +59,8 @@
     /// earlier incarnation.
     [[nodiscard]] bool has_outdated_entry() const noexcept
     {
-        return listed_incarnation != 0 &&
-               (listed_incarnation < info.incarnation ||
-                has_ended(listed_incarnation));
+        return listed_incarnation < info.incarnation ||
+               has_ended(listed_incarnation);
     }
     /// \returns whether another incarnation has followed this one. It may be
     /// the lower one of the two if the wall clock was set back in between.
--- a/packages/tasks/src/dispatcher_workers.cpp
+++ b/packages/tasks/src/dispatcher_workers.cpp
@@ -19,11 +19,16 @@
 void dispatcher::put_worker(milliseconds now, worker_info const& info)
 {
     auto& w = workers_[info.id];
-    if (!is_used(info.service) && is_used(w.info.service))
+    bool const changes_service =
+        !is_used(info.service) && is_used(w.info.service);
+    bool const lacks_incarnation =
+        info.incarnation == 0 && w.info.incarnation != 0;
+    if (changes_service || lacks_incarnation)
     {
-        // A worker does not change its service, so this is not its own entry.
+        // A worker does neither, so this is not its own entry.
         log_decision("worker.entry.ignored", "",
-                     "worker=" + info.id + " service=" + info.service);
+                     "worker=" + info.id + " service=" + info.service +
+                         " born=" + std::to_string(info.incarnation));
         return;
     }
     auto const incarnation =
