Test: a path that begins with two slashes

A call of //x/q/ID runs on the route of /q/, with that route's key check, though its path doesn't begin with the prefix: x is taken for a host. http_connection.cpp:77 reads the target as a URI reference. Red on: test_http::no_part_of_a_path_is_taken_for_a_host.

--- a/tests/process/test_http.cpp
+++ b/tests/process/test_http.cpp
@@ -109,6 +109,7 @@
     CPPUNIT_TEST(a_failing_response_handler_ends_no_process);
     CPPUNIT_TEST(malformed_requests_do_not_stop_the_server);
     CPPUNIT_TEST(pipelined_requests_are_answered_in_order);
+    CPPUNIT_TEST(no_part_of_a_path_is_taken_for_a_host);
     CPPUNIT_TEST(a_client_may_wait_before_it_sends_its_body);
     CPPUNIT_TEST_SUITE_END();
 
@@ -291,6 +292,21 @@
         expect(all.find("/3;") == std::string::npos, "HEAD gets no body");
     }
 
+    /// Guards against calls that run on the route of another path.
+    void no_part_of_a_path_is_taken_for_a_host()
+    {
+        echo_server server;
+        for (std::string const path : {"//x/q/1", "//q/1", "///q/1", "/q//1"})
+        {
+            raw_connection c(server.address(), 5'000);
+            expect(c.send("GET " + path + "?a=b HTTP/1.1\r\nHost: h\r\n\r\n"),
+                   "sent");
+            auto const answer = c.read_until(";");
+            expect(answer.ends_with("\r\n\r\n" + path + ";"),
+                   path + ": " + answer);
+        }
+    }
+
     void a_client_may_wait_before_it_sends_its_body()
     {
         echo_server server;
