--- a/packages/runtime/src/http_connection.cpp
+++ b/packages/runtime/src/http_connection.cpp
@@ -74,7 +74,9 @@
 /// \throws web::uri_exception if the target is malformed
 http_request to_request(http::request_header<> const& head)
 {
-    web::uri const target{std::string(head.target())};
+    std::string const sent(head.target());
+    // Without a host, "//" at the start of a path would begin one.
+    web::uri const target{sent.starts_with("//") ? "http://host" + sent : sent};
     http_request r;
     r.method = std::string(head.method_string());
     r.path = web::uri::decode(target.path());
