Fleet: limits per worker with late starts, unanswered orders and take-overs

No profile had jobs with limits together with checked late starts, so the fleet could not show a limit exceeded by one.

Change: six profiles; workers keep their labels in all of them.

--- a/tests/unit/test_random_fleet.cpp
+++ b/tests/unit/test_random_fleet.cpp
@@ -40,6 +40,10 @@
             if (kinds.insert("unfinished").second)
                 note(seed, "unfinished", job);
     }
+    [[nodiscard]] bool has(violation_kind kind) const
+    {
+        return days_.count(to_text(kind)) != 0;
+    }
     [[nodiscard]] bool is_clean() const noexcept
     {
         return days_.empty();
@@ -66,19 +70,26 @@
 };
 
 /// Profiles with a test of their own.
-constexpr std::array separate_profiles{"stray orders and take-overs",
-                                       "stray orders",
-                                       "stray orders of crashing tasks",
-                                       "unanswered orders",
-                                       "unanswered orders and crashing tasks",
-                                       "unanswered orders and take-overs",
-                                       "late jobs",
-                                       "reset starts",
-                                       "log outages",
-                                       "log outages without crashes",
-                                       "list outages",
-                                       "reset starts without crashes",
-                                       "wrong addresses"};
+constexpr std::array separate_profiles{
+    "stray orders and take-overs",
+    "stray orders",
+    "stray orders of crashing tasks",
+    "unanswered orders",
+    "unanswered orders and crashing tasks",
+    "unanswered orders and take-overs",
+    "late jobs",
+    "reset starts",
+    "log outages",
+    "log outages without crashes",
+    "list outages",
+    "reset starts without crashes",
+    "wrong addresses",
+    "limits per worker and stray orders",
+    "limits per worker and unanswered orders",
+    "limits per worker, unanswered orders and crashing tasks",
+    "limits per worker, unanswered orders and take-overs",
+    "limits per worker and frozen dispatchers",
+    "limits per worker and isolated dispatchers"};
 
 class test_random_fleet : public CppUnit::TestFixture
 {
@@ -91,6 +102,9 @@
     CPPUNIT_TEST(days_with_log_outages);
     CPPUNIT_TEST(days_with_list_outages);
     CPPUNIT_TEST(days_with_wrong_addresses);
+    CPPUNIT_TEST(days_with_limits_per_worker);
+    CPPUNIT_TEST(late_starts_of_done_tasks_exceed_no_limit);
+    CPPUNIT_TEST(late_starts_of_adopted_runs_are_counted);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -144,7 +158,48 @@
         play_named("wrong addresses");
     }
 
+    void days_with_limits_per_worker()
+    {
+        for (auto const& profile : fleet_profiles())
+            if (profile.name.starts_with("limits per worker"))
+                play_named(profile.name);
+    }
+
+    void late_starts_of_done_tasks_exceed_no_limit()
+    {
+        play_days("limits per worker and unanswered orders",
+                  {107, 145, 793, 827});
+        play_days("limits per worker, unanswered orders and crashing tasks",
+                  {284, 489});
+        play_days("limits per worker, unanswered orders and take-overs", {405});
+        play_days("limits per worker and frozen dispatchers", {370, 798});
+        play_days("limits per worker and isolated dispatchers", {106});
+    }
+
+    void late_starts_of_adopted_runs_are_counted()
+    {
+        play_days("limits per worker, unanswered orders and take-overs",
+                  {126, 433, 477});
+    }
+
 private:
+    /// Plays these days and expects that late starts break no limit per worker
+    /// and run no task beside its next run.
+    static void play_days(std::string const& name,
+                          std::vector<unsigned> const& seeds)
+    {
+        if (std::getenv("JASMINETRACK_PROFILE"))
+            return;
+        profile_result result;
+        for (auto const& profile : fleet_profiles())
+            if (profile.name == name)
+                for (auto const seed : seeds)
+                    result.play(seed, profile, nullptr);
+        expect(!result.has(violation_kind::wrong_worker) &&
+                   !result.has(violation_kind::two_runs),
+               name + ": no such violation, but:" + result.summary());
+    }
+
     static void play_named(std::string const& name)
     {
         constexpr unsigned seeds = 20;
