A successor counts what its predecessor may have sent for a run that has ended

What workers see: more tasks of a step than its limit (ROUTE), at a worker that restarts under its id after a take-over. An adopted run was listed as done; its place was released without regard to the sends of the predecessor, which may have had no answer.

Change: such a start counts towards the limit of its step until it cannot arrive any more. A unit that runs again is still placed at once: waiting 13 s after each take-over would hold back urgent work (RECLAIM) and leave jobs idle (LOST).

--- a/packages/tasks/src/dispatcher_runs.cpp
+++ b/packages/tasks/src/dispatcher_runs.cpp
@@ -61,21 +61,27 @@
 void dispatcher::release_or_await(milliseconds now, unit_ref const& ref,
                                   std::size_t index)
 {
-    auto const& a = active_.at(ref);
-    auto const& m = a.members[index];
+    auto& a = active_.at(ref);
+    auto& m = a.members[index];
     auto const w = workers_.find(m.worker);
-    bool const is_late = w != workers_.end() && may_start_late(w->second, m);
-    if (is_late && is_placed_again(ref))
+    if (w == workers_.end())
+    {
+        release_member(now, ref, index);
+        return;
+    }
+    if (is_placed_again(ref) && may_start_late(w->second, m))
     {
         await_late_start(now, ref, index);
         return;
     }
-    auto const run =
-        run_of(ref, a.run, index, step_of(jobs_.at(ref.job), ref).gang);
-    auto const until = detail::late_start_end(m);
+    note_earlier_sends(m);
+    if (may_start_late(w->second, m))
+    {
+        bool const gang = step_of(jobs_.at(ref.job), ref).gang;
+        w->second.late_starts[run_of(ref, a.run, index, gang)] = {
+            ref, detail::late_start_end(m)};
+    }
     release_member(now, ref, index);
-    if (is_late)
-        w->second.late_starts[run] = {ref, until};
 }
 
 /// Keeps the member's place and capacity: a later incarnation may carry out the
