Late starts: an answer ends their count, and a store outage no wait; a green guard

Now an answer to a renewal that was sent after that time ends it (or the time, once the worker is not listed), and nothing is started at a restarted worker before. - The 4 s in which a start is repeated ran out while the log confirmed no append, so that a member waited 13 s after an outage.

--- a/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -473,6 +473,8 @@
     milliseconds created_at_;
     /// Send time of the newest append that shows that it holds the role.
     milliseconds confirmed_at_;
+    /// Start of the time in which the role has been proven without a gap.
+    milliseconds proven_since_ = 0;
     listener listen_;
     bool deposed_ = false;
     bool jobs_read_ = true; ///< false: await_jobs() was called
--- a/packages/tasks/include/jasminetrack/tasks/worker_view.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/worker_view.hpp
@@ -36,14 +36,15 @@
     milliseconds late_start_until = 0;
 };
 
-/// A start of a run that has ended. An earlier send of it may still be carried
-/// out by a later incarnation of the worker.
+/// A start of a run that has ended. Another send of it, by this dispatcher or
+/// an earlier one, may still be carried out by a later incarnation of the
+/// worker.
 struct late_start
 {
     unit_ref unit;
     milliseconds until = 0; ///< it cannot arrive from then on
 
-    friend auto operator<=>(late_start const&, late_start const&) = default;
+    friend bool operator==(late_start const&, late_start const&) = default;
 };
 
 /// One worker. Times are on the dispatcher's monotonic clock unless their
@@ -115,6 +116,8 @@
     void extend_lease(milliseconds until) noexcept;
     void add(task_run const& run, hosted_run o);
     void remove(task_run const& run);
+    /// Forgets the starts that an answer shows not to have been carried out.
+    void drop_late_starts(milliseconds now);
     /// Marks that the run will end soon and release its capacity.
     void mark_ending(milliseconds now, task_run const& run);
     /// Resets all state that belongs to one incarnation of the worker.
@@ -153,7 +156,7 @@
     std::int64_t processed_batch = 0; ///< log batch with its effects
 
     std::map<task_run, hosted_run> hosted_runs;
-    std::map<task_run, late_start> late_starts; ///< of runs not hosted
+    std::map<task_run, late_start> late_starts;
     resources reserved; ///< for units that wait for stops
 
     /// Failures since the last completed run; consecutive ones of one job count
--- a/packages/tasks/src/dispatcher.cpp
+++ b/packages/tasks/src/dispatcher.cpp
@@ -241,6 +241,8 @@
 
 void dispatcher::on_role_confirmed(milliseconds sent_at) noexcept
 {
+    if (sent_at - confirmed_at_ >= holder_timeout_ms)
+        proven_since_ = sent_at;
     confirmed_at_ = sent_at;
 }
 
--- a/packages/tasks/src/dispatcher_candidates.cpp
+++ b/packages/tasks/src/dispatcher_candidates.cpp
@@ -97,11 +97,12 @@
         return other.job == ref.job && other.unit.step == ref.unit.step &&
                other.unit.occurrence == ref.unit.occurrence;
     };
+    auto const& w = workers_.at(worker);
     std::int64_t count = 0;
-    for (auto const& [run, o] : workers_.at(worker).hosted_runs)
+    for (auto const& [run, o] : w.hosted_runs)
         count += is_same(o.unit) ? 1 : 0;
-    for (auto const& [run, late] : workers_.at(worker).late_starts)
-        count += is_same(late.unit) ? 1 : 0;
+    for (auto const& [run, late] : w.late_starts)
+        count += is_same(late.unit) && w.hosted_runs.count(run) == 0 ? 1 : 0;
     auto at = reservations_.lower_bound(
         {ref.job, {ref.unit.occurrence, ref.unit.step, 0}});
     for (; at != reservations_.end() && is_same(at->first); ++at)
--- a/packages/tasks/src/dispatcher_losses.cpp
+++ b/packages/tasks/src/dispatcher_losses.cpp
@@ -19,8 +19,7 @@
     for (auto at = workers_.begin(); at != workers_.end();)
     {
         auto& w = at->second;
-        std::erase_if(w.late_starts, [&](auto const& entry)
-                      { return now >= entry.second.until; });
+        w.drop_late_starts(now);
         auto const runs_until = std::max(
             created_at_ + max_earlier_lease(limits_), w.late_runs_until);
         bool const never_reached =
--- a/packages/tasks/src/dispatcher_replies.cpp
+++ b/packages/tasks/src/dispatcher_replies.cpp
@@ -133,7 +133,6 @@
     {
         auto const held = held_by(step_of(*find_job(ref->job), *ref));
         w.add(t.run, {*ref, held, true, 0, now});
-        w.late_starts.erase(t.run);
         stale_units_.insert(*ref);
         drop_reservation(*ref);
         log_stale_run(w, t.run, *ref);
--- a/packages/tasks/src/dispatcher_starts.cpp
+++ b/packages/tasks/src/dispatcher_starts.cpp
@@ -170,15 +170,17 @@
     // A later process may have followed a crash of the task.
     bool const is_open = is_adopted ? is_on_recorded_process(ref, index)
                                     : is_unconfirmed(m.phase);
-    bool const may_resend = is_open && !a.over &&
-                            may_start_late(workers_.at(m.worker), m) &&
-                            now - a.first_sent <= max_resend_ms;
-    if (!may_resend)
+    auto const& w = workers_.at(m.worker);
+    if (!is_open || a.over || !may_start_late(w, m))
+        return false;
+    if (!is_role_proven(now))
+        return true; // until the log confirms it
+    if (now - std::max(a.first_sent, proven_since_) > max_resend_ms)
         return false;
     if (m.phase == member_phase::starting && now - m.last_sent_at < max_call_ms)
         return true; // once that send is answered or given up
-    if (!is_role_proven(now) || has_stale_run(ref))
-        return true; // once it is, and that run has ended
+    if (w.runs_unknown_task || has_stale_run(ref))
+        return true; // once those runs have ended
     // A new dispatcher's list of workers is not current yet.
     if (!can_start(now, ref, a))
         return is_adopted;
--- a/packages/tasks/src/dispatcher_workers.cpp
+++ b/packages/tasks/src/dispatcher_workers.cpp
@@ -143,6 +143,8 @@
         w.starts_blocked_until =
             std::max(w.starts_blocked_until,
                      w.last_unanswered_at + detail::late_order_ms);
+    for (auto const& [run, late] : w.late_starts)
+        w.starts_blocked_until = std::max(w.starts_blocked_until, late.until);
     for (auto const& [run, o] : kept)
     {
         auto const at = active_.find(o.unit);
--- a/packages/tasks/src/worker_view.cpp
+++ b/packages/tasks/src/worker_view.cpp
@@ -110,6 +110,17 @@
     hosted_runs.erase(at);
 }
 
+void worker_view::drop_late_starts(milliseconds now)
+{
+    std::erase_if(late_starts,
+                  [&](auto const& entry)
+                  {
+                      auto const until = entry.second.until;
+                      return listed ? answered_renewal_at >= until
+                                    : now >= until;
+                  });
+}
+
 void worker_view::mark_ending(milliseconds now, task_run const& run)
 {
     auto const at = hosted_runs.find(run);
--- a/tests/unit/test_random_fleet.cpp
+++ b/tests/unit/test_random_fleet.cpp
@@ -11,6 +11,7 @@
 #include <array>
 #include <cstdlib>
 #include <iostream>
+#include <numeric>
 
 namespace
 {
@@ -103,6 +104,7 @@
     CPPUNIT_TEST(days_with_list_outages);
     CPPUNIT_TEST(days_with_wrong_addresses);
     CPPUNIT_TEST(days_with_limits_per_worker);
+    CPPUNIT_TEST(late_starts_exceed_no_limit);
     CPPUNIT_TEST(late_starts_of_done_tasks_exceed_no_limit);
     CPPUNIT_TEST(late_starts_of_adopted_runs_are_counted);
     CPPUNIT_TEST_SUITE_END();
@@ -165,6 +167,15 @@
                 play_named(profile.name);
     }
 
+    void late_starts_exceed_no_limit()
+    {
+        std::vector<unsigned> seeds(20);
+        std::iota(seeds.begin(), seeds.end(), 1U);
+        for (auto const& profile : fleet_profiles())
+            if (profile.name.starts_with("limits per worker"))
+                play_days(profile.name, seeds);
+    }
+
     void late_starts_of_done_tasks_exceed_no_limit()
     {
         play_days("limits per worker and unanswered orders",
@@ -190,11 +201,14 @@
     {
         if (std::getenv("JASMINETRACK_PROFILE"))
             return;
+        auto const& all = fleet_profiles();
+        auto const profile = std::find_if(all.begin(), all.end(),
+                                          [&](fleet_profile const& p)
+                                          { return p.name == name; });
+        expect(profile != all.end(), name + " is a profile");
         profile_result result;
-        for (auto const& profile : fleet_profiles())
-            if (profile.name == name)
-                for (auto const seed : seeds)
-                    result.play(seed, profile, nullptr);
+        for (auto const seed : seeds)
+            result.play(seed, *profile, nullptr);
         expect(!result.has(violation_kind::wrong_worker) &&
                    !result.has(violation_kind::two_runs),
                name + ": no such violation, but:" + result.summary());
--- a/tests/unit/test_stray_starts.cpp
+++ b/tests/unit/test_stray_starts.cpp
@@ -380,7 +380,7 @@
         section("once a successor may have the role",
                 [&]
                 {
-                    h.run_for(1'900);
+                    h.run_for(4 * second_ms);
                     expect(h.starts.size() == sends, "no further send");
                 });
         section("it does when it holds the role",
