--- a/packages/tasks/include/jasminetrack/tasks/worker_view.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/worker_view.hpp
@@ -116,7 +116,8 @@
     void extend_lease(milliseconds until) noexcept;
     void add(task_run const& run, hosted_run o);
     void remove(task_run const& run);
-    /// Forgets the starts that an answer shows not to have been carried out.
+    /// Forgets the late starts that can no longer arrive. A listed worker must
+    /// have answered since, as only that shows what they have started.
     void drop_late_starts(milliseconds now);
     /// Marks that the run will end soon and release its capacity.
     void mark_ending(milliseconds now, task_run const& run);
--- a/packages/tasks/src/dispatcher_runs.cpp
+++ b/packages/tasks/src/dispatcher_runs.cpp
@@ -57,7 +57,9 @@
         finish_run(now, ref);
 }
 
-/// The member has ended on its worker.
+/// The member has ended on its worker. If a send of its start may still be
+/// carried out there, a unit that runs again keeps the place and waits. Else
+/// the place is released, and the send only counts towards the step's limit.
 void dispatcher::release_or_await(milliseconds now, unit_ref const& ref,
                                   std::size_t index)
 {
