A worker is cleared for a task that must start alone

What callers see: after the crash of one worker its tasks wait for up to 20 s beside free workers.

Cause: a task that was just started on a worker that crashed is started only where nothing else is being started. On a busy fleet that is nowhere, and only the clock ended the wait.

Change: workers are cleared for such tasks, at most half of a service at a time: nothing else is started there until the task can start alone, or for 3 s. After a first loss the wait ends after 5 s, whatever the fleet does. A unit with losses no longer keeps the rest of its step waiting.

--- a/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -139,6 +139,7 @@
     using active_run = detail::active_run;
     using job_entry = detail::job_entry;
     using reservation = detail::reservation;
+    using clearance = detail::clearance;
     using waiting_units = detail::waiting_units;
     using candidate_list = detail::candidate_list;
     using accelerator_count = detail::accelerator_count;
@@ -372,8 +373,8 @@
     void process_reservations(milliseconds now);
     void drop_reservation(unit_ref const& ref);
     [[nodiscard]] std::vector<waiting_units> collect_waiting(milliseconds wall);
-    [[nodiscard]] static bool has_failed(waiting_units const& w,
-                                         std::int64_t index);
+    [[nodiscard]] static bool has_own_needs(waiting_units const& w,
+                                            std::int64_t index);
     /// \returns false if no unit of this step can be placed now.
     bool start_unit(milliseconds now, waiting_units const& w,
                     std::int64_t index);
@@ -452,6 +453,25 @@
     service_of_spread_gang(unit_ref const& ref, active_run const& a) const;
     void count_waiting_step(job_entry const& e,
                             std::int64_t priority_utilization::*as);
+    // dispatcher_isolation.cpp
+    /// Starts nothing else on some workers until the unit can start alone
+    /// there.
+    /// \returns whether it did.
+    bool clear_workers(milliseconds now, job_entry const& e,
+                       unit_ref const& ref, std::string const& service,
+                       unit_need need);
+    /// Starts the unit on the workers that were cleared for it, once nothing is
+    /// being started there.
+    void start_on_cleared(milliseconds now, job_entry& e, unit_ref const& ref,
+                          std::string const& service, unit_need const& need);
+    [[nodiscard]] bool has_room(unit_ref const& ref,
+                                std::vector<std::string> const& places) const;
+    /// Drops the clearances that last too long or that no unit waits for.
+    void drop_old_clearances(milliseconds now);
+    void drop_clearance(unit_ref const& ref);
+    /// \returns whether further workers of the service may be cleared.
+    [[nodiscard]] bool may_clear(std::string const& service,
+                                 std::size_t count) const;
     // dispatcher_advice.cpp
     /// Excludes the workers for which the unit has no valid ticket.
     void exclude_unadvised(milliseconds now, unit_ref const& ref,
@@ -501,6 +521,8 @@
     milliseconds monitored_at_ = 0;
     std::map<unit_ref, active_run> active_;
     std::map<unit_ref, reservation> reservations_;
+    std::map<unit_ref, clearance> clearances_;
+    std::set<std::string> cleared_workers_; ///< the places of `clearances_`
     /// Units of which a worker has listed an earlier run; it may have ended.
     std::set<unit_ref> stale_units_;
     placement_advice advice_;
--- a/packages/tasks/src/dispatcher_crashes.cpp
+++ b/packages/tasks/src/dispatcher_crashes.cpp
@@ -13,10 +13,13 @@
 constexpr milliseconds rack_loss_ms = 3'000;
 /// A worker that is neither listed nor answers for this time has crashed.
 constexpr milliseconds gone_ms = 20'000;
-/// Longest wait for silent workers: those that are gone are known by then.
+/// Longest wait for silent workers to show whether they have crashed.
 constexpr milliseconds max_silence_wait_ms = gone_ms + 5'000;
-/// Longest wait for a worker on which nothing is being started.
-constexpr milliseconds max_isolation_wait_ms = 20'000;
+/// Longest wait for a worker on which nothing is being started, after one loss
+/// and after several. The first is below the time for which a task may wait
+/// beside free capacity.
+constexpr milliseconds max_isolation_wait_ms = 5'000;
+constexpr milliseconds max_repeated_isolation_wait_ms = 20'000;
 
 } // namespace
 
@@ -29,7 +32,8 @@
     auto const at = e.lost_at.find(ref);
     auto const waited = now - (at == e.lost_at.end() ? e.known_at : at->second);
     auto verdict = judge(losses);
-    auto max_wait_ms = max_isolation_wait_ms;
+    auto max_wait_ms = losses.size() > 1 ? max_repeated_isolation_wait_ms
+                                         : max_isolation_wait_ms;
     if (verdict == crash_verdict::wait)
     {
         if (waited <= max_silence_wait_ms)
--- a/packages/tasks/src/dispatcher_renewals.cpp
+++ b/packages/tasks/src/dispatcher_renewals.cpp
@@ -16,6 +16,8 @@
 /// Longest wait of a renewal at its worker. A third of the lease, so that two
 /// renewals may be lost.
 constexpr milliseconds renewal_wait_ms = 2'000;
+/// Shows soon which runs of a cleared worker are established.
+constexpr milliseconds cleared_renewal_wait_ms = 200;
 constexpr milliseconds renewals_per_lease = 3;
 /// A shorter lease may end before its renewal arrives.
 constexpr milliseconds min_lease_ms = 500;
@@ -122,6 +124,8 @@
         w.extend_lease(order.until_ms);
     }
     order.wait_ms = std::min(order.wait_ms, w.late_start_wait(now));
+    if (cleared_workers_.count(w.info.id) != 0)
+        order.wait_ms = std::min(order.wait_ms, cleared_renewal_wait_ms);
     w.renewal_sent = true;
     w.renewal_at = now;
     w.renewal_address = w.info.address;
--- a/packages/tasks/src/dispatcher_runs.cpp
+++ b/packages/tasks/src/dispatcher_runs.cpp
@@ -331,6 +331,7 @@
         reserved.push_back(at->first);
     for (auto const& ref : reserved)
         drop_reservation(ref);
+    drop_old_clearances(now);
     changed_ = true;
 }
 
--- a/packages/tasks/src/dispatcher_schedule.cpp
+++ b/packages/tasks/src/dispatcher_schedule.cpp
@@ -30,6 +30,7 @@
         for (auto& [id, e] : jobs_)
             update_job_phase(now, e);
     process_reservations(now);
+    drop_old_clearances(now);
     for (auto& [key, list] : candidates_)
         list.current = false;
     counts_ = count_accelerators();
@@ -40,16 +41,18 @@
     {
         count_waiting_step(*w.entry, &priority_utilization::waiting);
         for (auto const index : w.indices)
-            if (!start_unit(now, w, index) && !has_failed(w, index))
+            if (!start_unit(now, w, index) && !has_own_needs(w, index))
                 break; // the step's other units have the same needs
     }
     update_utilization(now);
 }
 
-bool dispatcher::has_failed(waiting_units const& w, std::int64_t index)
+/// \returns whether the unit may need other workers than the rest of its step,
+/// as earlier runs of it have failed or lost their workers.
+bool dispatcher::has_own_needs(waiting_units const& w, std::int64_t index)
 {
-    return w.entry->progress.units.at({w.occurrence, w.step, index}).failures >
-           0;
+    auto const& u = w.entry->progress.units.at({w.occurrence, w.step, index});
+    return u.failures > 0 || !u.losses.empty();
 }
 
 bool dispatcher::start_unit(milliseconds now, waiting_units const& w,
@@ -78,10 +81,18 @@
     auto& candidates = candidates_of(now, q->service, e.priority);
     if (need.isolated)
         mark_starting_candidates(q->service, e.priority);
+    if (clearances_.count(ref) != 0)
+    {
+        start_on_cleared(now, e, ref, q->service, need);
+        return true;
+    }
     count_same_step(candidates, ref, need);
     auto const choice = choose_plan(candidates, need, terms_of(e, ref));
     if (!choice && q->advised)
         request_advice(now, ref, *q, need);
+    if (!choice && need.isolated &&
+        clear_workers(now, e, ref, q->service, need))
+        return true;
     if (!choice)
     {
         count_waiting_step(e, &priority_utilization::no_room);
