Waits by the clock: isolation, verification, leases of earlier dispatchers

What the reviewer of the last changes found, by reading: - A clearance outlived the verdict, so that the bound on the wait for isolation did not hold. It ends with the verdict, urgent work does not wait for it, it counts workers and not tasks, and a quarter of a service is cleared at most.

--- a/packages/entry/include/jasminetrack/entry/dispatch_loop.hpp
+++ b/packages/entry/include/jasminetrack/entry/dispatch_loop.hpp
@@ -137,6 +137,8 @@
     std::shared_ptr<tasks::configuration const> config_;
     std::int64_t work_next_ = -1;    ///< end of the topic of work; -1: not read
     milliseconds claim_sent_ms_ = 0; ///< newest claim of this node
+    /// When the newest record of a dispatcher before that claim was read.
+    milliseconds earlier_proof_ms_ = 0;
     std::int64_t epoch_ = 0;         ///< while leading
     std::int64_t sequence_ = 0;
     /// Since when the dispatcher waits for the jobs; -1: it has them.
--- a/packages/entry/src/dispatch_loop_log.cpp
+++ b/packages/entry/src/dispatch_loop_log.cpp
@@ -30,6 +30,7 @@
               {{"epoch", std::to_string(role.epoch)},
                {"at", std::to_string(work_next_)},
                {"previous", leadership_.newest().holder}});
+    earlier_proof_ms_ = leadership_.heartbeat_at();
     leadership_.on_claim_sent(now);
     claim_sent_ms_ = now;
     append_call call;
--- a/packages/entry/src/dispatch_loop_takeover.cpp
+++ b/packages/entry/src/dispatch_loop_takeover.cpp
@@ -44,6 +44,7 @@
     dispatcher_ = std::make_unique<tasks::dispatcher>(
         epoch_, settings_.limits, now,
         [this](tasks::decision const& d) { log_decision(d); });
+    dispatcher_->on_earlier_proof(earlier_proof_ms_);
     dispatcher_->on_role_confirmed(claim_sent_ms_);
     dispatcher_->on_log_back(leadership_.readable_since().value_or(now));
     if (config_)
--- a/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -123,6 +123,9 @@
     /// The log works since this time, so that the list of workers may be older;
     /// before the list is read.
     void on_log_back(milliseconds since) noexcept;
+    /// The newest record of earlier dispatchers was read at this time. The
+    /// conditional claim shows that there is no later one.
+    void on_earlier_proof(milliseconds read_at) noexcept;
     /// The log has confirmed an append of this dispatcher that was first sent
     /// at `sent_at`, so that it held the role then. Leases end a limited time
     /// after that; the caller calls this again and again.
@@ -373,8 +376,10 @@
     void process_reservations(milliseconds now);
     void drop_reservation(unit_ref const& ref);
     [[nodiscard]] std::vector<waiting_units> collect_waiting(milliseconds wall);
-    [[nodiscard]] static bool has_own_needs(waiting_units const& w,
-                                            std::int64_t index);
+    /// \returns whether the unit may need other workers than the rest of its
+    /// step, as earlier runs of it have failed or lost their workers.
+    [[nodiscard]] static bool may_need_other_workers(waiting_units const& w,
+                                                     std::int64_t index);
     /// \returns false if no unit of this step can be placed now.
     bool start_unit(milliseconds now, waiting_units const& w,
                     std::int64_t index);
@@ -469,6 +474,9 @@
     /// Drops the clearances that last too long or that no unit waits for.
     void drop_old_clearances(milliseconds now);
     void drop_clearance(unit_ref const& ref);
+    /// Urgent work does not wait for workers that are cleared for other work.
+    void drop_clearances_below(std::int64_t priority,
+                               std::string const& service);
     /// \returns whether further workers of the service may be cleared.
     [[nodiscard]] bool may_clear(std::string const& service,
                                  std::size_t count) const;
@@ -491,6 +499,8 @@
     std::int64_t token_;
     dispatch_limits limits_;
     milliseconds created_at_;
+    /// No earlier dispatcher has held the role after this time.
+    milliseconds earlier_proof_at_;
     /// Send time of the newest append that shows that it holds the role.
     milliseconds confirmed_at_;
     /// Start of the time in which the role has been proven without a gap.
--- a/packages/tasks/include/jasminetrack/tasks/leadership.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/leadership.hpp
@@ -68,6 +68,12 @@
     /// \returns the start of the current series of successful reads of the log;
     /// nothing if the latest read failed.
     [[nodiscard]] std::optional<milliseconds> readable_since() const noexcept;
+    /// \returns when the newest record of a dispatcher was read, or later; -1
+    /// before the first read.
+    [[nodiscard]] milliseconds heartbeat_at() const noexcept
+    {
+        return heartbeat_at_;
+    }
     /// \returns whether to claim now, with the epoch after the newest.
     [[nodiscard]] bool should_claim(milliseconds now) const noexcept;
 
--- a/packages/tasks/include/jasminetrack/tasks/lease_bounds.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/lease_bounds.hpp
@@ -29,16 +29,13 @@
     return limits.max_lease_ms + unconfirmed_grant_ms;
 }
 
-/// A new dispatcher has claimed the role `holder_timeout_ms` or more after the
-/// newest append of every earlier one, unless that one resigned and so grants
-/// no more leases.
-/// \returns how long after its start the leases of all earlier dispatchers have
-/// ended.
+/// \returns how long after the newest proof of earlier dispatchers all their
+/// leases have ended, on any worker's clock.
 [[nodiscard]] constexpr milliseconds
 max_earlier_lease(dispatch_limits const& limits) noexcept
 {
     auto const longest = max_lease_after_proof(limits);
-    return longest + longest / clock_drift_divisor - holder_timeout_ms;
+    return longest + longest / clock_drift_divisor;
 }
 
 } // namespace jasminetrack::tasks
--- a/packages/tasks/src/dispatcher.cpp
+++ b/packages/tasks/src/dispatcher.cpp
@@ -18,7 +18,8 @@
 
 dispatcher::dispatcher(std::int64_t token, dispatch_limits limits,
                        milliseconds now, listener listen)
-    : token_(token), limits_(limits), created_at_(now), confirmed_at_(now),
+    : token_(token), limits_(limits), created_at_(now),
+      earlier_proof_at_(now - holder_timeout_ms), confirmed_at_(now),
       listen_(std::move(listen)), list_currency_(limits, now)
 {
 }
@@ -239,6 +240,11 @@
     emit_batch(now);
 }
 
+void dispatcher::on_earlier_proof(milliseconds read_at) noexcept
+{
+    earlier_proof_at_ = std::min(earlier_proof_at_, read_at);
+}
+
 void dispatcher::on_role_confirmed(milliseconds sent_at) noexcept
 {
     if (sent_at - confirmed_at_ >= holder_timeout_ms)
--- a/packages/tasks/src/dispatcher_isolation.cpp
+++ b/packages/tasks/src/dispatcher_isolation.cpp
@@ -12,7 +12,7 @@
 constexpr milliseconds max_clearance_ms = 3'000;
 /// Of the workers of a service, one in so many may be cleared or have an
 /// isolated run, as the others have to start everything else.
-constexpr std::size_t clearable_share = 2;
+constexpr std::size_t clearable_share = 4;
 
 } // namespace
 
@@ -20,15 +20,25 @@
                                unit_ref const& ref, std::string const& service,
                                unit_need need)
 {
+    if (!may_clear(service, 1))
+        return false;
     need.isolated = false;
     auto const choice = choose_plan(candidates_of(now, service, e.priority),
                                     need, terms_of(e, ref));
-    if (!choice || !choice->fits_now ||
-        !may_clear(service, choice->places.size()))
+    if (!choice || !choice->fits_now)
+        return false;
+    std::set<std::string> const places(choice->places.begin(),
+                                       choice->places.end());
+    if (!may_clear(service, places.size()))
         return false;
     clearances_[ref] = {choice->places, now};
-    cleared_workers_.insert(choice->places.begin(), choice->places.end());
+    cleared_workers_.insert(places.begin(), places.end());
     remove_candidates(choice->places);
+    log_decision("unit.clear", ref.job,
+                 "step=" + std::to_string(ref.unit.step) +
+                     " index=" + std::to_string(ref.unit.index) +
+                     " workers=" + std::to_string(places.size()) +
+                     " first=" + choice->places[0]);
     return true;
 }
 
@@ -43,7 +53,7 @@
         ++all;
         taken += w.hosts_isolated_run() || cleared_workers_.count(id) != 0;
     }
-    return taken + count <= std::max<std::size_t>(1, all / clearable_share);
+    return taken + count <= all / clearable_share;
 }
 
 void dispatcher::start_on_cleared(milliseconds now, job_entry& e,
@@ -52,20 +62,20 @@
                                   unit_need const& need)
 {
     auto const places = clearances_.at(ref).places;
-    auto const is_usable = [&](std::string const& id) {
+    auto const is_usable = [&](std::string const& id)
+    {
         return is_reservable(now, ref, id) &&
-               workers_.at(id).accepts_starts(now);
+               workers_.at(id).accepts_starts(now) &&
+               !workers_.at(id).hosts_isolated_run();
     };
-    bool const usable = std::all_of(places.begin(), places.end(), is_usable) &&
+    bool const usable = list_currency_.is_current(now) &&
+                        std::all_of(places.begin(), places.end(), is_usable) &&
                         has_room(ref, places);
-    bool const clear =
-        std::none_of(places.begin(), places.end(),
-                     [&](std::string const& id)
-                     { return is_starting_runs(workers_.at(id)); });
-    if (usable && !clear)
+    auto const is_starting = [&](std::string const& id)
+    { return is_starting_runs(workers_.at(id)); };
+    if (usable && std::any_of(places.begin(), places.end(), is_starting))
         return;
     drop_clearance(ref);
-    changed_ = true;
     if (!usable)
         return;
     place(now, e, ref, places);
@@ -104,9 +114,25 @@
         drop_clearance(ref);
 }
 
+void dispatcher::drop_clearances_below(std::int64_t priority,
+                                       std::string const& service)
+{
+    std::vector<unit_ref> below;
+    for (auto const& [ref, c] : clearances_)
+    {
+        auto const& e = jobs_.at(ref.job);
+        if (e.priority > priority && e.service == service)
+            below.push_back(ref);
+    }
+    for (auto const& ref : below)
+        drop_clearance(ref);
+}
+
 void dispatcher::drop_clearance(unit_ref const& ref)
 {
-    clearances_.erase(ref);
+    if (clearances_.erase(ref) == 0)
+        return;
+    changed_ = true;
     cleared_workers_.clear();
     for (auto const& [other, c] : clearances_)
         cleared_workers_.insert(c.places.begin(), c.places.end());
--- a/packages/tasks/src/dispatcher_losses.cpp
+++ b/packages/tasks/src/dispatcher_losses.cpp
@@ -21,7 +21,7 @@
         auto& w = at->second;
         w.drop_late_starts(now);
         auto const runs_until = std::max(
-            created_at_ + max_earlier_lease(limits_), w.late_runs_until);
+            earlier_proof_at_ + max_earlier_lease(limits_), w.late_runs_until);
         bool const never_reached =
             !w.token_known && w.clock_at_ < 0 && now > runs_until;
         if (!w.hosted_runs.empty() &&
--- a/packages/tasks/src/dispatcher_schedule.cpp
+++ b/packages/tasks/src/dispatcher_schedule.cpp
@@ -14,7 +14,7 @@
 constexpr milliseconds max_schedule_interval_ms = 500;
 /// How long the last attempt waits for a verified worker. Workers that fail
 /// their runs are detected in less time.
-constexpr milliseconds max_verified_wait_ms = 6'000;
+constexpr milliseconds max_verified_wait_ms = 2'500;
 
 } // namespace
 
@@ -41,15 +41,14 @@
     {
         count_waiting_step(*w.entry, &priority_utilization::waiting);
         for (auto const index : w.indices)
-            if (!start_unit(now, w, index) && !has_own_needs(w, index))
+            if (!start_unit(now, w, index) && !may_need_other_workers(w, index))
                 break; // the step's other units have the same needs
     }
     update_utilization(now);
 }
 
-/// \returns whether the unit may need other workers than the rest of its step,
-/// as earlier runs of it have failed or lost their workers.
-bool dispatcher::has_own_needs(waiting_units const& w, std::int64_t index)
+bool dispatcher::may_need_other_workers(waiting_units const& w,
+                                        std::int64_t index)
 {
     auto const& u = w.entry->progress.units.at({w.occurrence, w.step, index});
     return u.failures > 0 || !u.losses.empty();
@@ -69,6 +68,8 @@
     if (!q)
         return false;
     auto need = need_of(now, e, ref);
+    if (!need.isolated)
+        drop_clearance(ref);
     if (!may_use(now, e, q->service, need))
     {
         bool const is_free = counts_[q->service].free >= need.accelerators();
@@ -90,6 +91,8 @@
     auto const choice = choose_plan(candidates, need, terms_of(e, ref));
     if (!choice && q->advised)
         request_advice(now, ref, *q, need);
+    if (!choice && e.priority == 0)
+        drop_clearances_below(e.priority, q->service);
     if (!choice && need.isolated &&
         clear_workers(now, e, ref, q->service, need))
         return true;
