An answering worker gets its start again; a refusal is not silence

- The 4 s in which a start without an answer is sent again to its worker count from when the worker answers again.
It refused that after a cut of 4 s or more, and the task waited for 13 s after its last send.
- A worker that says that it did nothing (429, 503, 421) may not carry the renewal out late, so its next process is not kept empty for 13 s.
- An adopted run that cannot be sent to its worker is placed elsewhere once the list of workers is current, not 4 s later.
- A refused start of an adopted run still counts for the worker's next process.

--- a/packages/tasks/include/jasminetrack/tasks/worker_view.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/worker_view.hpp
@@ -143,6 +143,8 @@
     std::string answered_address;
     /// Time of the first renewal that failed since the last answer; -1: none.
     milliseconds unresponsive_since = -1;
+    /// When it answered again after renewals that had failed.
+    milliseconds answers_since = 0;
     /// Another process is at its address, so its own process has ended.
     bool replaced = false;
 
--- a/packages/tasks/src/dispatcher_renewals.cpp
+++ b/packages/tasks/src/dispatcher_renewals.cpp
@@ -17,7 +17,7 @@
 /// renewals may be lost.
 constexpr milliseconds renewal_wait_ms = 2'000;
 /// Shows soon which runs of a cleared worker are established.
-constexpr milliseconds cleared_renewal_wait_ms = 200;
+constexpr milliseconds cleared_renewal_wait_ms = 500;
 constexpr milliseconds renewals_per_lease = 3;
 /// A shorter lease may end before its renewal arrives.
 constexpr milliseconds min_lease_ms = 500;
@@ -219,8 +219,10 @@
             end_lost_runs(now, w, "another process answers at its address");
     }
     schedule_renewal(w.info.id, w, now + unresponsive_retry_ms);
-    w.last_unanswered_at = now;
-    if (w.renewal_incarnation != w.info.incarnation)
+    bool const may_come_late = result == call_result::no_answer;
+    if (may_come_late)
+        w.last_unanswered_at = now;
+    if (may_come_late && w.renewal_incarnation != w.info.incarnation)
         w.starts_blocked_until = std::max(w.starts_blocked_until,
                                           w.renewal_at + detail::late_order_ms);
     if (w.unresponsive_since >= 0)
@@ -251,6 +253,8 @@
     if (!w.token_known)
         changed_ = true;
     w.token_known = true;
+    if (w.unresponsive_since >= 0)
+        w.answers_since = now;
     w.unresponsive_since = -1;
     w.replaced = false;
     dismiss_losses(r.worker, w.info.incarnation);
--- a/packages/tasks/src/dispatcher_starts.cpp
+++ b/packages/tasks/src/dispatcher_starts.cpp
@@ -171,12 +171,14 @@
     bool const is_open = is_adopted ? is_on_recorded_process(ref, index)
                                     : is_unconfirmed(m.phase);
     auto const& w = workers_.at(m.worker);
-    // The process has answered, so it refuses the sends of the predecessor.
+    // An adopted run is absent at a process that has answered this dispatcher
+    // and so refuses the sends of earlier ones.
     if (!is_open || a.over || (!is_adopted && !may_start_late(w, m)))
         return false;
     if (!is_role_proven(now))
         return true; // until the log confirms it
-    if (now - std::max(a.first_sent, proven_since_) > max_resend_ms)
+    auto const since = std::max({a.first_sent, proven_since_, w.answers_since});
+    if (now - since > max_resend_ms)
         return false;
     if (m.phase == member_phase::starting && now - m.last_sent_at < max_call_ms)
         return true; // once that send is answered or given up
@@ -184,7 +186,7 @@
         return true; // once those runs have ended
     // A new dispatcher's list of workers is not current yet.
     if (!can_start(now, ref, a))
-        return is_adopted;
+        return is_adopted && !list_currency_.is_current(now);
     note_unanswered(m);
     m.phase = member_phase::unconfirmed;
     send_start(now, *find_job(ref.job), ref, index);
@@ -276,9 +278,10 @@
         m.phase = member_phase::unconfirmed;
         return;
     }
+    m.phase = member_phase::unconfirmed; // this send was not carried out
     end_run(now, ref, std::string("start refused: ") + to_text(result));
     if (active_.count(ref) != 0)
-        release_member(now, ref, index);
+        release_or_await(now, ref, index);
 }
 
 } // namespace jasminetrack::tasks
