Each check of the soak is seen red on a hand-made history

Change: test_soak_checks holds for each check a history that keeps the promise and the nearest one that breaks it, one millisecond past the bound where there is one. All checks run on each history, so that a history breaks exactly the one promise that it names. draw_schedule is equal for equal seeds.

--- /dev/null
+++ b/tests/unit/test_soak_checks.cpp
@@ -0,0 +1,472 @@
+/// \file
+/// Tests the checks of the soak: each accepts a history that keeps its promise
+/// and reports the nearest one that breaks it.
+
+#include "section.hpp"
+
+#include <checks.hpp>
+#include <schedule.hpp>
+#include <standins/cluster.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace
+{
+
+using namespace jasminetrack::soak;
+using jasminetrack::review::cancel_ms;
+using jasminetrack::review::contact_ms;
+using jasminetrack::review::finish_ms;
+using support::expect;
+using support::section;
+
+constexpr milliseconds accepted_at = 20'000;
+constexpr milliseconds begun_at = 21'000;
+constexpr milliseconds done_at = 23'000;
+constexpr milliseconds play_end = 60'000;
+constexpr milliseconds standstill_ms = 3'000;
+constexpr milliseconds loss_slack_ms = 200;
+constexpr milliseconds reclaim_ms = 3'400;
+constexpr milliseconds stop_ms = 900;
+constexpr int status_ok = 200;
+constexpr int status_gone = 410;
+
+job_history make_job()
+{
+    job_history j;
+    j.id = "j1";
+    j.spec = "2000 of j1";
+    j.tasks = 1;
+    j.first_sent = accepted_at - 10;
+    j.accepted_at = accepted_at;
+    j.last_status = status_ok;
+    j.last_state = "completed";
+    return j;
+}
+
+run_history make_run()
+{
+    run_history r;
+    r.task = "j1.0.0";
+    r.run = 1;
+    r.spec = "2000 of j1";
+    r.begun_ms = begun_at;
+    r.ended_ms = done_at;
+    r.how = "done";
+    return r;
+}
+
+/// \returns a play in which one job of one task ran once, without trouble.
+play_history make_play()
+{
+    play_history h;
+    h.jobs = {make_job()};
+    h.runs = {make_run()};
+    h.traffic_ended_at = play_end - finish_ms;
+    h.ended_at = play_end;
+    return h;
+}
+
+trouble make_trouble(milliseconds from, milliseconds to, bool planned = false)
+{
+    return {"trouble", "vm1", from, to, planned};
+}
+
+request_history make_cut_request(milliseconds after_ms)
+{
+    request_history r;
+    r.vm = "vm1";
+    r.method = "GET";
+    r.job = "j1";
+    r.sent_at = begun_at;
+    r.ended_at = begun_at + after_ms;
+    r.end = request_end::closed;
+    return r;
+}
+
+/// \returns a play whose job was cancelled while its task ran.
+play_history make_cancelled_play(milliseconds cancelled_at)
+{
+    auto h = make_play();
+    h.jobs[0].cancel_sent_at = cancelled_at - 10;
+    h.jobs[0].cancelled_at = cancelled_at;
+    h.jobs[0].last_state = "cancelled";
+    h.runs[0].how = "stopped";
+    return h;
+}
+
+std::string list(std::vector<finding> const& found)
+{
+    std::string out = "; findings:";
+    for (auto const& f : found)
+        out += " " + f.check + " (" + f.text + ")";
+    return out;
+}
+
+/// Expects that all checks together have no finding.
+void expect_kept(play_history const& h, std::string const& text)
+{
+    auto const found = check_all(h);
+    expect(found.empty(), text + list(found));
+}
+
+/// Expects that all checks together have this finding and no other.
+void expect_broken(play_history const& h, std::string const& check,
+                   std::string const& text)
+{
+    auto const found = check_all(h);
+    expect(found.size() == 1 && found[0].check == check, text + list(found));
+}
+
+class test_soak_checks : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(test_soak_checks);
+    CPPUNIT_TEST(a_job_may_not_stand_still_in_calm);
+    CPPUNIT_TEST(a_trouble_excuses_a_wait_until_calm_returns);
+    CPPUNIT_TEST(accepted_jobs_are_known_and_completed);
+    CPPUNIT_TEST(a_planned_stop_answers_requests);
+    CPPUNIT_TEST(only_tasks_that_were_asked_for_run);
+    CPPUNIT_TEST(a_cancelled_job_starts_no_more);
+    CPPUNIT_TEST(a_cancelled_job_stops);
+    CPPUNIT_TEST(a_task_runs_once_at_a_time);
+    CPPUNIT_TEST(a_task_whose_end_was_noted_stays_ended);
+    CPPUNIT_TEST(guaranteed_jobs_start_in_time);
+    CPPUNIT_TEST(schedules_are_equal_for_equal_seeds);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void a_job_may_not_stand_still_in_calm()
+    {
+        expect_kept(make_play(), "a job that runs after a second");
+        section("before its first run",
+                [&]
+                {
+                    auto h = make_play();
+                    h.runs[0].begun_ms = accepted_at + standstill_ms;
+                    h.runs[0].ended_ms = h.runs[0].begun_ms + 2'000;
+                    expect_kept(h, "three seconds are allowed");
+                    ++h.runs[0].begun_ms;
+                    expect_broken(h, "job stands still", "one more is not");
+                });
+        section("between two runs",
+                [&]
+                {
+                    auto h = make_play();
+                    h.runs[0].how = "lost";
+                    h.runs.push_back(make_run());
+                    h.runs[1].run = 2;
+                    h.runs[1].begun_ms = done_at + standstill_ms;
+                    h.runs[1].ended_ms = done_at + 5'000;
+                    expect_kept(h, "three seconds are allowed");
+                    ++h.runs[1].begun_ms;
+                    expect_broken(h, "job stands still", "one more is not");
+                });
+        section("a job that was never accepted is owed nothing",
+                [&]
+                {
+                    auto h = make_play();
+                    h.runs.clear();
+                    h.jobs[0].accepted_at = -1;
+                    expect_kept(h, "nothing runs");
+                });
+        section("a cancelled job is owed no run",
+                [&]
+                {
+                    auto h = make_cancelled_play(accepted_at + 100);
+                    h.runs.clear();
+                    expect_kept(h, "nothing runs");
+                });
+    }
+
+    void a_trouble_excuses_a_wait_until_calm_returns()
+    {
+        auto h = make_play();
+        auto const ended_at = accepted_at + 1'000;
+        h.troubles = {make_trouble(accepted_at - 500, ended_at)};
+        auto const limit = ended_at + contact_ms + standstill_ms;
+        h.runs[0].begun_ms = limit;
+        h.runs[0].ended_ms = limit + 2'000;
+        expect_kept(h, "four seconds of recovery, then three");
+        section("then the job has to run",
+                [&]
+                {
+                    ++h.runs[0].begun_ms;
+                    expect_broken(h, "job stands still", "one ms too late");
+                });
+        section("a second trouble begins the recovery anew",
+                [&]
+                {
+                    h.runs[0].begun_ms = limit + 1'000;
+                    h.troubles.push_back(
+                        make_trouble(ended_at + 2'000, ended_at + 2'001));
+                    expect_kept(h, "the calm was too short");
+                });
+        section("the wait after the last trouble is measured",
+                [&]
+                {
+                    auto const waits = find_waits(make_play());
+                    expect(waits.size() == 1, "one wait");
+                    expect(waits[0].ended_at - waits[0].begun_at == 1'000,
+                           "it lasts until the run begins");
+                });
+    }
+
+    void accepted_jobs_are_known_and_completed()
+    {
+        auto h = make_play();
+        section("the job is not known",
+                [&]
+                {
+                    h.jobs[0].last_status = status_gone;
+                    expect_broken(h, "accepted job not known", "410");
+                });
+        section("no status request is answered",
+                [&]
+                {
+                    h.jobs[0].last_status = 0;
+                    expect_broken(h, "accepted job not known", "no answer");
+                });
+        section("the job does not complete",
+                [&]
+                {
+                    h.jobs[0].last_status = status_ok;
+                    h.jobs[0].last_state = "running";
+                    expect_broken(h, "accepted job not completed", "running");
+                });
+        section("a job that was not accepted need not be known",
+                [&]
+                {
+                    h.jobs[0].accepted_at = -1;
+                    h.jobs[0].last_status = status_gone;
+                    h.runs.clear();
+                    expect_kept(h, "410");
+                });
+    }
+
+    void a_planned_stop_answers_requests()
+    {
+        auto h = make_play();
+        h.troubles = {make_trouble(begun_at, begun_at + 500, true)};
+        section("a request is cut off within the slack",
+                [&]
+                {
+                    h.requests = {make_cut_request(loss_slack_ms)};
+                    expect_kept(h, "it may not have been read");
+                });
+        section("a request is cut off later",
+                [&]
+                {
+                    h.requests = {make_cut_request(loss_slack_ms + 1)};
+                    expect_broken(h, "request without an answer", "201 ms");
+                });
+        section("a request that was answered is no loss",
+                [&]
+                {
+                    h.requests = {make_cut_request(loss_slack_ms + 1)};
+                    h.requests[0].end = request_end::answered;
+                    expect_kept(h, "answered after 201 ms");
+                });
+        section("an unplanned disruption near the request excuses it",
+                [&]
+                {
+                    h.requests = {make_cut_request(loss_slack_ms + 1)};
+                    auto const ended_at = begun_at - contact_ms;
+                    h.troubles.push_back(
+                        make_trouble(ended_at - 100, ended_at));
+                    expect_kept(h, "it ended four seconds before");
+                    --h.troubles.back().ended_at;
+                    expect_broken(h, "request without an answer",
+                                  "it ended earlier than that");
+                });
+    }
+
+    void only_tasks_that_were_asked_for_run()
+    {
+        auto h = make_play();
+        section("a task of no job",
+                [&]
+                {
+                    h.runs.push_back(make_run());
+                    h.runs[1].task = "j2.0.0";
+                    expect_broken(h, "unknown task runs", "nobody sent j2");
+                });
+        section("a job whose attempts were all refused",
+                [&]
+                {
+                    h = make_play();
+                    h.jobs[0].accepted_at = -1;
+                    h.jobs[0].outcome_unknown = true;
+                    expect_kept(h, "an attempt without an answer may count");
+                    h.jobs[0].outcome_unknown = false;
+                    expect_broken(h, "refused job runs", "all were refused");
+                });
+        section("another spec",
+                [&]
+                {
+                    h = make_play();
+                    h.runs[0].spec = "2000 of j2";
+                    expect_broken(h, "task runs with another spec", "of j2");
+                });
+        section("a checkpoint of another task",
+                [&]
+                {
+                    h = make_play();
+                    h.runs[0].how = "lost";
+                    h.runs[0].checkpoints = {"c1"};
+                    h.runs.push_back(make_run());
+                    h.runs[1].run = 2;
+                    h.runs[1].begun_ms = done_at + 100;
+                    h.runs[1].ended_ms = done_at + 1'000;
+                    h.runs[1].resumed_from = "c1";
+                    expect_kept(h, "the task's own checkpoint");
+                    h.runs[1].resumed_from = "c2";
+                    expect_broken(h,
+                                  "task resumes from a checkpoint of another",
+                                  "nobody made c2 for it");
+                });
+    }
+
+    void a_cancelled_job_starts_no_more()
+    {
+        auto const cancelled_at = accepted_at + 100;
+        auto const limit = cancelled_at + cancel_ms;
+        auto h = make_cancelled_play(cancelled_at);
+        h.runs[0].begun_ms = limit;
+        h.runs[0].ended_ms = limit + 100;
+        expect_kept(h, "a start within the bound");
+        ++h.runs[0].begun_ms;
+        expect_broken(h, "cancelled job starts", "a start after it");
+        section("a worker that carries the start out late",
+                [&]
+                {
+                    h.runs[0].was_late = true;
+                    expect_kept(h, "the order itself was in time");
+                    h.runs[0].was_late = false;
+                });
+        section("a trouble shortly before the start",
+                [&]
+                {
+                    auto const ended_at = h.runs[0].begun_ms - contact_ms;
+                    h.troubles = {make_trouble(ended_at - 10, ended_at)};
+                    expect_kept(h, "four seconds before");
+                    --h.troubles[0].ended_at;
+                    expect_broken(h, "cancelled job starts",
+                                  "more than four seconds before");
+                });
+    }
+
+    void a_cancelled_job_stops()
+    {
+        auto const cancelled_at = begun_at + 100;
+        auto const limit = cancelled_at + cancel_ms + stop_ms;
+        auto h = make_cancelled_play(cancelled_at);
+        h.runs[0].ended_ms = limit;
+        expect_kept(h, "it ends within the bound");
+        ++h.runs[0].ended_ms;
+        expect_broken(h, "cancelled job runs on", "it ends after it");
+        h.runs[0].ended_ms = -1;
+        expect_broken(h, "cancelled job runs on", "it never ends");
+        h.troubles = {make_trouble(limit - 10, limit)};
+        expect_kept(h, "a trouble excuses it");
+    }
+
+    void a_task_runs_once_at_a_time()
+    {
+        auto h = make_play();
+        h.runs[0].how = "lost";
+        h.runs.push_back(make_run());
+        h.runs[1].run = 2;
+        h.runs[1].begun_ms = done_at;
+        h.runs[1].ended_ms = done_at + 2'000;
+        expect_kept(h, "the second begins as the first ends");
+        --h.runs[1].begun_ms;
+        expect_broken(h, "two runs at once", "it begins a ms before");
+        section("a run that never ended overlaps all later ones",
+                [&]
+                {
+                    h.runs[0].ended_ms = -1;
+                    h.runs[1].begun_ms = done_at + 1'000;
+                    expect_broken(h, "two runs at once", "the first runs on");
+                });
+        section("only runs of the same task count",
+                [&]
+                {
+                    h = make_play();
+                    h.runs[0].ended_ms = done_at + 5'000;
+                    h.runs.push_back(make_run());
+                    h.runs[1].task = "j1.0.1";
+                    h.runs[1].ended_ms = done_at + 5'000;
+                    h.jobs[0].tasks = 2;
+                    expect_kept(h, "two tasks may run side by side");
+                    h.runs[1].task = "j1.0.0";
+                    h.jobs[0].tasks = 1;
+                    expect_broken(h, "two runs at once", "one task may not");
+                });
+    }
+
+    void a_task_whose_end_was_noted_stays_ended()
+    {
+        auto h = make_play();
+        h.runs.push_back(make_run());
+        h.runs[1].run = 2;
+        h.runs[1].begun_ms = done_at + 100;
+        h.runs[1].ended_ms = done_at + 2'000;
+        expect_kept(h, "an end that nobody took note of is no end");
+        h.runs[0].noted_ms = done_at + 50;
+        expect_broken(h, "run after its noted end", "noted before the start");
+        h.runs[0].noted_ms = done_at + 500;
+        expect_broken(h, "run after its noted end", "noted after the start");
+        section("an end that was not done",
+                [&]
+                {
+                    h.runs[0].how = "failed";
+                    expect_kept(h, "the task is tried again");
+                });
+    }
+
+    void guaranteed_jobs_start_in_time()
+    {
+        auto h = make_play();
+        h.jobs[0].urgent = true;
+        h.jobs[0].tasks = 2;
+        h.runs.push_back(make_run());
+        h.runs[1].task = "j1.0.1";
+        h.runs[1].begun_ms = accepted_at + reclaim_ms;
+        h.runs[1].ended_ms = h.runs[1].begun_ms + 1'000;
+        expect_kept(h, "all tasks have begun at the bound");
+        ++h.runs[1].begun_ms;
+        expect_broken(h, "guaranteed job starts late", "one task is late");
+        section("a job without the guarantee",
+                [&]
+                {
+                    h.jobs[0].urgent = false;
+                    expect_kept(h, "only the standstill bound holds");
+                    h.jobs[0].urgent = true;
+                });
+        section("a trouble before the acceptance",
+                [&]
+                {
+                    auto const ended_at = accepted_at - contact_ms;
+                    h.troubles = {make_trouble(ended_at - 10, ended_at)};
+                    expect_kept(h, "four seconds before");
+                    --h.troubles[0].ended_at;
+                    expect_broken(h, "guaranteed job starts late",
+                                  "more than four seconds before");
+                });
+    }
+
+    void schedules_are_equal_for_equal_seeds()
+    {
+        constexpr milliseconds traffic_ms = 120'000;
+        auto const drawn = draw_schedule(7, traffic_ms);
+        expect(!drawn.empty(), "it has faults");
+        expect(drawn == draw_schedule(7, traffic_ms), "the same seed");
+        expect(drawn != draw_schedule(8, traffic_ms), "another seed");
+        for (auto const& f : drawn)
+            expect(f.kind < fault_kind::count, "each fault has a kind");
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(test_soak_checks);
+
+} // namespace
