Two false reds of the soak, and the folder of a red play is kept

Cause, by reading: (1) await_ends did not ask again for a job that was once shown as completed although a later attempt in trouble got no answer; check_ends then reported the status of that attempt. (2) A worker's crash came before the trouble was noted, and its entry back after the trouble's end.

Change: a job stays open until its newest answer is a 200 that shows it as completed. Restarts and replacements of workers are a trouble from before the crash until the entry is listed. A play that breaks a promise or cannot run keeps its folder and prints it.

--- a/tests/soak/fault_player.cpp
+++ b/tests/soak/fault_player.cpp
@@ -298,34 +298,38 @@
 void fault_player::act_on_worker(fault const& f, review::worker_action action)
 {
     auto& w = worker_of(f);
-    auto const index = begin(f, "");
     log_.write("it is worker " + w.id());
     w.act_on_calls(action);
     sleep_ms(f.for_ms);
     w.act_on_calls(review::worker_action::serve);
-    end(index);
 }
 
 void fault_player::silence_worker(fault const& f)
 {
+    auto const index = begin(f, "");
     act_on_worker(f, review::worker_action::mute);
+    end(index);
 }
 
 void fault_player::restart_worker(fault const& f)
 {
     auto& w = worker_of(f);
+    auto const index = begin(f, "");
     w.crash();
     act_on_worker(f, review::worker_action::refuse);
     cluster_.list(w);
+    end(index);
 }
 
 void fault_player::replace_worker(fault const& f)
 {
     auto& w = worker_of(f);
+    auto const index = begin(f, "");
     w.crash();
     cluster_.unlist(w);
     act_on_worker(f, review::worker_action::mute);
     cluster_.list(w);
+    end(index);
 }
 
 void fault_player::delay_starts(fault const& f)
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -89,6 +89,22 @@
     return h;
 }
 
+/// The same; a message of failure names the folder, which is kept.
+play_history play_in(options const& o, std::uint32_t seed,
+                     std::string const& dir)
+{
+    try
+    {
+        return play(o, seed, dir);
+    }
+    catch (std::exception const& e)
+    {
+        throw std::runtime_error(std::string(e.what()) +
+                                 "; records and logs: " + dir);
+    }
+}
+
+/// Keeps records and logs of a play that broke a promise.
 /// \returns whether all promises were kept.
 bool play_seed(options const& o, std::uint32_t seed)
 {
@@ -98,7 +114,7 @@
     auto const dir = root / ("soak-" + std::to_string(::getpid()) + "-" +
                              std::to_string(seed));
     fs::create_directories(dir);
-    auto const h = play(o, seed, dir.string());
+    auto const h = play_in(o, seed, dir.string());
     auto const found = check_all(h);
     std::cout << "seed " << seed << ": " << h.jobs.size() << " jobs, "
               << h.runs.size() << " runs, " << h.troubles.size()
@@ -107,9 +123,11 @@
               << " findings\n";
     for (std::size_t i = 0; i < std::min(found.size(), max_printed); ++i)
         std::cout << "  " << found[i].check << ": " << found[i].text << "\n";
-    std::cout << std::flush;
-    if (o.keep.empty())
+    if (found.empty() && o.keep.empty())
         fs::remove_all(dir);
+    else
+        std::cout << "  records and logs: " << dir.string() << "\n";
+    std::cout << std::flush;
     return found.empty();
 }
 
@@ -138,7 +156,8 @@
     app.add_option("--program", o.program,
                    "program of the entry VMs, if not that of the deploy file")
         ->check(CLI::ExistingFile);
-    app.add_option("--keep", o.keep, "folder that keeps records and logs");
+    app.add_option("--keep", o.keep,
+                   "folder that keeps records and logs of all plays");
     CLI11_PARSE(app, argc, argv);
 
     bool all_kept = true;
--- a/tests/soak/traffic.cpp
+++ b/tests/soak/traffic.cpp
@@ -57,6 +57,15 @@
     return (j.urgent ? review::urgent_prefix : review::batch_prefix) + j.id;
 }
 
+/// \returns whether the job's end is still to be asked for. A state that was
+/// read before an attempt without an answer has to be read again.
+bool is_open(job_history const& j)
+{
+    if (j.accepted_at < 0 || j.cancel_sent_at >= 0)
+        return false;
+    return j.last_status != status_ok || j.last_state != "completed";
+}
+
 request_end to_request_end(review::call_end e)
 {
     switch (e)
@@ -294,8 +303,7 @@
         std::size_t open = 0;
         for (std::size_t i = 0; i < list.size(); ++i)
         {
-            if (list[i].accepted_at < 0 || list[i].cancel_sent_at >= 0 ||
-                list[i].last_state == "completed")
+            if (!is_open(list[i]))
                 continue;
             c.ask(i, list[i]);
             ++open;
