A late start of a cancelled job has to end, too

Cause, by reading: check_unasked passed over runs whose start a worker had held up.

Change: such a run has to be gone cancel_ms + stop_ms after contact_ms after its start, or after the cancel if that is later.

--- a/tests/soak/checks.cpp
+++ b/tests/soak/checks.cpp
@@ -220,18 +220,23 @@
         if (!r.resumed_from.empty() &&
             checkpoints[r.task].count(r.resumed_from) == 0)
             out.push_back({"task resumes from a checkpoint of another", what});
-        if (j.cancelled_at < 0 || r.was_late)
+        if (j.cancelled_at < 0)
             continue;
         auto const limit = j.cancelled_at + review::cancel_ms;
-        if (r.begun_ms > limit &&
+        // A late start is the worker's; its end is due from then on.
+        auto const known_at =
+            r.was_late
+                ? std::max(j.cancelled_at, r.begun_ms + review::contact_ms)
+                : j.cancelled_at;
+        auto const gone_at = known_at + review::cancel_ms + stop_ms;
+        if (!r.was_late && r.begun_ms > limit &&
             is_calm(h, r.begun_ms - review::contact_ms, r.begun_ms))
             out.push_back({"cancelled job starts",
                            what + " begins " +
                                seconds(r.begun_ms - j.cancelled_at) +
                                " after its cancel"});
-        else if (end_of(r, h) > limit + stop_ms &&
-                 is_calm(h, j.cancelled_at - review::contact_ms,
-                         limit + stop_ms))
+        else if (end_of(r, h) > gone_at &&
+                 is_calm(h, known_at - review::contact_ms, gone_at))
             out.push_back({"cancelled job runs on", what});
     }
     return out;
--- a/tests/unit/test_soak_checks.cpp
+++ b/tests/unit/test_soak_checks.cpp
@@ -368,6 +368,19 @@
         expect_broken(h, "cancelled job runs on", "it never ends");
         h.troubles = {make_trouble(limit - 10, limit)};
         expect_kept(h, "a trouble excuses it");
+        section("a run that its worker began late",
+                [&]
+                {
+                    h.troubles.clear();
+                    auto& late = h.runs[0];
+                    late.was_late = true;
+                    late.begun_ms = limit + 1'000;
+                    late.ended_ms =
+                        late.begun_ms + contact_ms + cancel_ms + stop_ms;
+                    expect_kept(h, "its end is due from its start on");
+                    ++late.ended_ms;
+                    expect_broken(h, "cancelled job runs on", "a ms later");
+                });
     }
 
     void a_task_runs_once_at_a_time()
