--- a/review/standins/cluster.cpp
+++ b/review/standins/cluster.cpp
@@ -419,6 +419,16 @@
     return json::array({step}).dump();
 }
 
+std::string one_step(int count, milliseconds expected_ms)
+{
+    json const step{{"count", count},
+                    {"cpu", 1'000},
+                    {"mem_mb", 256},
+                    {"checkpointing", true},
+                    {"est_runtime_ms", expected_ms}};
+    return json::array({step}).dump();
+}
+
 int run_case(int argc, char** argv, case_frame const& frame)
 {
     constexpr int exit_could_not_run = 2;
--- a/review/standins/cluster.hpp
+++ b/review/standins/cluster.hpp
@@ -200,6 +200,8 @@
 
 /// The tasks of a job that takes one step of `count` tasks.
 [[nodiscard]] std::string one_step(int count);
+/// The same for tasks that make checkpoints and are expected to take this time.
+[[nodiscard]] std::string one_step(int count, milliseconds expected_ms);
 
 /// What a case runs, and in which deployment.
 struct case_frame
--- a/tests/soak/traffic.cpp
+++ b/tests/soak/traffic.cpp
@@ -42,16 +42,6 @@
            status == status_unavailable;
 }
 
-std::string steps_of(job_history const& j)
-{
-    json const step{{"count", j.tasks},
-                    {"cpu", 1'000},
-                    {"mem_mb", 256},
-                    {"checkpointing", true},
-                    {"est_runtime_ms", std::stoll(j.spec)}};
-    return json::array({step}).dump();
-}
-
 std::string path_of(job_history const& j)
 {
     return (j.urgent ? review::urgent_prefix : review::batch_prefix) + j.id;
@@ -197,8 +187,8 @@
         j.first_sent = now_ms();
         auto const index = all_.add(j);
         auto const body = json{{"spec", j.spec}}.dump();
-        auto const text =
-            body.substr(0, body.size() - 1) + ",\"steps\":" + steps_of(j) + "}";
+        auto const text = body.substr(0, body.size() - 1) + ",\"steps\":" +
+                          review::one_step(j.tasks, std::stoll(j.spec)) + "}";
         bool is_unknown = false;
         for (int i = 0; i < max_attempts && !all_.stopping_; ++i)
         {
