--- a/tests/soak/checks.hpp
+++ b/tests/soak/checks.hpp
@@ -41,6 +41,8 @@
 [[nodiscard]] std::vector<finding> check_unasked(play_history const& h);
 /// Two runs of a task overlap, or one follows an end that was noted.
 [[nodiscard]] std::vector<finding> check_twice(play_history const& h);
+/// A member of a gang waits in vain for the others, in calm.
+[[nodiscard]] std::vector<finding> check_gangs(play_history const& h);
 /// Guaranteed work starts too late in calm.
 [[nodiscard]] std::vector<finding> check_reclaim(play_history const& h);
 
--- a/tests/soak/history.hpp
+++ b/tests/soak/history.hpp
@@ -42,7 +42,8 @@
     std::string id;
     std::string spec;
     int tasks = 0;
-    bool urgent = false; ///< within its team's guarantee
+    bool urgent = false;  ///< within its team's guarantee
+    bool is_gang = false; ///< its tasks work only together
     milliseconds first_sent = -1;
     milliseconds accepted_at = -1; ///< first 2xx answer to a submission
     bool outcome_unknown = false;  ///< an attempt got no answer that tells
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -39,6 +39,7 @@
     int workers = 8;
     double share = 0.25;
     double jobs_per_second = 18;
+    int gangs_per_hundred = 0;
     std::string schedule = "random";
     std::string program;
     std::string keep;
@@ -70,6 +71,7 @@
     traffic_plan plan;
     plan.seed = seed;
     plan.jobs_per_second = o.jobs_per_second;
+    plan.gangs_per_hundred = o.gangs_per_hundred;
     traffic callers(plan, c, log);
     auto const traffic_ms = o.seconds * ms_per_s;
     auto const begin = now_ms();
@@ -151,6 +153,9 @@
         ->check(CLI::Range(0.05, 1.0));
     app.add_option("--jobs-per-second", o.jobs_per_second, "of all callers")
         ->check(CLI::Range(0.5, 100.0));
+    app.add_option("--gangs-per-hundred", o.gangs_per_hundred,
+                   "of the jobs of several tasks")
+        ->check(CLI::Range(0, 100));
     app.add_option("--schedule", o.schedule, "random, or lost-sender")
         ->check(CLI::IsMember({"random", "lost-sender"}));
     app.add_option("--program", o.program,
--- a/tests/soak/traffic.hpp
+++ b/tests/soak/traffic.hpp
@@ -22,6 +22,7 @@
     double jobs_per_second = 18; ///< of all callers
     int cancels_per_hundred = 6; ///< jobs
     int urgent_per_hundred = 5;  ///< jobs
+    int gangs_per_hundred = 0;   ///< jobs
 };
 
 /// Runs until it is stopped. Safe to use from several threads.
--- a/tests/unit/test_soak_checks.cpp
+++ b/tests/unit/test_soak_checks.cpp
@@ -130,6 +130,7 @@
     CPPUNIT_TEST(a_cancelled_job_stops);
     CPPUNIT_TEST(a_task_runs_once_at_a_time);
     CPPUNIT_TEST(a_task_whose_end_was_noted_stays_ended);
+    CPPUNIT_TEST(gangs_work_together);
     CPPUNIT_TEST(guaranteed_jobs_start_in_time);
     CPPUNIT_TEST(schedules_are_equal_for_equal_seeds);
     CPPUNIT_TEST_SUITE_END();
@@ -437,6 +438,47 @@
                 });
     }
 
+    void gangs_work_together()
+    {
+        auto h = make_play();
+        h.jobs[0].is_gang = true;
+        h.jobs[0].tasks = 2;
+        h.runs.push_back(make_run());
+        h.runs[1].task = "j1.0.1";
+        expect_kept(h, "both members end");
+        section("one end represents all",
+                [&]
+                {
+                    h.runs[1].how = "lapsed";
+                    expect_kept(h, "the other's lease lapses");
+                });
+        section("a member waits in vain",
+                [&]
+                {
+                    h.runs[1].how = "alone";
+                    expect_broken(h, "gang member waits alone", "in calm");
+                    auto const ended_at = begun_at - contact_ms;
+                    h.troubles = {make_trouble(ended_at - 10, ended_at)};
+                    expect_kept(h, "after a trouble");
+                    --h.troubles[0].ended_at;
+                    expect_broken(h, "gang member waits alone",
+                                  "more than four seconds after it");
+                });
+        section("a checkpoint of another member is its own",
+                [&]
+                {
+                    h.troubles.clear();
+                    h.runs[0].checkpoints = {"c1"};
+                    h.runs[1].how = "done";
+                    h.runs[1].resumed_from = "c1";
+                    expect_kept(h, "it is valid for the gang");
+                    h.jobs[0].is_gang = false;
+                    expect_broken(h,
+                                  "task resumes from a checkpoint of another",
+                                  "not for tasks that are no gang");
+                });
+    }
+
     void guaranteed_jobs_start_in_time()
     {
         auto h = make_play();
