--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -53,6 +53,16 @@
     return longest;
 }
 
+fault_schedule schedule_of(options const& o, std::uint32_t seed,
+                           milliseconds traffic_ms)
+{
+    if (o.schedule == "lost-sender")
+        return placed_run_lost_with_its_sender();
+    if (o.schedule == "planned-stops")
+        return planned_stops();
+    return draw_schedule(seed, traffic_ms);
+}
+
 /// \throws std::exception if the play cannot run
 play_history play(options const& o, std::uint32_t seed, std::string const& dir)
 {
@@ -76,9 +86,7 @@
     auto const traffic_ms = o.seconds * ms_per_s;
     auto const begin = now_ms();
     callers.start();
-    faults.play(o.schedule == "random" ? draw_schedule(seed, traffic_ms)
-                                       : placed_run_lost_with_its_sender(),
-                begin);
+    faults.play(schedule_of(o, seed, traffic_ms), begin);
     review::sleep_ms(begin + traffic_ms - now_ms());
     callers.stop();
     play_history h;
@@ -156,8 +164,9 @@
     app.add_option("--gangs-per-hundred", o.gangs_per_hundred,
                    "of the jobs of several tasks")
         ->check(CLI::Range(0, 100));
-    app.add_option("--schedule", o.schedule, "random, or lost-sender")
-        ->check(CLI::IsMember({"random", "lost-sender"}));
+    app.add_option("--schedule", o.schedule,
+                   "random, lost-sender or planned-stops")
+        ->check(CLI::IsMember({"random", "lost-sender", "planned-stops"}));
     app.add_option("--program", o.program,
                    "program of the entry VMs, if not that of the deploy file")
         ->check(CLI::ExistingFile);
--- a/tests/soak/schedule.cpp
+++ b/tests/soak/schedule.cpp
@@ -87,4 +87,19 @@
             {store_refuses, 13'100, 2'000, 0}};
 }
 
+fault_schedule planned_stops()
+{
+    constexpr milliseconds interval_ms = 1'700;
+    constexpr milliseconds pause_ms = 500; ///< until the VM is started again
+    constexpr std::uint32_t stops = 8;
+    fault_schedule out;
+    for (std::uint32_t i = 0; i < stops; ++i)
+    {
+        auto const at = first_fault_ms + i * interval_ms;
+        out.push_back({fault_kind::vm_stopped, at, pause_ms, i});
+        out.push_back({fault_kind::vm_reloaded, at + pause_ms, 0, i + 2});
+    }
+    return out;
+}
+
 } // namespace jasminetrack::soak
--- a/tests/soak/schedule.hpp
+++ b/tests/soak/schedule.hpp
@@ -65,4 +65,8 @@
 /// away, which refuses once more after its return.
 [[nodiscard]] fault_schedule placed_run_lost_with_its_sender();
 
+/// \returns planned stops and reloads that overlap, and no other fault, so
+/// that each request that is cut off counts.
+[[nodiscard]] fault_schedule planned_stops();
+
 } // namespace jasminetrack::soak
