--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -39,6 +39,7 @@
     int workers = 8;
     double share = 0.25;
     double jobs_per_second = 18;
+    int gangs_per_hundred = 0;
     std::string schedule = "random";
     std::string program;
     std::string keep;
@@ -52,6 +53,16 @@
     return longest;
 }
 
+fault_schedule schedule_of(options const& o, std::uint32_t seed,
+                           milliseconds traffic_ms)
+{
+    if (o.schedule == "lost-sender")
+        return placed_run_lost_with_its_sender();
+    if (o.schedule == "planned-stops")
+        return planned_stops();
+    return draw_schedule(seed, traffic_ms);
+}
+
 /// \throws std::exception if the play cannot run
 play_history play(options const& o, std::uint32_t seed, std::string const& dir)
 {
@@ -70,13 +81,12 @@
     traffic_plan plan;
     plan.seed = seed;
     plan.jobs_per_second = o.jobs_per_second;
+    plan.gangs_per_hundred = o.gangs_per_hundred;
     traffic callers(plan, c, log);
     auto const traffic_ms = o.seconds * ms_per_s;
     auto const begin = now_ms();
     callers.start();
-    faults.play(o.schedule == "random" ? draw_schedule(seed, traffic_ms)
-                                       : placed_run_lost_with_its_sender(),
-                begin);
+    faults.play(schedule_of(o, seed, traffic_ms), begin);
     review::sleep_ms(begin + traffic_ms - now_ms());
     callers.stop();
     play_history h;
@@ -89,6 +99,22 @@
     return h;
 }
 
+/// The same; a message of failure names the folder, which is kept.
+play_history play_in(options const& o, std::uint32_t seed,
+                     std::string const& dir)
+{
+    try
+    {
+        return play(o, seed, dir);
+    }
+    catch (std::exception const& e)
+    {
+        throw std::runtime_error(std::string(e.what()) +
+                                 "; records and logs: " + dir);
+    }
+}
+
+/// Keeps records and logs of a play that broke a promise.
 /// \returns whether all promises were kept.
 bool play_seed(options const& o, std::uint32_t seed)
 {
@@ -98,7 +124,7 @@
     auto const dir = root / ("soak-" + std::to_string(::getpid()) + "-" +
                              std::to_string(seed));
     fs::create_directories(dir);
-    auto const h = play(o, seed, dir.string());
+    auto const h = play_in(o, seed, dir.string());
     auto const found = check_all(h);
     std::cout << "seed " << seed << ": " << h.jobs.size() << " jobs, "
               << h.runs.size() << " runs, " << h.troubles.size()
@@ -107,9 +133,11 @@
               << " findings\n";
     for (std::size_t i = 0; i < std::min(found.size(), max_printed); ++i)
         std::cout << "  " << found[i].check << ": " << found[i].text << "\n";
-    std::cout << std::flush;
-    if (o.keep.empty())
+    if (found.empty() && o.keep.empty())
         fs::remove_all(dir);
+    else
+        std::cout << "  records and logs: " << dir.string() << "\n";
+    std::cout << std::flush;
     return found.empty();
 }
 
@@ -133,12 +161,17 @@
         ->check(CLI::Range(0.05, 1.0));
     app.add_option("--jobs-per-second", o.jobs_per_second, "of all callers")
         ->check(CLI::Range(0.5, 100.0));
-    app.add_option("--schedule", o.schedule, "random, or lost-sender")
-        ->check(CLI::IsMember({"random", "lost-sender"}));
+    app.add_option("--gangs-per-hundred", o.gangs_per_hundred,
+                   "of the jobs of several tasks")
+        ->check(CLI::Range(0, 100));
+    app.add_option("--schedule", o.schedule,
+                   "random, lost-sender or planned-stops")
+        ->check(CLI::IsMember({"random", "lost-sender", "planned-stops"}));
     app.add_option("--program", o.program,
                    "program of the entry VMs, if not that of the deploy file")
         ->check(CLI::ExistingFile);
-    app.add_option("--keep", o.keep, "folder that keeps records and logs");
+    app.add_option("--keep", o.keep,
+                   "folder that keeps records and logs of all plays");
     CLI11_PARSE(app, argc, argv);
 
     bool all_kept = true;
--- a/tests/soak/traffic.cpp
+++ b/tests/soak/traffic.cpp
@@ -42,19 +42,18 @@
            status == status_unavailable;
 }
 
-std::string steps_of(job_history const& j)
+std::string path_of(job_history const& j)
 {
-    json const step{{"count", j.tasks},
-                    {"cpu", 1'000},
-                    {"mem_mb", 256},
-                    {"checkpointing", true},
-                    {"est_runtime_ms", std::stoll(j.spec)}};
-    return json::array({step}).dump();
+    return (j.urgent ? review::urgent_prefix : review::batch_prefix) + j.id;
 }
 
-std::string path_of(job_history const& j)
+/// \returns whether the job's end is still to be asked for. A state that was
+/// read before an attempt without an answer has to be read again.
+bool is_open(job_history const& j)
 {
-    return (j.urgent ? review::urgent_prefix : review::batch_prefix) + j.id;
+    if (j.accepted_at < 0 || j.cancel_sent_at >= 0)
+        return false;
+    return j.last_status != status_ok || j.last_state != "completed";
 }
 
 request_end to_request_end(review::call_end e)
@@ -168,6 +167,16 @@
         return {r.status, answer.response.body};
     }
 
+    /// Makes a gang of some jobs of several tasks.
+    void make_gang(job_history& j, std::uint32_t task_ms)
+    {
+        j.is_gang = j.tasks > 1 && static_cast<int>(below(hundred)) <
+                                       all_.plan_.gangs_per_hundred;
+        if (j.is_gang)
+            j.spec = std::to_string(task_ms) + " gang " +
+                     std::to_string(j.tasks) + " of " + j.id;
+    }
+
     job_history make_job()
     {
         job_history j;
@@ -177,6 +186,8 @@
         j.tasks = 1 + static_cast<int>(below(max_tasks));
         j.urgent =
             static_cast<int>(below(hundred)) < all_.plan_.urgent_per_hundred;
+        if (all_.plan_.gangs_per_hundred > 0)
+            make_gang(j, task_ms);
         return j;
     }
 
@@ -189,7 +200,8 @@
         auto const index = all_.add(j);
         auto const body = json{{"spec", j.spec}}.dump();
         auto const text =
-            body.substr(0, body.size() - 1) + ",\"steps\":" + steps_of(j) + "}";
+            body.substr(0, body.size() - 1) + ",\"steps\":" +
+            review::one_step(j.tasks, std::stoll(j.spec), j.is_gang) + "}";
         bool is_unknown = false;
         for (int i = 0; i < max_attempts && !all_.stopping_; ++i)
         {
@@ -294,8 +306,7 @@
         std::size_t open = 0;
         for (std::size_t i = 0; i < list.size(); ++i)
         {
-            if (list[i].accepted_at < 0 || list[i].cancel_sent_at >= 0 ||
-                list[i].last_state == "completed")
+            if (!is_open(list[i]))
                 continue;
             c.ask(i, list[i]);
             ++open;
