A stopping server ends its connections on its I/O thread

Cause: http_server::drain() decided on the thread of its caller that 200 ms had passed without an open request. The I/O thread went on reading until the process ended, so it could read a whole request that was then never answered, while the process logged all_answered=yes. A request of which less than a head had arrived counted as none: its connection was closed after 200 ms. Idle connections were reset or closed at the exit.

What callers saw: a connection that ended without an answer after the process had read the request (LOST).

Change: after 200 ms without an open request, a step on the I/O thread accepts what waits in the kernel's queue. If there was something, it is given its time. Otherwise the listener is closed and each connection without input is half-closed once its cancelled read is known to have read nothing. Connections with input are served. The drain ends when all are answered and half-closed, and 200 ms later for the last answers. Nothing is read after that. A work guard keeps the I/O thread when nothing is left to wait for.

A stop takes 200 ms longer.

Not covered: a request sent to a half-closed connection is not read and gets no answer; its caller has been told the end before.

--- a/packages/daemon/src/run_entry.cpp
+++ b/packages/daemon/src/run_entry.cpp
@@ -84,8 +84,7 @@
     write_log(log_level::info, "stop.done",
               {{"all_answered", answered ? "yes" : "no"}});
     runtime::close_log();
-    // Destructors are skipped: the process holds nothing that must be saved,
-    // and callers on open connections are answered to the last moment.
+    // Destructors are skipped: the process holds nothing that must be saved.
     std::_Exit(answered ? 0 : exit_unclean_stop);
 }
 
--- a/packages/runtime/include/jasminetrack/runtime/http_server.hpp
+++ b/packages/runtime/include/jasminetrack/runtime/http_server.hpp
@@ -44,8 +44,9 @@
     /// Starts to listen.
     /// \returns false and sets `reason` if it cannot listen on the address.
     [[nodiscard]] bool start(std::string& reason);
-    /// Accepts no new connections and waits until all requests are answered.
-    /// Requests on open connections are still handled.
+    /// Accepts no new connections and waits until all requests are answered,
+    /// those that arrive meanwhile and those that are read in part included.
+    /// Then half-closes all connections; nothing is read from them any more.
     /// \returns false if requests are left after `drain_ms`.
     bool drain(std::int64_t drain_ms);
     /// Drains the server, then closes it.
--- a/packages/runtime/src/http_connection.cpp
+++ b/packages/runtime/src/http_connection.cpp
@@ -20,6 +20,8 @@
 using std::chrono::seconds;
 
 constexpr seconds idle_timeout{120}; ///< between two requests
+/// The same while connections are ended.
+constexpr std::chrono::milliseconds last_request_timeout{200};
 constexpr seconds read_timeout{10};  ///< for a head, and for a body
 constexpr seconds write_timeout{10}; ///< for a response
 constexpr seconds discard_timeout{2};
@@ -134,6 +136,18 @@
         auto const connection = busy.front();
         connection->close();
     }
+    while (!ended.empty())
+    {
+        auto const connection = ended.front();
+        connection->close();
+    }
+}
+
+void connection_registry::end_idle()
+{
+    ending = true;
+    for (auto const& connection : waiting)
+        connection->end_if_idle();
 }
 
 void connection_registry::limit_buffered_bytes()
@@ -182,14 +196,19 @@
         read_header();
         return;
     }
-    stream_.expires_after(idle_timeout);
+    idle_ = true;
+    if (registry_.ending)
+        stream_.expires_after(last_request_timeout);
+    else
+        stream_.expires_after(idle_timeout);
     stream_.async_read_some(
         buffer_.prepare(first_read_bytes),
         [self = shared_from_this()](error_code code, std::size_t size)
         {
+            self->idle_ = false;
             if (code)
             {
-                self->close();
+                self->on_no_request(code);
                 return;
             }
             self->buffer_.commit(size);
@@ -197,6 +216,39 @@
         });
 }
 
+void http_connection::on_no_request(error_code code)
+{
+    if (list_ == nullptr)
+        return;
+    if (!registry_.ending || code != boost::asio::error::operation_aborted)
+    {
+        close();
+        return;
+    }
+    error_code ignored;
+    if (stream_.socket().available(ignored) > 0)
+        wait_for_request();
+    else
+        end();
+}
+
+void http_connection::end_if_idle()
+{
+    if (idle_)
+        stream_.cancel();
+}
+
+/// Input that arrives later is not read; closed at once, the connection would
+/// answer it with a reset, which may hide the end from the peer.
+void http_connection::end()
+{
+    error_code ignored;
+    stream_.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send,
+                              ignored);
+    stream_.expires_never();
+    move_to(registry_.ended);
+}
+
 void http_connection::read_header()
 {
     parser_.emplace();
--- a/packages/runtime/src/http_connection.hpp
+++ b/packages/runtime/src/http_connection.hpp
@@ -32,6 +32,8 @@
     server_limits limits;
     connection_list waiting; ///< for their peers, the longest first
     connection_list busy;    ///< with a request that is handled or answered
+    connection_list ended;   ///< half-closed; nothing more is read from them
+    bool ending = false;     ///< connections without a request are half-closed
     std::int64_t buffered_bytes = 0;      ///< of all bodies that are held
     std::atomic<std::int64_t> running{0}; ///< requests that were passed on
 
@@ -44,12 +46,20 @@
 
     [[nodiscard]] std::size_t size() const noexcept
     {
-        return waiting.size() + busy.size();
+        return waiting.size() + busy.size() + ended.size();
     }
     /// Closes the connection that has waited longest for its peer.
     /// \returns false if none waits.
     bool close_longest_waiting();
     void close_all();
+    /// Half-closes the connections on which no request has begun, and from now
+    /// on each further one after its last response.
+    void end_idle();
+    /// \returns true if no request can be read any more and all are answered.
+    [[nodiscard]] bool all_ended() const noexcept
+    {
+        return ending && waiting.empty() && busy.empty();
+    }
     /// Closes connections whose body is incomplete, the oldest first, until the
     /// bodies that are held are within limits.buffered_bytes.
     void limit_buffered_bytes();
@@ -66,6 +76,8 @@
     /// Writes the response to the current request.
     void respond(http_response response);
     void close();
+    /// Half-closes the connection unless a request has begun on it.
+    void end_if_idle();
     [[nodiscard]] std::int64_t body_size() const noexcept
     {
         return body_size_;
@@ -77,6 +89,9 @@
         boost::beast::http::request_parser<boost::beast::http::string_body>;
 
     void wait_for_request();
+    /// Called if the wait for a request ended without input.
+    void on_no_request(error_code code);
+    void end();
     void read_header();
     void on_header(error_code code);
     void on_malformed_header(error_code code);
@@ -106,6 +121,7 @@
         response_;
     std::int64_t body_size_ = 0; ///< counted in the registry
     std::int64_t discarded_bytes_ = 0;
+    bool idle_ = false;         ///< no byte of the next request was read
     bool request_open_ = false; ///< its head was read, no response written
     bool running_ = false;      ///< it counts in the registry
     bool keep_alive_ = false;
--- a/packages/runtime/src/http_server.cpp
+++ b/packages/runtime/src/http_server.cpp
@@ -5,6 +5,7 @@
 
 #include <jasminetrack/runtime/logging.hpp>
 
+#include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -16,6 +17,8 @@
 #include <atomic>
 #include <chrono>
 #include <condition_variable>
+#include <functional>
+#include <future>
 #include <mutex>
 #include <thread>
 
@@ -33,6 +36,10 @@
 constexpr std::chrono::milliseconds reply_flush_time{200};
 /// Until the next attempt after a connection could not be accepted.
 constexpr std::chrono::milliseconds accept_retry_interval{50};
+/// Between two looks at the connections that are being ended.
+constexpr std::chrono::milliseconds ending_check_interval{5};
+
+using steady_clock = std::chrono::steady_clock;
 
 tcp::endpoint endpoint_of(std::string const& address)
 {
@@ -67,6 +74,7 @@
         acceptor.set_option(tcp::acceptor::reuse_address(true));
         acceptor.bind(endpoint);
         acceptor.listen();
+        acceptor.non_blocking(true);
         accept();
         thread = std::thread([this] { run_io(); });
     }
@@ -90,15 +98,14 @@
         acceptor.async_accept(
             [this](boost::system::error_code code, tcp::socket socket)
             {
+                if (!code)
+                    add_connection(std::move(socket));
                 if (!acceptor.is_open())
                     return;
                 if (code)
-                {
                     retry_accept();
-                    return;
-                }
-                accept();
-                add_connection(std::move(socket));
+                else
+                    accept();
             });
     }
 
@@ -157,14 +164,75 @@
         return response;
     }
 
+    /// \returns the result of `step`, which runs on the I/O thread; false if
+    /// it has not run in time.
+    bool run_on_io_thread(steady_clock::time_point until,
+                          std::function<bool()> step)
+    {
+        auto const task =
+            std::make_shared<std::packaged_task<bool()>>(std::move(step));
+        auto done = task->get_future();
+        boost::asio::post(context, [task] { (*task)(); });
+        return done.wait_until(until) == std::future_status::ready &&
+               done.get();
+    }
+
+    /// Waits until all requests are answered and no more can be read.
+    bool end_connections(steady_clock::time_point until)
+    {
+        auto const end_idle = [this] { return end_idle_connections(); };
+        do
+        {
+            if (!wait_until_idle(until))
+                return false;
+        } while (!run_on_io_thread(until, end_idle));
+        auto const all_ended = [this] { return registry.all_ended(); };
+        while (!run_on_io_thread(until, all_ended))
+        {
+            if (steady_clock::now() >= until)
+                return false;
+            std::this_thread::sleep_for(ending_check_interval);
+        }
+        std::this_thread::sleep_for(reply_flush_time);
+        return true;
+    }
+
+    /// Runs on the I/O thread.
+    /// \returns false if there were new connections, whose callers have had no
+    /// time to send a request.
+    bool end_idle_connections()
+    {
+        if (accept_queued() > 0)
+            return false;
+        boost::system::error_code ignored;
+        acceptor.close(ignored);
+        accept_timer.cancel();
+        registry.end_idle();
+        return true;
+    }
+
+    /// Accepts the connections that wait in the queue of the kernel.
+    /// \returns their number.
+    int accept_queued()
+    {
+        int accepted = 0;
+        while (true)
+        {
+            boost::system::error_code code;
+            auto socket = acceptor.accept(code);
+            if (code)
+                return accepted;
+            ++accepted;
+            add_connection(std::move(socket));
+        }
+    }
+
     /// Waits until no request was open for `reply_flush_time`, because an
     /// accepted connection may hold a request that is not read yet.
-    bool wait_until_idle(std::int64_t drain_ms)
+    bool wait_until_idle(steady_clock::time_point until)
     {
-        using clock = std::chrono::steady_clock;
         std::unique_lock<std::mutex> lock(mutex);
-        auto const until = clock::now() + std::chrono::milliseconds(drain_ms);
-        while (clock::now() < until)
+        while (steady_clock::now() < until)
         {
             if (!idle.wait_until(lock, until,
                                  [&] { return open_requests == 0; }))
@@ -220,6 +288,9 @@
     std::atomic<bool> closing{false};
     bool open = false;
     boost::asio::io_context context{1};
+    /// Keeps the I/O thread when no connection is left to wait for.
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
+        work{context.get_executor()};
     tcp::acceptor acceptor{context};
     boost::asio::steady_timer accept_timer{context};
     boost::asio::thread_pool pool;
@@ -264,7 +335,8 @@
     if (drain_ms <= 0)
         return false;
     (void)detail::drop_new_connections(impl_->acceptor.native_handle());
-    return impl_->wait_until_idle(drain_ms);
+    return impl_->end_connections(steady_clock::now() +
+                                  std::chrono::milliseconds(drain_ms));
 }
 
 bool http_server::stop(std::int64_t drain_ms)
--- a/tests/process/raw_connection.cpp
+++ b/tests/process/raw_connection.cpp
@@ -81,4 +81,33 @@
     return status;
 }
 
+bool raw_connection::read_response()
+{
+    static std::string const length_field = "Content-Length: ";
+    static std::string const head_end = "\r\n\r\n";
+    auto data = read_until(head_end);
+    auto const body = data.find(head_end);
+    auto const length = data.find(length_field);
+    if (body == std::string::npos || length == std::string::npos)
+        return false;
+    auto const size = body + head_end.size() +
+                      std::stoul(data.substr(length + length_field.size()));
+    std::array<char, 4096> piece{};
+    while (data.size() < size)
+    {
+        auto const n =
+            ::recv(socket_.native_handle(), piece.data(), piece.size(), 0);
+        if (n <= 0)
+            return false;
+        data.append(piece.data(), static_cast<std::size_t>(n));
+    }
+    return true;
+}
+
+bool raw_connection::read_end()
+{
+    char byte = 0;
+    return ::recv(socket_.native_handle(), &byte, 1, 0) == 0;
+}
+
 } // namespace process_tests
--- a/tests/process/raw_connection.hpp
+++ b/tests/process/raw_connection.hpp
@@ -30,6 +30,12 @@
     /// \returns the status; 0 if the peer closed the connection without one,
     /// -1 after the time limit.
     int read_status();
+    /// Reads a response with a Content-Length.
+    /// \returns false if the connection ended or the time was over before.
+    bool read_response();
+    /// \returns true if the peer has ended the connection without a reset, and
+    /// has sent nothing that was not read before.
+    bool read_end();
 
 private:
     boost::asio::io_context context_;
