Nothing is started from an old view of the jobs

Cause: after its take-over, a dispatcher's view of the jobs had no limit of age. Its reads of the jobs can fail or stay silent while its appends to the topic of work go on and keep its role.

Evidence: test_old_views::a_dispatcher_that_cannot_read_the_jobs_starts_nothing failed before ("no further start": the second step was started over 3 s after the cancellation).

Change: the dispatcher is told when the jobs were last read to their end, behind the entries of that read.

--- a/packages/entry/include/jasminetrack/entry/dispatch_loop.hpp
+++ b/packages/entry/include/jasminetrack/entry/dispatch_loop.hpp
@@ -79,6 +79,8 @@
     /// dispatcher decides nothing before.
     void read_jobs();
     void on_jobs_read(std::int64_t epoch, bool reached);
+    /// Tells the dispatcher up to when it knows the jobs.
+    void post_jobs_currency();
     /// Hands the role on if the jobs cannot be read here.
     void check_jobs_read(milliseconds now);
     void step_down(std::string const& why);
--- a/packages/entry/include/jasminetrack/entry/topic_follower.hpp
+++ b/packages/entry/include/jasminetrack/entry/topic_follower.hpp
@@ -64,6 +64,9 @@
     [[nodiscard]] bool read_to_end(milliseconds limit_ms);
     /// \returns whether the topic was read to its end in the last `age_ms`.
     [[nodiscard]] bool was_at_end_within(milliseconds age_ms) const;
+    /// \returns when the topic was last read to its end. All entries up to
+    ///          there were passed to the listener before. Nothing: not yet.
+    [[nodiscard]] std::optional<milliseconds> last_end() const;
     /// \returns the offset of the next entry to read.
     [[nodiscard]] std::int64_t next_offset() const;
     /// Stops or resumes reading; the topic is reloaded on resume.
--- a/packages/entry/src/dispatch_loop.cpp
+++ b/packages/entry/src/dispatch_loop.cpp
@@ -176,6 +176,8 @@
         append_if_due(now);
     if (dispatcher_)
         check_jobs_read(now);
+    if (dispatcher_)
+        post_jobs_currency();
 }
 
 void dispatch_loop::log_decision(tasks::decision const& d)
--- a/packages/entry/src/dispatch_loop_takeover.cpp
+++ b/packages/entry/src/dispatch_loop_takeover.cpp
@@ -101,6 +101,20 @@
         read_jobs();
 }
 
+/// Posted work runs after that of the entries which were read before.
+void dispatch_loop::post_jobs_currency()
+{
+    auto const read_at = jobs_follower_.last_end();
+    if (!read_at)
+        return;
+    post(
+        [this, epoch = epoch_, read_at]
+        {
+            if (dispatcher_ && epoch == epoch_)
+                dispatcher_->on_jobs_current(monotonic_ms(), *read_at);
+        });
+}
+
 void dispatch_loop::forward_job(std::string const& id)
 {
     auto const view = table_.find(id);
--- a/packages/entry/src/topic_follower.cpp
+++ b/packages/entry/src/topic_follower.cpp
@@ -255,6 +255,12 @@
     return at_end_ms_ >= 0 && monotonic_ms() - at_end_ms_ <= age_ms;
 }
 
+std::optional<milliseconds> topic_follower::last_end() const
+{
+    std::lock_guard<std::mutex> const lock(mutex_);
+    return at_end_ms_ < 0 ? std::nullopt : std::optional(at_end_ms_);
+}
+
 std::int64_t topic_follower::next_offset() const
 {
     std::lock_guard<std::mutex> const delivery(delivery_mutex_);
--- a/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -98,6 +98,9 @@
     /// Every job that earlier dispatchers may have started was added, if it has
     /// not ended.
     void on_jobs_read(milliseconds now);
+    /// All jobs and cancellations that the log held at `read_at` were passed
+    /// on. After the first call, nothing is started without a recent read.
+    void on_jobs_current(milliseconds now, milliseconds read_at);
     void set_configuration(configuration const& c);
     /// Adds a job. A job that this dispatcher has already finished is ignored,
     /// as the progress that was read may be older than its final record.
@@ -312,6 +315,9 @@
                         std::size_t index, milliseconds clock_ms);
     void start_failed(milliseconds now, unit_ref const& ref, std::size_t index,
                       call_result result);
+    /// \returns whether no job can have been cancelled for so long that
+    /// nothing of it may be started.
+    [[nodiscard]] bool knows_cancellations(milliseconds now) const noexcept;
     [[nodiscard]] bool can_start(milliseconds now, unit_ref const& ref,
                                  active_run const& a) const;
     void release_member(milliseconds now, unit_ref const& ref,
@@ -498,7 +504,10 @@
     listener listen_;
     bool deposed_ = false;
     bool jobs_read_ = true; ///< false: await_jobs() was called
-    bool changed_ = true;   ///< an input of placement since the last pass
+    /// Time of the newest read of the jobs; nothing: on_jobs_current() was not
+    /// called yet.
+    std::optional<milliseconds> jobs_current_at_;
+    bool changed_ = true; ///< an input of placement since the last pass
     /// The configuration is new: some jobs may have no attempts left.
     bool attempts_changed_ = false;
     milliseconds scheduled_at_ = 0;
--- a/packages/tasks/src/dispatcher_candidates.cpp
+++ b/packages/tasks/src/dispatcher_candidates.cpp
@@ -165,9 +165,9 @@
 
 bool dispatcher::may_start_on(milliseconds now, worker_view const& w) const
 {
-    return list_currency_.is_current(now) && w.accepts_starts(now) &&
-           !w.runs_unknown_task && !w.hosts_isolated_run() &&
-           cleared_workers_.count(w.info.id) == 0;
+    return knows_cancellations(now) && list_currency_.is_current(now) &&
+           w.accepts_starts(now) && !w.runs_unknown_task &&
+           !w.hosts_isolated_run() && cleared_workers_.count(w.info.id) == 0;
 }
 
 void dispatcher::update_candidate(milliseconds now, worker_view const& w,
--- a/packages/tasks/src/dispatcher_starts.cpp
+++ b/packages/tasks/src/dispatcher_starts.cpp
@@ -19,6 +19,9 @@
 /// An answer to a renewal arrives at most this long after the worker gave it.
 constexpr milliseconds max_answer_delay_ms = 5'000;
 constexpr milliseconds refused_quarantine_ms = 2'000;
+/// A task may be started for 3 s after the cancellation of its job. An answer
+/// to a read can be 0.6 s old, and a start takes up to 0.3 s to its worker.
+constexpr milliseconds max_jobs_age_ms = 2'100;
 
 } // namespace
 
@@ -81,10 +84,25 @@
     return racks.size();
 }
 
+void dispatcher::on_jobs_current(milliseconds now, milliseconds read_at)
+{
+    bool const was_current = knows_cancellations(now);
+    jobs_current_at_ = read_at;
+    if (was_current || !knows_cancellations(now))
+        return;
+    changed_ = true;
+    log_decision("jobs.current", "", "");
+}
+
+bool dispatcher::knows_cancellations(milliseconds now) const noexcept
+{
+    return !jobs_current_at_ || now - *jobs_current_at_ <= max_jobs_age_ms;
+}
+
 bool dispatcher::can_start(milliseconds now, unit_ref const& ref,
                            active_run const& a) const
 {
-    if (!list_currency_.is_current(now) ||
+    if (!knows_cancellations(now) || !list_currency_.is_current(now) ||
         grantable_lease(now) < start_window_ms)
         return false;
     auto const* q = queue_of(jobs_.at(ref.job));
--- a/tests/unit/test_old_views.cpp
+++ b/tests/unit/test_old_views.cpp
@@ -91,6 +91,39 @@
     expect(r.headers.count("Retry-After") == 1, what + " says when to return");
 }
 
+/// \returns the value of a gauge without labels.
+int gauge_of(entry::entry_node const& node, std::string const& name)
+{
+    auto const line = "\n" + name + " ";
+    auto const text = node.metrics();
+    auto const at = text.find(line);
+    expect(at != std::string::npos, name + " is a gauge");
+    return std::stoi(text.substr(at + line.size()));
+}
+
+bool is_dispatcher(entry::entry_node const& node)
+{
+    return gauge_of(node, "jasminetrack_dispatcher") != 0;
+}
+
+int stops_of(entry::entry_node const& node)
+{
+    return gauge_of(node, "jasminetrack_stops_total");
+}
+
+int starts_of(entry_cluster const& cluster, std::string const& job)
+{
+    int sum = 0;
+    for (auto const& [task, count] : cluster.workers.starts())
+        sum += task.job == job ? count : 0;
+    return sum;
+}
+
+void wait(milliseconds duration)
+{
+    std::this_thread::sleep_for(std::chrono::milliseconds(duration));
+}
+
 class test_old_views : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(test_old_views);
@@ -99,6 +132,8 @@
     CPPUNIT_TEST(an_old_count_is_not_given);
     CPPUNIT_TEST(an_old_configuration_denies_nothing);
     CPPUNIT_TEST(a_cancelled_job_that_is_stored_late_does_not_run);
+    CPPUNIT_TEST(a_dispatcher_that_cannot_read_the_jobs_starts_nothing);
+    CPPUNIT_TEST(a_cancellation_that_was_not_read_stops_tasks_afterwards);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -176,6 +211,73 @@
                 });
     }
 
+    /// Guards against starts for a job whose cancellation was acknowledged by
+    /// another node (UNASKED, issue 50): the dispatcher cannot read the jobs,
+    /// but holds its role.
+    void a_dispatcher_that_cannot_read_the_jobs_starts_nothing()
+    {
+        constexpr milliseconds run_ms = 4'000;
+        entry_cluster c(0, run_ms);
+        auto& path = c.add_silent_node("dispatcher");
+        expect(c.wait_until([&] { return is_dispatcher(*c.nodes[0]); }),
+               "it dispatches");
+        c.add_silent_node("other");
+        expect(c.wait_until([&] { return c.nodes[1]->is_ready(); }),
+               "the other node is ready");
+        expect(c.submit(job_id), "accepted");
+        expect(c.wait_until([&] { return starts_of(c, job_id) == 3; }),
+               "the first step runs");
+        path.set_silence(entry::topic::jobs, silence::all_reads);
+        expect(c.nodes[1]->requests().cancel({"team", 3'000}, job_id) ==
+                   entry::cancel_result::cancelled,
+               "cancelled at the other node");
+        section("the second step is not started",
+                [&]
+                {
+                    wait(run_ms + 1'500);
+                    expect(is_dispatcher(*c.nodes[0]), "it holds the role");
+                    expect(starts_of(c, job_id) == 3, "no further start");
+                });
+        section("a job that was not cancelled goes on afterwards",
+                [&]
+                {
+                    path.set_silence(silence::none);
+                    expect(c.wait_until([&] { return c.submit("next"); }),
+                           "accepted once its appends are direct again");
+                    expect(
+                        c.wait_until([&] { return starts_of(c, "next") == 3; }),
+                        "started");
+                    expect(starts_of(c, job_id) == 3, "no further start");
+                });
+    }
+
+    /// Guards against tasks of a cancelled job that run on (UNASKED).
+    void a_cancellation_that_was_not_read_stops_tasks_afterwards()
+    {
+        constexpr milliseconds run_ms = 60'000;
+        entry_cluster c(0, run_ms);
+        auto& path = c.add_silent_node("dispatcher");
+        expect(c.wait_until([&] { return is_dispatcher(*c.nodes[0]); }),
+               "it dispatches");
+        c.add_silent_node("other");
+        expect(c.wait_until([&] { return c.nodes[1]->is_ready(); }),
+               "the other node is ready");
+        expect(c.submit(job_id) &&
+                   c.wait_until([&] { return starts_of(c, job_id) == 3; }),
+               "the first step runs");
+        path.set_silence(entry::topic::jobs, silence::all_reads);
+        expect(c.nodes[1]->requests().cancel({"team", 3'000}, job_id) ==
+                   entry::cancel_result::cancelled,
+               "cancelled at the other node");
+        wait(2'600);
+        expect(stops_of(*c.nodes[0]) == 0, "not known yet");
+        auto const back = runtime::monotonic_ms();
+        path.set_silence(silence::none);
+        expect(c.wait_until([&] { return stops_of(*c.nodes[0]) >= 3; }),
+               "the tasks are stopped");
+        expect(runtime::monotonic_ms() - back < 1'000, "soon");
+    }
+
     void an_old_count_is_not_given()
     {
         half_cut_cluster c;
