The first of two submissions of a job applies on every node

Cause: a node kept its own submission in its view as soon as the log had stored it, and ignored an earlier record of the same job that it read later. A dispatcher among the two nodes started the tasks of the second body.

Workers saw: starts that the first submission did not ask for (UNASKED).

Evidence: test_old_views::the_first_of_two_submissions_applies_on_every_node failed before ("one task was started").

Change: the view keeps the offset of the record that applies; one with a lower offset replaces it. A node's own record has none until it is read, and is not passed to the dispatcher before.

Left: after a load of the newest record of each key, the last submission applies.

--- a/packages/entry/include/jasminetrack/entry/job_table.hpp
+++ b/packages/entry/include/jasminetrack/entry/job_table.hpp
@@ -6,6 +6,7 @@
 #include <jasminetrack/entry/ports.hpp>
 #include <jasminetrack/tasks/progress.hpp>
 
+#include <limits>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -14,10 +15,15 @@
 namespace jasminetrack::entry
 {
 
+/// Offset of an own record that is stored and was not read yet.
+inline constexpr std::int64_t unread_offset =
+    std::numeric_limits<std::int64_t>::max();
+
 /// State of one job as far as the log was read.
 struct job_view
 {
     std::shared_ptr<tasks::accepted_job const> job; ///< null: not read yet
+    std::int64_t job_offset = unread_offset;        ///< of the job's record
     bool cancelled = false;
     tasks::progress_summary summary;
     std::string progress; ///< newest progress record, encoded; empty: none
@@ -39,7 +45,8 @@
     /// \returns the ids of the jobs that have not ended.
     [[nodiscard]] std::vector<std::string> unfinished() const;
 
-    /// Applies an entry of the topic of jobs: a job or a cancellation.
+    /// Applies an entry of the topic of jobs: a job or a cancellation. Of
+    /// several entries of a job, the first in the log applies.
     /// \returns the job's id if its state may have changed.
     std::optional<std::string> apply_job(log_entry const& e);
     /// Applies an entry of the topic of work. An entry before the newest one
--- a/packages/entry/src/dispatch_loop_takeover.cpp
+++ b/packages/entry/src/dispatch_loop_takeover.cpp
@@ -119,6 +119,7 @@
 {
     auto const view = table_.find(id);
     if (!dispatcher_ || reading_jobs_since_ms_ >= 0 || !view || !view->job ||
+        view->job_offset == unread_offset ||
         tasks::is_final(view->summary.phase))
         return;
     auto const now = monotonic_ms();
--- a/packages/entry/src/job_requests.cpp
+++ b/packages/entry/src/job_requests.cpp
@@ -116,7 +116,7 @@
     // The caller's next request to this entry VM finds the record even if the
     // topic was not read again.
     if (result == write_result::stored)
-        (void)table_.apply_job({0, record.key, record.value});
+        (void)table_.apply_job({unread_offset, record.key, record.value});
     return result;
 }
 
--- a/packages/entry/src/job_table.cpp
+++ b/packages/entry/src/job_table.cpp
@@ -68,12 +68,13 @@
         return std::nullopt;
     }
     auto& view = jobs_[e.key];
-    if (view.job)
-        return e.key; // a repeated submission; the first one applies
+    if (view.job && e.offset >= view.job_offset)
+        return e.key; // a repeated submission
     auto job = tasks::decode_job(e.value);
     if (!job)
         return std::nullopt;
     view.job = std::make_shared<tasks::accepted_job const>(std::move(*job));
+    view.job_offset = e.offset;
     return e.key;
 }
 
--- a/tests/unit/test_old_views.cpp
+++ b/tests/unit/test_old_views.cpp
@@ -134,6 +134,7 @@
     CPPUNIT_TEST(a_cancelled_job_that_is_stored_late_does_not_run);
     CPPUNIT_TEST(a_dispatcher_that_cannot_read_the_jobs_starts_nothing);
     CPPUNIT_TEST(a_cancellation_that_was_not_read_stops_tasks_afterwards);
+    CPPUNIT_TEST(the_first_of_two_submissions_applies_on_every_node);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -278,6 +279,32 @@
         expect(runtime::monotonic_ms() - back < 1'000, "soon");
     }
 
+    /// Guards against starts of what another submission of the id asked for
+    /// (UNASKED): two nodes accept it before they have read each other's.
+    void the_first_of_two_submissions_applies_on_every_node()
+    {
+        entry_cluster c(0, 400);
+        auto& path = c.add_silent_node("dispatcher");
+        expect(c.wait_until([&] { return is_dispatcher(*c.nodes[0]); }),
+               "it dispatches");
+        c.add_silent_node("other");
+        expect(c.wait_until([&] { return c.nodes[1]->is_ready(); }),
+               "the other node is ready");
+        path.set_silence(entry::topic::jobs, silence::all_reads);
+        auto single_task = two_step_job();
+        single_task.steps.resize(1);
+        single_task.steps[0].count = 1;
+        expect(c.nodes[1]->requests().submit({"team", 3'000}, "batch", job_id,
+                                             single_task) ==
+                   entry::submit_result::accepted,
+               "accepted by the other node");
+        expect(c.wait_until([&] { return c.submit(job_id); }),
+               "accepted by the dispatcher, with more tasks");
+        path.set_silence(silence::none);
+        expect(c.wait_for_completion(job_id), "completed");
+        expect(starts_of(c, job_id) == 1, "one task was started");
+    }
+
     void an_old_count_is_not_given()
     {
         half_cut_cluster c;
