An absent run is sent again as soon as the list of workers allows

Cause: such a run is sent again only from an answer of its worker. The first answer comes before the list of workers is current, so the start is put off until the next one, and that renewal waits at the worker for up to 2 s (renewal_wait_ms; job.begun says known_ms=1795 and 2016).

Ruled out: the list (workers.current came 0.8 and 1.0 s earlier) and room (64 of 64 cores free at that time). Shorter waits of the renewals would do as well, but each is one more look at a worker.

Change: these members are kept, and the next scheduling pass sends their starts under the same conditions as before. A pass follows when the list becomes current or an entry returns.

Result: test_stray_starts::an_absent_run_is_sent_again_once_the_list_is_ current fails before and passes after.

--- a/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -304,6 +304,9 @@
     void send_start(milliseconds now, job_entry& e, unit_ref const& ref,
                     std::size_t index);
     bool resend_start(milliseconds now, unit_ref const& ref, std::size_t index);
+    /// Sends the starts that had to wait for the list of workers, if it is
+    /// current now. The next answer of the worker may be seconds away.
+    void send_deferred_resends(milliseconds now);
     /// \returns whether the member's worker has not restarted since the member
     /// was placed.
     [[nodiscard]] bool is_on_recorded_process(unit_ref const& ref,
@@ -525,6 +528,9 @@
     std::set<std::string> cleared_workers_; ///< the places of `clearances_`
     /// Units of which a worker has listed an earlier run; it may have ended.
     std::set<unit_ref> stale_units_;
+    /// Members of adopted runs that are absent at their workers and cannot be
+    /// started there yet.
+    std::set<std::pair<unit_ref, std::size_t>> deferred_resends_;
     placement_advice advice_;
     std::map<std::string, urgent_headroom> headroom_; ///< by service
     /// State of the current scheduling pass, by service.
--- a/packages/tasks/src/dispatcher_schedule.cpp
+++ b/packages/tasks/src/dispatcher_schedule.cpp
@@ -29,6 +29,7 @@
     if (std::exchange(attempts_changed_, false))
         for (auto& [id, e] : jobs_)
             update_job_phase(now, e);
+    send_deferred_resends(now);
     process_reservations(now);
     drop_old_clearances(now);
     for (auto& [key, list] : candidates_)
--- a/packages/tasks/src/dispatcher_starts.cpp
+++ b/packages/tasks/src/dispatcher_starts.cpp
@@ -1,6 +1,7 @@
 #include <jasminetrack/tasks/dispatcher.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace jasminetrack::tasks
 {
@@ -184,13 +185,29 @@
         return true; // once those runs have ended
     // A new dispatcher's list of workers is not current yet.
     if (!can_start(now, ref, a))
+    {
+        if (is_adopted)
+            deferred_resends_.emplace(ref, index);
         return is_adopted;
+    }
     note_unanswered(m);
     m.phase = member_phase::unconfirmed;
     send_start(now, *find_job(ref.job), ref, index);
     return true;
 }
 
+void dispatcher::send_deferred_resends(milliseconds now)
+{
+    for (auto const& [ref, index] : std::exchange(deferred_resends_, {}))
+    {
+        auto const at = active_.find(ref);
+        if (at == active_.end() || index >= at->second.members.size() ||
+            at->second.members[index].phase != member_phase::adopted)
+            continue;
+        resend_start(now, ref, index);
+    }
+}
+
 void dispatcher::on_start(milliseconds now, start_reply const& r)
 {
     if (r.result == call_result::fenced)
--- a/tests/unit/test_stray_starts.cpp
+++ b/tests/unit/test_stray_starts.cpp
@@ -33,6 +33,7 @@
     CPPUNIT_TEST(a_failed_run_may_start_again_after_a_restart);
     CPPUNIT_TEST(a_stop_is_forgotten_with_the_process_that_took_it);
     CPPUNIT_TEST(a_successor_sends_a_run_that_is_absent_to_its_worker);
+    CPPUNIT_TEST(an_absent_run_is_sent_again_once_the_list_is_current);
     CPPUNIT_TEST(a_successor_waits_for_starts_of_its_predecessor);
     CPPUNIT_TEST(a_run_that_its_worker_refuses_is_placed_again_at_once);
     CPPUNIT_TEST(a_start_under_way_is_not_sent_again);
@@ -271,6 +272,30 @@
         expect_waits_for_next_process(h, taken_over, 1);
     }
 
+    void an_absent_run_is_sent_again_once_the_list_is_current()
+    {
+        manual_dispatcher h;
+        h.list_readable = false;
+        h.run_for(4 * second_ms);
+        h.add_worker("w1", 1);
+        h.add_worker("w2", 1);
+        h.adopt("a", "w1", 1);
+        h.list_readable = true;
+        h.run_for(1'500);
+        section("not while the list of workers is old",
+                [&] { expect(h.starts.empty(), "no start"); });
+        h.held.insert("w1");
+        h.run_for(second_ms);
+        section("without waiting for the worker's next answer",
+                [&]
+                {
+                    expect(h.starts.size() == 1, "a start");
+                    expect(h.starts[0].worker == "w1" &&
+                               h.starts[0].run.run == 1,
+                           "of the run that was recorded");
+                });
+    }
+
     void a_successor_waits_for_starts_of_its_predecessor()
     {
         manual_dispatcher h;
