--- a/packages/entry/include/jasminetrack/entry/dispatch_loop.hpp
+++ b/packages/entry/include/jasminetrack/entry/dispatch_loop.hpp
@@ -141,7 +141,7 @@
     milliseconds claim_sent_ms_ = 0; ///< newest claim of this node
     /// When the newest record of a dispatcher before that claim was read.
     milliseconds earlier_proof_ms_ = 0;
-    std::int64_t epoch_ = 0;         ///< while leading
+    std::int64_t epoch_ = 0; ///< while leading
     std::int64_t sequence_ = 0;
     /// Since when the dispatcher waits for the jobs; -1: it has them.
     milliseconds reading_jobs_since_ms_ = -1;
