--- a/tests/soak/fault_player.cpp
+++ b/tests/soak/fault_player.cpp
@@ -49,6 +49,7 @@
     &fault_player::delay_starts,
     &fault_player::lapse_entries,
     &fault_player::refuse_store_after_takeover,
+    &fault_player::lose_worker,
 };
 
 fault_player::fault_player(review::cluster& c, dispatcher_watch& watch,
@@ -367,6 +368,16 @@
     end(index);
 }
 
+void fault_player::lose_worker(fault const& f)
+{
+    auto& w = worker_of(f);
+    auto const index = begin(f, "");
+    w.crash();
+    cluster_.unlist(w);
+    w.act_on_calls(review::worker_action::mute);
+    end(index);
+}
+
 void fault_player::delay_starts(fault const& f)
 {
     auto& w = worker_of(f);
--- a/tests/soak/fault_player.hpp
+++ b/tests/soak/fault_player.hpp
@@ -56,6 +56,7 @@
     void delay_starts(fault const& f);
     void lapse_entries(fault const& f);
     void refuse_store_after_takeover(fault const& f);
+    void lose_worker(fault const& f);
 
     void act_on_store(fault const& f, review::store_action action);
     /// Waits until the log stores a placement, whose answer is lost.
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -58,6 +58,8 @@
 {
     if (o.schedule == "lost-sender")
         return placed_run_lost_with_its_sender();
+    if (o.schedule == "worker-lost")
+        return worker_lost_with_dispatcher();
     if (o.schedule == "planned-stops")
         return planned_stops();
     return draw_schedule(seed, traffic_ms);
@@ -165,8 +167,9 @@
                    "of the jobs of several tasks")
         ->check(CLI::Range(0, 100));
     app.add_option("--schedule", o.schedule,
-                   "random, lost-sender or planned-stops")
-        ->check(CLI::IsMember({"random", "lost-sender", "planned-stops"}));
+                   "random, lost-sender, worker-lost or planned-stops")
+        ->check(CLI::IsMember(
+            {"random", "lost-sender", "worker-lost", "planned-stops"}));
     app.add_option("--program", o.program,
                    "program of the entry VMs, if not that of the deploy file")
         ->check(CLI::ExistingFile);
--- a/tests/soak/schedule.cpp
+++ b/tests/soak/schedule.cpp
@@ -43,7 +43,8 @@
              "worker_replaced",
              "starts_delayed",
              "entries_lapse",
-             "store_refuses_after_takeover"};
+             "store_refuses_after_takeover",
+             "worker_lost"};
 
 } // namespace
 
@@ -90,6 +91,12 @@
             {store_refuses_after_takeover, 8'000, 2'000, 0}};
 }
 
+fault_schedule worker_lost_with_dispatcher()
+{
+    using enum fault_kind;
+    return {{worker_lost, 8'000, 0, 0}, {dispatcher_killed, 8'050, 1'000, 0}};
+}
+
 fault_schedule planned_stops()
 {
     constexpr milliseconds interval_ms = 1'700;
--- a/tests/soak/schedule.hpp
+++ b/tests/soak/schedule.hpp
@@ -37,6 +37,7 @@
     starts_delayed,               ///< a worker carries them out late
     entries_lapse,                ///< of some workers, while the store is away
     store_refuses_after_takeover, ///< soon after a VM has taken the role
+    worker_lost,                  ///< for good, with its entry
     count,
 };
 
@@ -66,6 +67,10 @@
 /// away, which refuses once more after its return.
 [[nodiscard]] fault_schedule placed_run_lost_with_its_sender();
 
+/// \returns a worker with runs that is lost for good just before the
+/// dispatcher is killed.
+[[nodiscard]] fault_schedule worker_lost_with_dispatcher();
+
 /// \returns planned stops and reloads that overlap, and no other fault, so
 /// that each request that is cut off counts.
 [[nodiscard]] fault_schedule planned_stops();
