--- a/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -385,6 +385,10 @@
     void process_reservations(milliseconds now);
     void drop_reservation(unit_ref const& ref);
     [[nodiscard]] std::vector<waiting_units> collect_waiting(milliseconds wall);
+    /// Places the unit, or sends the stops that make room for it.
+    void place_or_reclaim(milliseconds now, job_entry& e, unit_ref const& ref,
+                          std::string const& service, unit_need const& need,
+                          reclaim_plan const& plan);
     /// \returns whether the unit may need other workers than the rest of its
     /// step, as earlier runs of it have failed or lost their workers.
     [[nodiscard]] static bool may_need_other_workers(waiting_units const& w,
--- a/packages/tasks/src/dispatcher_schedule.cpp
+++ b/packages/tasks/src/dispatcher_schedule.cpp
@@ -102,19 +102,26 @@
         count_waiting_step(e, &priority_utilization::no_room);
         return false;
     }
-    if (choice->fits_now)
-    {
-        place(now, e, ref, choice->places);
-        deduct_capacity(q->service, choice->places, need.per_task);
-        if (need.isolated)
-            remove_candidates(choice->places);
-        counts_[q->service].held[e.priority] += need.accelerators();
-    }
-    else
+    place_or_reclaim(now, e, ref, q->service, need, *choice);
+    return true;
+}
+
+void dispatcher::place_or_reclaim(milliseconds now, job_entry& e,
+                                  unit_ref const& ref,
+                                  std::string const& service,
+                                  unit_need const& need,
+                                  reclaim_plan const& plan)
+{
+    if (!plan.fits_now)
     {
-        reclaim(now, ref, *choice, need.per_task);
+        reclaim(now, ref, plan, need.per_task);
+        return;
     }
-    return true;
+    place(now, e, ref, plan.places);
+    deduct_capacity(service, plan.places, need.per_task);
+    if (need.isolated)
+        remove_candidates(plan.places);
+    counts_[service].held[e.priority] += need.accelerators();
 }
 
 std::vector<dispatcher::waiting_units>
