The soak's processes inherit no sockets; its ports are not the demo's

Cause, traced: daemons of a soak that had been ended by a signal were still there and held listening sockets of the stand-ins, which they had inherited, and the stand-ins chose ports among the demo's. Now a process gets no descriptors beyond its output, and ports begin above the demo's.

--- a/review/standins/cluster.cpp
+++ b/review/standins/cluster.cpp
@@ -161,6 +161,9 @@
     for (int const descriptor : {1, 2})
         posix_spawn_file_actions_addopen(&files, descriptor, output.c_str(),
                                          O_WRONLY | O_CREAT | O_APPEND, 0644);
+    // The sockets of the stand-ins are not the process's.
+    constexpr int first_unneeded = 3;
+    posix_spawn_file_actions_addclosefrom_np(&files, first_unneeded);
     int const error = posix_spawn(&pid_, program.c_str(), &files, nullptr,
                                   arguments, variables.data());
     posix_spawn_file_actions_destroy(&files);
--- a/review/standins/http.cpp
+++ b/review/standins/http.cpp
@@ -335,9 +335,10 @@
 
 std::uint16_t free_port()
 {
-    // Linux gives ports from 32768 to outgoing connections.
-    constexpr std::uint16_t first = 12'000;
-    constexpr std::uint16_t count = 20'000;
+    // Linux gives ports from 32768 to outgoing connections, and the demo has
+    // fixed ones from 21000.
+    constexpr std::uint16_t first = 22'000;
+    constexpr std::uint16_t count = 10'000;
     static std::atomic<std::uint32_t> next{
         static_cast<std::uint32_t>(::getpid()) * 97};
     for (;;)
