--- a/review/standins/cluster.cpp
+++ b/review/standins/cluster.cpp
@@ -2,7 +2,6 @@
 
 #include <nlohmann/json.hpp>
 
-#include <algorithm>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
@@ -22,7 +21,7 @@
 using nlohmann::json;
 
 constexpr char const* host = "jobs.example";
-constexpr char const* servers_topic = "keyed.servers";
+constexpr char const* prefix = "/batch/";
 constexpr char const* api_key = "key-of-cork";
 constexpr milliseconds start_limit_ms = 15'000;
 constexpr milliseconds poll_ms = 50;
@@ -71,25 +70,18 @@
     return text.substr(begin, text.find('"', begin) - begin);
 }
 
-json route(char const* name, char const* prefix, int priority)
+std::string configuration()
 {
-    return {{"name", name},          {"host", host},
-            {"path_prefix", prefix}, {"service", "korkbuch"},
-            {"priority", priority},  {"max_attempts", 3},
-            {"stretch", 2.0},        {"target_latency_ms", 1'200},
-            {"public", false}};
-}
-
-std::string configuration(int guaranteed)
-{
-    json routes{route("sorting", batch_prefix, 1)};
-    if (guaranteed > 0)
-        routes.push_back(route("receipts", urgent_prefix, 0));
+    json const route{{"name", "sorting"},     {"host", host},
+                     {"path_prefix", prefix}, {"service", "korkbuch"},
+                     {"priority", 1},         {"max_attempts", 3},
+                     {"stretch", 2.0},        {"target_latency_ms", 1'200},
+                     {"public", false}};
     json const tenant{{"name", "cork"},
                       {"api_keys", {api_key}},
-                      {"guaranteed", {{"gpu", guaranteed}}}};
+                      {"guaranteed", {{"gpu", 0}}}};
     json const config{{"version", 1},
-                      {"routes", routes},
+                      {"routes", {route}},
                       {"services", {{{"name", "korkbuch"}}}},
                       {"tenants", {tenant}},
                       {"limits", {{"max_body_bytes", 262'144}}}};
@@ -132,18 +124,9 @@
     store_link_->stop();
 }
 
-void entry_vm::set_program(std::string path)
-{
-    std::lock_guard<std::mutex> const lock(mutex_);
-    program_ = std::move(path);
-}
-
 void entry_vm::start()
 {
-    std::lock_guard<std::mutex> const lock(mutex_);
-    if (pid_ > 0)
-        return;
-    auto program = program_.empty() ? deployed_program() : program_;
+    auto program = deployed_program();
     auto const settings =
         "JASMINETRACK_NODE_FILE=" + dir_ + "/" + name_ + ".yaml";
     std::vector<std::string> environment{settings};
@@ -161,16 +144,11 @@
     for (int const descriptor : {1, 2})
         posix_spawn_file_actions_addopen(&files, descriptor, output.c_str(),
                                          O_WRONLY | O_CREAT | O_APPEND, 0644);
-    // The sockets of the stand-ins are not the process's.
-    constexpr int first_unneeded = 3;
-    posix_spawn_file_actions_addclosefrom_np(&files, first_unneeded);
     int const error = posix_spawn(&pid_, program.c_str(), &files, nullptr,
                                   arguments, variables.data());
     posix_spawn_file_actions_destroy(&files);
     if (error != 0)
         throw std::runtime_error("cannot start " + program);
-    stopped_ = false;
-    apply_suspension();
     std::ofstream(dir_ + "/pids", std::ios::app) << pid_ << "\n";
     log_.write("entry VM " + name_ + " started as process " +
                std::to_string(pid_) + ", callers at " + address_);
@@ -178,7 +156,6 @@
 
 void entry_vm::kill()
 {
-    std::lock_guard<std::mutex> const lock(mutex_);
     if (pid_ <= 0)
         return;
     ::kill(pid_, SIGKILL);
@@ -188,60 +165,6 @@
     pid_ = -1;
 }
 
-void entry_vm::signal(int number)
-{
-    std::lock_guard<std::mutex> const lock(mutex_);
-    if (pid_ > 0)
-        ::kill(pid_, number);
-}
-
-std::optional<int> entry_vm::await_exit(milliseconds limit_ms)
-{
-    auto const until = now_ms() + limit_ms;
-    for (;;)
-    {
-        {
-            std::lock_guard<std::mutex> const lock(mutex_);
-            int status = 0;
-            if (pid_ <= 0)
-                return 0;
-            if (::waitpid(pid_, &status, WNOHANG) == pid_)
-            {
-                pid_ = -1;
-                constexpr int signal_base = 128;
-                return WIFEXITED(status) ? WEXITSTATUS(status)
-                                         : signal_base + WTERMSIG(status);
-            }
-        }
-        if (now_ms() > until)
-            return std::nullopt;
-        sleep_ms(poll_ms);
-    }
-}
-
-void entry_vm::freeze(bool is_frozen)
-{
-    std::lock_guard<std::mutex> const lock(mutex_);
-    frozen_ = is_frozen;
-    apply_suspension();
-}
-
-void entry_vm::set_turn(bool has_turn)
-{
-    std::lock_guard<std::mutex> const lock(mutex_);
-    has_turn_ = has_turn;
-    apply_suspension();
-}
-
-void entry_vm::apply_suspension()
-{
-    bool const stops = frozen_ || !has_turn_;
-    if (pid_ <= 0 || stops == stopped_)
-        return;
-    stopped_ = stops;
-    ::kill(pid_, stops ? SIGSTOP : SIGCONT);
-}
-
 bool entry_vm::is_ready() const
 {
     auto const answer =
@@ -257,20 +180,21 @@
                          std::string::npos;
 }
 
-cluster::cluster(cluster_size const& size, std::string const& dir, record& log)
+cluster::cluster(int vms, int workers, std::string const& dir, record& log)
     : log_(log)
 {
     auto const address = loopback(free_port());
     store_ = std::make_unique<review::store>(address);
-    store_->put("keyed.op", "config", configuration(size.guaranteed));
-    for (int i = 1; i <= size.workers; ++i)
+    store_->put("keyed.op", "config", configuration());
+    for (int i = 1; i <= workers; ++i)
     {
-        workers_.push_back(std::make_unique<worker>(
-            "i-" + std::to_string(i), loopback(free_port()), hold_max_ms, runs_,
-            gangs_, log));
-        list(*workers_.back());
+        workers_.push_back(std::make_unique<worker>("i-" + std::to_string(i),
+                                                    loopback(free_port()),
+                                                    hold_max_ms, runs_, log));
+        store_->put("keyed.servers", workers_.back()->id(),
+                    workers_.back()->list_entry());
     }
-    for (int i = 1; i <= size.vms; ++i)
+    for (int i = 1; i <= vms; ++i)
         vms_.push_back(std::make_unique<entry_vm>("entry-" + std::to_string(i),
                                                   address, dir, log));
 }
@@ -284,25 +208,6 @@
         w->stop();
 }
 
-bool cluster::stores_decisions(store_call const& call)
-{
-    constexpr std::size_t job_id_size = 16;
-    return call.producer == "dispatcher" &&
-           std::any_of(call.keys.begin(), call.keys.end(),
-                       [](std::string const& key)
-                       { return key.size() == job_id_size; });
-}
-
-void cluster::list(worker const& w)
-{
-    store_->put(servers_topic, w.id(), w.list_entry());
-}
-
-void cluster::unlist(worker const& w)
-{
-    store_->put(servers_topic, w.id(), "");
-}
-
 bool cluster::start()
 {
     for (auto& vm : vms_)
@@ -363,27 +268,18 @@
     return links;
 }
 
-http_call cluster::client_call(std::string const& method,
-                               std::string const& path)
-{
-    return {"",
-            method,
-            path,
-            {{"Host", host},
-             {"X-Api-Key", api_key},
-             {"X-Deadline-Ms", std::to_string(deadline_ms)},
-             {"Content-Type", "application/json"}},
-            "",
-            deadline_ms};
-}
-
 client_answer cluster::call(entry_vm const& at, std::string const& method,
                             std::string const& id, std::string const& body)
 {
-    auto call = client_call(method, batch_prefix + id);
-    call.address = at.address();
-    call.body = body;
-    auto const answer = send(call);
+    auto const answer = send({at.address(),
+                              method,
+                              prefix + id,
+                              {{"Host", host},
+                               {"X-Api-Key", api_key},
+                               {"X-Deadline-Ms", std::to_string(deadline_ms)},
+                               {"Content-Type", "application/json"}},
+                              body,
+                              deadline_ms});
     client_answer const out =
         answer ? client_answer{answer->status, answer->body} : client_answer{};
     log_.write("client: " + method + " " + id + " at " + at.name() + ": " +
@@ -432,18 +328,6 @@
     return json::array({step}).dump();
 }
 
-std::string one_step(int count, milliseconds expected_ms, bool is_gang)
-{
-    json step{{"count", count},
-              {"cpu", 1'000},
-              {"mem_mb", 256},
-              {"checkpointing", true},
-              {"est_runtime_ms", expected_ms}};
-    if (is_gang)
-        step["gang"] = true;
-    return json::array({step}).dump();
-}
-
 int run_case(int argc, char** argv, case_frame const& frame)
 {
     constexpr int exit_could_not_run = 2;
@@ -458,7 +342,7 @@
     std::optional<bool> broken;
     try
     {
-        cluster c({frame.vms, frame.workers}, argv[2], log);
+        cluster c(frame.vms, frame.workers, argv[2], log);
         log.write(trouble ? "with the disruption" : "without the disruption");
         if (!frame.start_all || c.start())
             broken = frame.run(c, log, trouble);
--- a/review/standins/cluster.hpp
+++ b/review/standins/cluster.hpp
@@ -9,7 +9,6 @@
 #include "workers.hpp"
 
 #include <memory>
-#include <mutex>
 #include <optional>
 #include <string>
 #include <sys/types.h>
@@ -59,45 +58,24 @@
     {
         return *store_link_;
     }
-    /// Sets the program that it runs from its next start on, in place of that
-    /// of the deploy file.
-    void set_program(std::string path);
-    /// Starts the process, if it does not run.
+    /// Starts the process.
     void start();
     /// Kills the process.
     void kill();
-    /// Sends a signal to the process, if it runs.
-    void signal(int number);
-    /// \returns its exit code, as the shell tells it; nothing if it does not
-    /// end within the time.
-    [[nodiscard]] std::optional<int> await_exit(milliseconds limit_ms);
-    /// Suspends the process, or lets it go on. It runs while neither this nor
-    /// set_turn() keeps it from it.
-    void freeze(bool is_frozen);
-    /// Gives the process its turn of a shared processor, or takes it.
-    void set_turn(bool has_turn);
     /// \returns whether its readiness check succeeds.
     [[nodiscard]] bool is_ready() const;
     /// \returns whether its metrics show that it dispatches.
     [[nodiscard]] bool is_dispatcher() const;
 
 private:
-    /// Lets the process run or not; needs the lock.
-    void apply_suspension();
-
     std::string name_;
     std::string dir_;
     record& log_;
     std::string address_;
     std::string ready_;
     std::string mesh_;
-    std::string program_;
     std::unique_ptr<proxy> store_link_;
-    std::mutex mutex_;
     pid_t pid_ = -1;
-    bool frozen_ = false;
-    bool has_turn_ = true;
-    bool stopped_ = false; ///< by a signal
 };
 
 /// Answer to a client; the status is 0 if there was none in time.
@@ -107,25 +85,11 @@
     std::string body;
 };
 
-/// What a deployment consists of.
-struct cluster_size
-{
-    int vms = 3;
-    int workers = 4;
-    /// Accelerators that the team is guaranteed, for the jobs of a second
-    /// queue; 0: there is no such queue.
-    int guaranteed = 0;
-};
-
-/// Queues of the deployment.
-inline constexpr char const* batch_prefix = "/batch/";
-inline constexpr char const* urgent_prefix = "/urgent/";
-
 class cluster
 {
 public:
     /// \param dir  folder for settings and logs of the processes
-    cluster(cluster_size const& size, std::string const& dir, record& log);
+    cluster(int vms, int workers, std::string const& dir, record& log);
     ~cluster();
 
     /// \returns the stand-in for the platform's store.
@@ -138,13 +102,6 @@
     {
         return runs_;
     }
-    /// Whether the call stores decisions of the dispatcher, such as placements,
-    /// and not only that it holds its role.
-    [[nodiscard]] static bool stores_decisions(store_call const& call);
-    /// Writes the worker's entry into the platform's list.
-    void list(worker const& w);
-    /// Removes the worker's entry from the platform's list.
-    void unlist(worker const& w);
     /// \returns the entry VMs, in the order of their names.
     [[nodiscard]] std::vector<std::unique_ptr<entry_vm>>& vms() noexcept
     {
@@ -170,9 +127,6 @@
     [[nodiscard]] std::vector<std::unique_ptr<proxy>>
     make_peer_links(entry_vm& vm);
 
-    /// \returns a call of a client, without its address and body.
-    [[nodiscard]] static http_call client_call(std::string const& method,
-                                               std::string const& path);
     /// Submits a job; `steps` is the JSON text of its steps.
     /// \param task_ms  time that each of its tasks takes
     client_answer submit(entry_vm const& at, std::string const& id,
@@ -193,7 +147,6 @@
 
     record& log_;
     run_book runs_;
-    gang_book gangs_;
     std::unique_ptr<review::store> store_;
     std::vector<std::unique_ptr<worker>> workers_;
     std::vector<std::unique_ptr<entry_vm>> vms_;
@@ -204,9 +157,6 @@
 
 /// The tasks of a job that takes one step of `count` tasks.
 [[nodiscard]] std::string one_step(int count);
-/// The same for tasks that make checkpoints and are expected to take this time.
-[[nodiscard]] std::string one_step(int count, milliseconds expected_ms,
-                                   bool is_gang);
 
 /// What a case runs, and in which deployment.
 struct case_frame
--- a/review/standins/store.cpp
+++ b/review/standins/store.cpp
@@ -100,19 +100,9 @@
 }
 
 void store::set_chooser(chooser choose)
-{
-    {
-        std::lock_guard<std::mutex> const lock(mutex_);
-        choose_ = std::move(choose);
-        ++choosers_;
-    }
-    changed_.notify_all();
-}
-
-store::chooser store::current_chooser()
 {
     std::lock_guard<std::mutex> const lock(mutex_);
-    return choose_;
+    choose_ = std::move(choose);
 }
 
 void store::add(topic_state& topic, entry e)
@@ -173,7 +163,12 @@
     if (request.path == "/api/log-append")
         for (auto const& [key, value] : read_records(request.body))
             call.keys.push_back(key);
-    auto action = current_chooser()(call);
+    chooser choose;
+    {
+        std::lock_guard<std::mutex> const lock(mutex_);
+        choose = choose_;
+    }
+    auto const action = choose(call);
     if (action == store_action::refuse)
         return to_json(503, {{"error", "try later"}});
     if (action == store_action::mute)
@@ -182,14 +177,7 @@
     if (request.path == "/api/log-append")
         response = append(request);
     if (request.path == "/api/log-read")
-    {
         response = read(request);
-        action = current_chooser()(call);
-    }
-    if (action == store_action::refuse)
-        return to_json(503, {{"error", "try later"}});
-    if (action == store_action::mute)
-        return {0, "", "", delivery::mute};
     if (request.path == "/api/log-newest")
         response = read_newest(request);
     if (request.method == "GET")
@@ -243,13 +231,9 @@
     std::unique_lock<std::mutex> lock(mutex_);
     auto& topic = topics_[text_of(request, "topic")];
     auto const from = static_cast<std::size_t>(number_of(request, "from"));
-    auto const choosers = choosers_;
     changed_.wait_for(lock,
                       std::chrono::milliseconds(number_of(request, "wait_ms")),
-                      [&] {
-                          return stopping_ || choosers_ != choosers ||
-                                 topic.entries.size() > from;
-                      });
+                      [&] { return stopping_ || topic.entries.size() > from; });
     http_response response;
     response.content_type = "application/octet-stream";
     write_number(response.body, topic.entries.size(), offset_bytes);
--- a/review/standins/store.hpp
+++ b/review/standins/store.hpp
@@ -47,8 +47,7 @@
     /// Writes a record, as the operator and the workers do.
     void put(std::string const& topic, std::string const& key,
              std::string const& value);
-    /// Sets what is done with each call from now on, reads that wait for
-    /// records included.
+    /// Sets what is done with each call from now on.
     void set_chooser(chooser choose);
     /// Limits the reads of all machines together, and delays each answer.
     /// \param bytes_per_ms  0: no limit
@@ -86,7 +85,6 @@
         std::map<std::string, producer_state> producers;
     };
 
-    [[nodiscard]] chooser current_chooser();
     [[nodiscard]] http_response handle(http_request const& request);
     [[nodiscard]] http_response append(http_request const& request);
     [[nodiscard]] http_response read(http_request const& request);
@@ -99,7 +97,6 @@
     std::condition_variable changed_;
     bool stopping_ = false;
     chooser choose_;
-    std::int64_t choosers_ = 0; ///< number of those that were set
     milliseconds answer_ms_ = 0;
     std::int64_t bytes_per_ms_ = 0;
     double reads_until_ms_ = 0; ///< when the reads so far are through
--- a/review/standins/workers.cpp
+++ b/review/standins/workers.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <chrono>
-#include <random>
 
 namespace jasminetrack::review
 {
@@ -19,35 +18,6 @@
 constexpr std::size_t max_listed_ends = 500;
 constexpr std::int64_t hundred = 100;
 constexpr milliseconds max_wait_ms = 2'000;
-constexpr char const* start_path = "/api/run-start";
-constexpr milliseconds checkpoint_ms = 2'000;
-/// The members of a gang wait this long for each other.
-constexpr milliseconds gang_ms = 3'000;
-/// Starts that are held up are carried out this much later, at random.
-constexpr milliseconds min_delay_ms = 2'000;
-constexpr milliseconds max_delay_ms = 12'000;
-
-std::int64_t unix_ms()
-{
-    using namespace std::chrono;
-    return duration_cast<std::chrono::milliseconds>(
-               system_clock::now().time_since_epoch())
-        .count();
-}
-
-milliseconds random_delay()
-{
-    thread_local std::minstd_rand engine{std::random_device{}()};
-    return std::uniform_int_distribution<milliseconds>(min_delay_ms,
-                                                       max_delay_ms)(engine);
-}
-
-/// \returns the work that a checkpoint covers; it ends with that number.
-milliseconds work_saved_in(std::string const& checkpoint)
-{
-    auto const at = checkpoint.rfind('/');
-    return at == std::string::npos ? 0 : std::stoll(checkpoint.substr(at + 1));
-}
 
 } // namespace
 
@@ -72,12 +42,6 @@
         runs_[index].noted_ms = now_ms();
 }
 
-void run_book::add_checkpoint(std::size_t index, std::string const& checkpoint)
-{
-    std::lock_guard<std::mutex> const lock(mutex_);
-    runs_[index].checkpoints.push_back(checkpoint);
-}
-
 std::vector<run_history> run_book::all()
 {
     std::lock_guard<std::mutex> const lock(mutex_);
@@ -85,12 +49,14 @@
 }
 
 worker::worker(std::string id, std::string address, milliseconds hold_max_ms,
-               run_book& book, gang_book& gangs, record& log)
+               run_book& book, record& log)
     : id_(std::move(id)), address_(std::move(address)),
-      hold_max_ms_(hold_max_ms), book_(book), gangs_(gangs), log_(log),
-      born_(unix_ms()), begun_ms_(now_ms()),
-      choose_([](std::string const&, std::int64_t)
-              { return worker_action::serve; }),
+      hold_max_ms_(hold_max_ms), book_(book), log_(log),
+      born_(std::chrono::duration_cast<std::chrono::milliseconds>(
+                std::chrono::system_clock::now().time_since_epoch())
+                .count()),
+      begun_ms_(now_ms()), choose_([](std::string const&, std::int64_t)
+                                   { return worker_action::serve; }),
       thread_([this] { run(); }),
       server_(std::make_unique<http_server>(
           address_, [this](http_request const& r) { return handle(r); }))
@@ -115,47 +81,12 @@
     server_->stop();
 }
 
-void worker::crash()
-{
-    std::lock_guard<std::mutex> const lock(mutex_);
-    for (auto const& [task, r] : running_)
-    {
-        book_.end(r.index, "crashed");
-        if (!r.gang.empty())
-            gangs_.leave(r.gang, task, "crashed");
-    }
-    ++crashes_;
-    running_.clear();
-    ended_.clear();
-    closed_.clear();
-    ends_ = 0;
-    token_ = 0;
-    lease_until_ = 0;
-    lease_lapsed_ = true;
-    born_ = unix_ms();
-    begun_ms_ = now_ms();
-    log_.write("worker " + id_ + ": its process has ended, born " +
-               std::to_string(born_));
-    changed_.notify_all();
-}
-
 void worker::set_chooser(chooser choose)
 {
     std::lock_guard<std::mutex> const lock(mutex_);
     choose_ = std::move(choose);
 }
 
-void worker::act_on_calls(worker_action action)
-{
-    set_chooser([action](std::string const&, std::int64_t) { return action; });
-}
-
-void worker::act_on_starts(worker_action action)
-{
-    set_chooser([action](std::string const& path, std::int64_t)
-                { return path == start_path ? action : worker_action::serve; });
-}
-
 milliseconds worker::clock() const
 {
     return now_ms() - begun_ms_ + 1;
@@ -163,7 +94,6 @@
 
 std::string worker::list_entry() const
 {
-    std::lock_guard<std::mutex> const lock(mutex_);
     json const entry{
         {"service", "korkbuch"},
         {"address", address_},
@@ -225,19 +155,12 @@
         return {503, "{}", "application/json", delivery::answer};
     if (action == worker_action::mute)
         return {0, "", "", delivery::mute};
-    if (action == worker_action::delay)
-    {
-        std::lock_guard<std::mutex> const lock(mutex_);
-        if (request.path == start_path)
-            delayed_.push_back({now_ms() + random_delay(), request});
-        return {0, "", "", delivery::mute};
-    }
     auto const intended = request.headers.find("x-expected-instance");
     if (intended != request.headers.end() && intended->second != id_)
         return {421, "{}", "application/json", delivery::answer};
     http_response response{404, "{}", "application/json", delivery::answer};
-    if (request.path == start_path)
-        response = start(request, false);
+    if (request.path == "/api/run-start")
+        response = start(request);
     if (request.path == "/api/run-stop")
         response = stop_run(request);
     if (request.path == "/api/hold")
@@ -247,22 +170,7 @@
     return response;
 }
 
-void worker::start_delayed()
-{
-    std::vector<http_request> due;
-    {
-        std::lock_guard<std::mutex> const lock(mutex_);
-        for (auto const& d : delayed_)
-            if (d.at_ms <= now_ms())
-                due.push_back(d.request);
-        std::erase_if(delayed_, [](delayed_start const& d)
-                      { return d.at_ms <= now_ms(); });
-    }
-    for (auto const& request : due)
-        (void)start(request, true);
-}
-
-http_response worker::start(http_request const& request, bool is_late)
+http_response worker::start(http_request const& request)
 {
     std::lock_guard<std::mutex> const lock(mutex_);
     auto const body = json::parse(request.body);
@@ -287,29 +195,8 @@
     worker::running r;
     r.run = run;
     r.begun_ms = now_ms();
-    auto const spec = body.at("spec").get<std::string>();
-    r.takes_ms = std::stoll(spec);
-    r.checkpoint = body.value("checkpoint", std::string());
-    r.saved_ms = work_saved_in(r.checkpoint);
-    r.begun_ms -= r.saved_ms;
-    if (auto const size = gang_size_in(spec); size > 0)
-    {
-        r.gang = task.substr(0, task.rfind('.')) + "#" + std::to_string(run);
-        r.waits = true;
-        gangs_.join(r.gang, task, size);
-    }
-    r.index = book_.begin({id_,
-                           task,
-                           run,
-                           token_,
-                           now_ms(),
-                           -1,
-                           "",
-                           -1,
-                           spec,
-                           r.checkpoint,
-                           {},
-                           is_late});
+    r.takes_ms = std::stoll(body.at("spec").get<std::string>());
+    r.index = book_.begin({id_, task, run, token_, r.begun_ms, -1, "", -1});
     running_[task] = r;
     log_.write("worker " + id_ + ": begins " + task + " run " +
                std::to_string(run) + ", token " + std::to_string(token_));
@@ -342,7 +229,6 @@
     if (is_fenced(body.value("fencing_token", std::int64_t{0})))
         return conflict("fence");
     extend_lease(body.value("until_ms", std::int64_t{0}));
-    auto const crashes = crashes_;
     auto const seen = body.value("last_seen", std::int64_t{0});
     for (auto const& e : ended_)
         if (e.number <= seen && e.lapses == lapses_)
@@ -350,13 +236,9 @@
     std::erase_if(ended_, [&](ended const& e) { return e.number <= seen; });
     auto const wait =
         std::min(body.value("wait_ms", std::int64_t{0}), max_wait_ms);
-    changed_.wait_for(
-        lock, std::chrono::milliseconds(wait),
-        [&] { return stopping_ || crashes != crashes_ || !ended_.empty(); });
-    auto response = lists();
-    if (crashes != crashes_)
-        response.delivery = delivery::reset;
-    return response;
+    changed_.wait_for(lock, std::chrono::milliseconds(wait),
+                      [this] { return stopping_ || !ended_.empty(); });
+    return lists();
 }
 
 http_response worker::lists() const
@@ -364,17 +246,14 @@
     json active = json::array();
     for (auto const& [task, r] : running_)
     {
-        auto const percent = r.waits
-                                 ? 0
-                                 : hundred * (now_ms() - r.begun_ms) /
-                                       std::max<milliseconds>(1, r.takes_ms);
-        active.push_back(
-            {task, r.run, r.checkpoint, std::min(percent, hundred), 1'000});
+        auto const percent = hundred * (now_ms() - r.begun_ms) /
+                             std::max<milliseconds>(1, r.takes_ms);
+        active.push_back({task, r.run, "", std::min(percent, hundred), 1'000});
     }
     json finished = json::array();
     for (auto const& e : ended_)
         if (finished.size() < max_listed_ends)
-            finished.push_back({e.number, e.task, e.run, e.how, e.checkpoint});
+            finished.push_back({e.number, e.task, e.run, e.how, ""});
     json const body{{"clock_ms", clock()},
                     {"born", born_},
                     {"running", active},
@@ -385,72 +264,32 @@
 void worker::finish(std::string const& task, std::string const& how)
 {
     auto const at = running_.find(task);
-    if (how == "stopped" && !at->second.waits)
-        save(task, at->second);
     auto const r = at->second;
     running_.erase(at);
     auto& closed = closed_[task];
     closed = std::max(closed, r.run);
-    ended_.push_back(
-        {++ends_, task, r.run, how, r.index, lapses_, r.checkpoint});
+    ended_.push_back({++ends_, task, r.run, how, r.index, lapses_});
     book_.end(r.index, how);
-    if (!r.gang.empty())
-        gangs_.leave(r.gang, task, how);
     log_.write("worker " + id_ + ": " + task + " run " + std::to_string(r.run) +
                " ends as " + how);
     changed_.notify_all();
 }
 
-void worker::save(std::string const& task, running& r)
-{
-    r.saved_ms = now_ms() - r.begun_ms;
-    r.checkpoint =
-        task + "/" + std::to_string(r.run) + "/" + std::to_string(r.saved_ms);
-    book_.add_checkpoint(r.index, r.checkpoint);
-}
-
-void worker::await_gang(running& r)
-{
-    auto const at = gangs_.complete_at(r.gang);
-    if (!at)
-        return;
-    r.waits = false;
-    r.begun_ms = *at - r.saved_ms;
-}
-
-std::optional<std::string> worker::end_of(running const& r)
-{
-    if (lease_lapsed_)
-        return "lapsed";
-    if (r.stops_at_ms != 0 && now_ms() >= r.stops_at_ms)
-        return "stopped";
-    if (r.waits && now_ms() - r.begun_ms - r.saved_ms >= gang_ms)
-        return "alone";
-    if (r.waits)
-        return std::nullopt;
-    if (now_ms() - r.begun_ms >= r.takes_ms)
-        return "done";
-    return r.gang.empty() ? std::nullopt : gangs_.end(r.gang);
-}
-
 void worker::run()
 {
     std::unique_lock<std::mutex> lock(mutex_);
     while (!stopping_)
     {
-        lock.unlock();
-        start_delayed();
-        lock.lock();
-        for (auto& [task, r] : running_)
-            if (r.waits)
-                await_gang(r);
-            else if (now_ms() - r.begun_ms - r.saved_ms >= checkpoint_ms)
-                save(task, r);
         check_lease();
-        std::vector<std::pair<std::string, std::string>> over;
+        bool const lapsed = lease_lapsed_;
+        std::vector<std::pair<std::string, char const*>> over;
         for (auto const& [task, r] : running_)
-            if (auto const how = end_of(r))
-                over.emplace_back(task, *how);
+            if (lapsed)
+                over.emplace_back(task, "lapsed");
+            else if (r.stops_at_ms != 0 && now_ms() >= r.stops_at_ms)
+                over.emplace_back(task, "stopped");
+            else if (now_ms() - r.begun_ms >= r.takes_ms)
+                over.emplace_back(task, "done");
         for (auto const& [task, how] : over)
             finish(task, how);
         changed_.wait_for(lock, std::chrono::milliseconds(step_ms),
--- a/review/standins/workers.hpp
+++ b/review/standins/workers.hpp
@@ -3,7 +3,6 @@
 /// Stand-ins for the platform's workers: they start, stop and end tasks as the
 /// users' pages describe it.
 
-#include "gangs.hpp"
 #include "http.hpp"
 #include "record.hpp"
 
@@ -32,10 +31,6 @@
     /// When its end was taken note of: `last_seen` has reached it, and the
     /// worker's lease had not lapsed since the end; -1: never.
     milliseconds noted_ms = -1;
-    std::string spec;
-    std::string resumed_from; ///< checkpoint in its start; empty: none
-    std::vector<std::string> checkpoints; ///< that it has made
-    bool was_late = false; ///< its start was held up, see worker_action::delay
 };
 
 /// The runs of all workers. Safe to use from several threads.
@@ -48,8 +43,6 @@
     void end(std::size_t index, std::string const& how);
     /// The end of the run is taken note of now, if it was not before.
     void note(std::size_t index);
-    /// The run has made a checkpoint.
-    void add_checkpoint(std::size_t index, std::string const& checkpoint);
     /// \returns all runs, in the order in which they began.
     [[nodiscard]] std::vector<run_history> all();
 
@@ -65,8 +58,6 @@
     refuse,      ///< 503, nothing is done
     lose_answer, ///< the call is carried out, and its connection is reset
     mute,        ///< nothing is done, and the connection returns nothing
-    /// The connection returns nothing, and a start is carried out later.
-    delay,
 };
 
 /// A task runs for the time in milliseconds that its `spec` begins with.
@@ -80,7 +71,7 @@
                                                 std::int64_t token)>;
 
     worker(std::string id, std::string address, milliseconds hold_max_ms,
-           run_book& book, gang_book& gangs, record& log);
+           run_book& book, record& log);
     ~worker();
 
     /// \returns its id in the platform's list.
@@ -92,13 +83,6 @@
     [[nodiscard]] std::string list_entry() const;
     /// Sets what is done with each call from now on.
     void set_chooser(chooser choose);
-    /// Does this with all calls from now on.
-    void act_on_calls(worker_action action);
-    /// Does this with all starts from now on, and serves the other calls.
-    void act_on_starts(worker_action action);
-    /// Ends its process, and with it all its runs. The next one, under the same
-    /// id, knows nothing of before.
-    void crash();
     /// Ends its server; its runs stay as they are.
     void stop();
 
@@ -110,16 +94,6 @@
         milliseconds begun_ms = 0;
         milliseconds takes_ms = 0;
         milliseconds stops_at_ms = 0; ///< 0: it is not being stopped
-        milliseconds saved_ms = 0;    ///< work that its checkpoint covers
-        std::string checkpoint;
-        std::string gang;   ///< its run of a gang; empty: none
-        bool waits = false; ///< for the other members
-    };
-    /// A start that is held up.
-    struct delayed_start
-    {
-        milliseconds at_ms = 0;
-        http_request request;
     };
     struct ended
     {
@@ -129,13 +103,11 @@
         std::string how;
         std::size_t index = 0; ///< in the run book
         int lapses = 0;        ///< of the worker's lease, up to the end
-        std::string checkpoint;
     };
 
     [[nodiscard]] milliseconds clock() const;
     [[nodiscard]] http_response handle(http_request const& request);
-    [[nodiscard]] http_response start(http_request const& request,
-                                      bool is_late);
+    [[nodiscard]] http_response start(http_request const& request);
     [[nodiscard]] http_response stop_run(http_request const& request);
     [[nodiscard]] http_response hold(http_request const& request);
     [[nodiscard]] http_response lists() const;
@@ -146,14 +118,6 @@
     /// Counts a lapse of the lease if it has just come to its end.
     void check_lease();
     void finish(std::string const& task, std::string const& how);
-    /// Begins the work of a member once its gang is complete.
-    void await_gang(running& r);
-    /// \returns how the run ends now; nothing if it goes on.
-    [[nodiscard]] std::optional<std::string> end_of(running const& r);
-    /// Makes a checkpoint of the work so far.
-    void save(std::string const& task, running& r);
-    /// Carries out the starts that were held up until now.
-    void start_delayed();
     /// Ends tasks whose time has come and all tasks when the lease expires.
     void run();
 
@@ -161,11 +125,10 @@
     std::string address_;
     milliseconds hold_max_ms_;
     run_book& book_;
-    gang_book& gangs_;
     record& log_;
     std::int64_t born_;
-    milliseconds begun_ms_; ///< of its process
-    mutable std::mutex mutex_;
+    milliseconds begun_ms_;
+    std::mutex mutex_;
     std::condition_variable changed_;
     chooser choose_;
     bool stopping_ = false;
@@ -176,8 +139,6 @@
     std::map<std::string, running> running_;
     std::vector<ended> ended_;
     std::int64_t ends_ = 0;
-    int crashes_ = 0;
-    std::vector<delayed_start> delayed_;
     /// Highest run that was stopped or ended, by task.
     std::map<std::string, std::int64_t> closed_;
     std::thread thread_;
--- a/tests/soak/checks.cpp
+++ b/tests/soak/checks.cpp
@@ -75,7 +75,7 @@
 {
     std::vector<std::pair<milliseconds, milliseconds>> rough;
     for (auto const& t : h.troubles)
-        rough.emplace_back(t.begun_at, end_of(t, h) + review::contact_ms);
+        rough.emplace_back(t.begun_at, end_of(t, h) + standins::contact_ms);
     std::sort(rough.begin(), rough.end());
     milliseconds longest = 0;
     auto at = from;
@@ -187,7 +187,7 @@
                            [&](trouble const& t)
                            {
                                return !t.planned && t.begun_at <= r.ended_at &&
-                                      end_of(t, h) + review::contact_ms >=
+                                      end_of(t, h) + standins::contact_ms >=
                                           r.sent_at;
                            });
     };
@@ -237,21 +237,21 @@
             out.push_back({"task resumes from a checkpoint of another", what});
         if (j.cancelled_at < 0)
             continue;
-        auto const limit = j.cancelled_at + review::cancel_ms;
+        auto const limit = j.cancelled_at + standins::cancel_ms;
         // A late start is the worker's; its end is due from then on.
         auto const known_at =
             r.was_late
-                ? std::max(j.cancelled_at, r.begun_ms + review::contact_ms)
+                ? std::max(j.cancelled_at, r.begun_ms + standins::contact_ms)
                 : j.cancelled_at;
-        auto const gone_at = known_at + review::cancel_ms + stop_ms;
+        auto const gone_at = known_at + standins::cancel_ms + stop_ms;
         if (!r.was_late && r.begun_ms > limit &&
-            is_calm(h, r.begun_ms - review::contact_ms, r.begun_ms))
+            is_calm(h, r.begun_ms - standins::contact_ms, r.begun_ms))
             out.push_back({"cancelled job starts",
                            what + " begins " +
                                seconds(r.begun_ms - j.cancelled_at) +
                                " after its cancel"});
         else if (end_of(r, h) > gone_at &&
-                 is_calm(h, known_at - review::contact_ms, gone_at))
+                 is_calm(h, known_at - standins::contact_ms, gone_at))
             out.push_back({"cancelled job runs on", what});
     }
     return out;
@@ -296,7 +296,7 @@
         bool const is_cancelled =
             cancel != cancels.end() && cancel->second <= r.ended_ms;
         if (r.how == "alone" && !is_cancelled &&
-            is_calm(h, r.begun_ms - review::contact_ms, r.ended_ms))
+            is_calm(h, r.begun_ms - standins::contact_ms, r.ended_ms))
             out.push_back({"gang member waits alone",
                            r.task + " run " + std::to_string(r.run)});
     }
@@ -313,7 +313,7 @@
             continue;
         auto const limit = j.accepted_at + reclaim_ms;
         if (limit > h.ended_at ||
-            !is_calm(h, j.accepted_at - review::contact_ms, limit))
+            !is_calm(h, j.accepted_at - standins::contact_ms, limit))
             continue;
         std::set<std::string> begun;
         auto const found = runs.find(j.id);
--- a/tests/soak/dispatcher_watch.cpp
+++ b/tests/soak/dispatcher_watch.cpp
@@ -20,7 +20,7 @@
 
 } // namespace
 
-dispatcher_watch::dispatcher_watch(review::cluster& c, std::string dir)
+dispatcher_watch::dispatcher_watch(standins::cluster& c, std::string dir)
     : cluster_(c), dir_(std::move(dir))
 {
 }
@@ -39,10 +39,10 @@
     }
 }
 
-review::entry_vm* dispatcher_watch::dispatcher()
+standins::entry_vm* dispatcher_watch::dispatcher()
 {
     std::lock_guard<std::mutex> const lock(mutex_);
-    review::entry_vm* found = nullptr;
+    standins::entry_vm* found = nullptr;
     std::int64_t newest = 0;
     for (auto const& vm : cluster_.vms())
     {
@@ -69,11 +69,11 @@
     return newest;
 }
 
-review::entry_vm* dispatcher_watch::await_placing(milliseconds limit_ms)
+standins::entry_vm* dispatcher_watch::await_placing(milliseconds limit_ms)
 {
-    auto const until = review::now_ms() + limit_ms;
+    auto const until = standins::now_ms() + limit_ms;
     std::map<std::string, int> before;
-    for (bool first = true; review::now_ms() < until; first = false)
+    for (bool first = true; standins::now_ms() < until; first = false)
     {
         {
             std::lock_guard<std::mutex> const lock(mutex_);
@@ -87,7 +87,7 @@
                     return vm.get();
             }
         }
-        review::sleep_ms(poll_ms);
+        standins::sleep_ms(poll_ms);
     }
     return nullptr;
 }
--- a/tests/soak/dispatcher_watch.hpp
+++ b/tests/soak/dispatcher_watch.hpp
@@ -11,22 +11,22 @@
 namespace jasminetrack::soak
 {
 
-using review::milliseconds;
+using standins::milliseconds;
 
 /// Safe to use from several threads.
 class dispatcher_watch
 {
 public:
     /// \param dir  folder with the logs of the entry VMs
-    dispatcher_watch(review::cluster& c, std::string dir);
+    dispatcher_watch(standins::cluster& c, std::string dir);
 
     /// \returns the VM that took the role last; nullptr if none has.
-    [[nodiscard]] review::entry_vm* dispatcher();
+    [[nodiscard]] standins::entry_vm* dispatcher();
     /// \returns the highest epoch of a role that a VM has taken.
     [[nodiscard]] std::int64_t epoch();
     /// \returns the VM that logs the next placement; nullptr if none does
     /// within the time.
-    [[nodiscard]] review::entry_vm* await_placing(milliseconds limit_ms);
+    [[nodiscard]] standins::entry_vm* await_placing(milliseconds limit_ms);
 
 private:
     struct log_state
@@ -39,7 +39,7 @@
     /// Reads what the log has got since; needs the lock.
     void read(std::string const& vm, log_state& state) const;
 
-    review::cluster& cluster_;
+    standins::cluster& cluster_;
     std::string dir_;
     std::mutex mutex_;
     std::map<std::string, log_state> logs_;
--- a/tests/soak/fault_player.cpp
+++ b/tests/soak/fault_player.cpp
@@ -11,8 +11,8 @@
 namespace
 {
 
-using review::now_ms;
-using review::sleep_ms;
+using standins::now_ms;
+using standins::sleep_ms;
 
 constexpr milliseconds placing_limit_ms = 3'000;
 constexpr milliseconds takeover_limit_ms = 15'000;
@@ -52,8 +52,8 @@
     &fault_player::lose_worker,
 };
 
-fault_player::fault_player(review::cluster& c, dispatcher_watch& watch,
-                           review::record& log)
+fault_player::fault_player(standins::cluster& c, dispatcher_watch& watch,
+                           standins::record& log)
     : cluster_(c), watch_(watch), log_(log)
 {
 }
@@ -101,29 +101,29 @@
                troubles_[index].vm);
 }
 
-review::entry_vm& fault_player::vm_of(fault const& f)
+standins::entry_vm& fault_player::vm_of(fault const& f)
 {
     return *cluster_.vms()[f.pick % cluster_.vms().size()];
 }
 
-review::worker& fault_player::worker_of(fault const& f)
+standins::worker& fault_player::worker_of(fault const& f)
 {
     return *cluster_.workers()[f.pick % cluster_.workers().size()];
 }
 
-review::entry_vm& fault_player::dispatcher_or_vm_of(fault const& f)
+standins::entry_vm& fault_player::dispatcher_or_vm_of(fault const& f)
 {
     auto* const vm = watch_.dispatcher();
     return vm == nullptr ? vm_of(f) : *vm;
 }
 
-void fault_player::act_on_store(fault const& f, review::store_action action)
+void fault_player::act_on_store(fault const& f, standins::store_action action)
 {
     auto const apply = [this]
     {
-        auto const now = store_actions_.empty() ? review::store_action::serve
+        auto const now = store_actions_.empty() ? standins::store_action::serve
                                                 : store_actions_.back();
-        cluster_.store().set_chooser([now](review::store_call const&)
+        cluster_.store().set_chooser([now](standins::store_call const&)
                                      { return now; });
     };
     auto const index = begin(f, "");
@@ -144,20 +144,20 @@
 
 void fault_player::refuse_store(fault const& f)
 {
-    act_on_store(f, review::store_action::refuse);
+    act_on_store(f, standins::store_action::refuse);
 }
 
 void fault_player::silence_store(fault const& f)
 {
-    act_on_store(f, review::store_action::mute);
+    act_on_store(f, standins::store_action::mute);
 }
 
 void fault_player::lose_store_answers(fault const& f)
 {
-    act_on_store(f, review::store_action::lose_answer);
+    act_on_store(f, standins::store_action::lose_answer);
 }
 
-void fault_player::kill_for(review::entry_vm& vm, fault const& f)
+void fault_player::kill_for(standins::entry_vm& vm, fault const& f)
 {
     auto const index = begin(f, vm.name());
     {
@@ -195,17 +195,17 @@
     outage.join();
 }
 
-review::entry_vm* fault_player::await_stored_placement()
+standins::entry_vm* fault_player::await_stored_placement()
 {
     auto const stored = std::make_shared<std::atomic<bool>>(false);
     cluster_.store().set_chooser(
-        [stored](review::store_call const& call)
+        [stored](standins::store_call const& call)
         {
             if (*stored)
-                return review::store_action::refuse;
-            *stored = review::cluster::stores_decisions(call);
-            return *stored ? review::store_action::lose_answer
-                           : review::store_action::serve;
+                return standins::store_action::refuse;
+            *stored = standins::cluster::stores_decisions(call);
+            return *stored ? standins::store_action::lose_answer
+                           : standins::store_action::serve;
         });
     auto const until = now_ms() + placing_limit_ms;
     while (!*stored && now_ms() < until)
@@ -238,7 +238,7 @@
         t.join();
 }
 
-void fault_player::cut_from_store(review::entry_vm& vm, fault const& f)
+void fault_player::cut_from_store(standins::entry_vm& vm, fault const& f)
 {
     auto const index = begin(f, vm.name());
     {
@@ -263,7 +263,7 @@
     cut_from_store(vm_of(f), f);
 }
 
-void fault_player::freeze(review::entry_vm& vm, fault const& f)
+void fault_player::freeze(standins::entry_vm& vm, fault const& f)
 {
     auto const index = begin(f, vm.name());
     {
@@ -331,19 +331,19 @@
     end(index);
 }
 
-void fault_player::act_on_worker(fault const& f, review::worker_action action)
+void fault_player::act_on_worker(fault const& f, standins::worker_action action)
 {
     auto& w = worker_of(f);
     log_.write("it is worker " + w.id());
     w.act_on_calls(action);
     sleep_ms(f.for_ms);
-    w.act_on_calls(review::worker_action::serve);
+    w.act_on_calls(standins::worker_action::serve);
 }
 
 void fault_player::silence_worker(fault const& f)
 {
     auto const index = begin(f, "");
-    act_on_worker(f, review::worker_action::mute);
+    act_on_worker(f, standins::worker_action::mute);
     end(index);
 }
 
@@ -352,7 +352,7 @@
     auto& w = worker_of(f);
     auto const index = begin(f, "");
     w.crash();
-    act_on_worker(f, review::worker_action::refuse);
+    act_on_worker(f, standins::worker_action::refuse);
     cluster_.list(w);
     end(index);
 }
@@ -363,7 +363,7 @@
     auto const index = begin(f, "");
     w.crash();
     cluster_.unlist(w);
-    act_on_worker(f, review::worker_action::mute);
+    act_on_worker(f, standins::worker_action::mute);
     cluster_.list(w);
     end(index);
 }
@@ -374,7 +374,7 @@
     auto const index = begin(f, "");
     w.crash();
     cluster_.unlist(w);
-    w.act_on_calls(review::worker_action::mute);
+    w.act_on_calls(standins::worker_action::mute);
     end(index);
 }
 
@@ -383,9 +383,9 @@
     auto& w = worker_of(f);
     auto const index = begin(f, "");
     log_.write("it is worker " + w.id());
-    w.act_on_starts(review::worker_action::delay);
+    w.act_on_starts(standins::worker_action::delay);
     sleep_ms(f.for_ms);
-    w.act_on_calls(review::worker_action::serve);
+    w.act_on_calls(standins::worker_action::serve);
     end(index);
 }
 
--- a/tests/soak/fault_player.hpp
+++ b/tests/soak/fault_player.hpp
@@ -18,8 +18,8 @@
 class fault_player
 {
 public:
-    fault_player(review::cluster& c, dispatcher_watch& watch,
-                 review::record& log);
+    fault_player(standins::cluster& c, dispatcher_watch& watch,
+                 standins::record& log);
 
     /// Puts proxies between the VMs; before they start.
     void link_peers();
@@ -58,33 +58,33 @@
     void refuse_store_after_takeover(fault const& f);
     void lose_worker(fault const& f);
 
-    void act_on_store(fault const& f, review::store_action action);
+    void act_on_store(fault const& f, standins::store_action action);
     /// Waits until the log stores a placement, whose answer is lost.
     /// \returns the VM that dispatches then.
-    review::entry_vm* await_stored_placement();
-    void act_on_worker(fault const& f, review::worker_action action);
-    void cut_from_store(review::entry_vm& vm, fault const& f);
-    void freeze(review::entry_vm& vm, fault const& f);
-    void kill_for(review::entry_vm& vm, fault const& f);
-    [[nodiscard]] review::entry_vm& vm_of(fault const& f);
-    [[nodiscard]] review::worker& worker_of(fault const& f);
-    [[nodiscard]] review::entry_vm& dispatcher_or_vm_of(fault const& f);
+    standins::entry_vm* await_stored_placement();
+    void act_on_worker(fault const& f, standins::worker_action action);
+    void cut_from_store(standins::entry_vm& vm, fault const& f);
+    void freeze(standins::entry_vm& vm, fault const& f);
+    void kill_for(standins::entry_vm& vm, fault const& f);
+    [[nodiscard]] standins::entry_vm& vm_of(fault const& f);
+    [[nodiscard]] standins::worker& worker_of(fault const& f);
+    [[nodiscard]] standins::entry_vm& dispatcher_or_vm_of(fault const& f);
     std::size_t begin(fault const& f, std::string const& vm,
                       bool planned = false);
     void end(std::size_t index);
 
-    review::cluster& cluster_;
+    standins::cluster& cluster_;
     dispatcher_watch& watch_;
-    review::record& log_;
+    standins::record& log_;
     std::mutex mutex_;
     std::vector<trouble> troubles_;
     /// Faults of the store that are at work, by what it does; the last counts.
-    std::vector<review::store_action> store_actions_;
+    std::vector<standins::store_action> store_actions_;
     /// Number of faults that keep a VM down or cut off, by name and kind.
     std::map<std::string, int> down_;
     std::map<std::string, int> cut_;
     std::map<std::string, int> frozen_;
-    std::map<std::string, std::vector<std::unique_ptr<review::proxy>>>
+    std::map<std::string, std::vector<std::unique_ptr<standins::proxy>>>
         peer_links_;
 };
 
--- a/tests/soak/history.hpp
+++ b/tests/soak/history.hpp
@@ -12,8 +12,8 @@
 namespace jasminetrack::soak
 {
 
-using review::milliseconds;
-using review::run_history;
+using standins::milliseconds;
+using standins::run_history;
 
 /// How a request of a caller has ended.
 enum class request_end : std::uint8_t
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -21,7 +21,7 @@
 
 using namespace jasminetrack;
 using namespace jasminetrack::soak;
-using review::now_ms;
+using standins::now_ms;
 
 constexpr int exit_broken = 1;
 constexpr int exit_could_not_run = 2;
@@ -68,8 +68,8 @@
 /// \throws std::exception if the play cannot run
 play_history play(options const& o, std::uint32_t seed, std::string const& dir)
 {
-    review::record log(dir + "/record.txt");
-    review::cluster c({o.vms, o.workers, o.workers}, dir, log);
+    standins::record log(dir + "/record.txt");
+    standins::cluster c({o.vms, o.workers, o.workers}, dir, log);
     dispatcher_watch watch(c, dir);
     fault_player faults(c, watch, log);
     faults.link_peers();
@@ -79,7 +79,7 @@
     if (!c.start())
         throw std::runtime_error("the deployment did not become ready");
     processor_shares const shares(c, o.share);
-    review::sleep_ms(settle_ms);
+    standins::sleep_ms(settle_ms);
     traffic_plan plan;
     plan.seed = seed;
     plan.jobs_per_second = o.jobs_per_second;
@@ -89,11 +89,11 @@
     auto const begin = now_ms();
     callers.start();
     faults.play(schedule_of(o, seed, traffic_ms), begin);
-    review::sleep_ms(begin + traffic_ms - now_ms());
+    standins::sleep_ms(begin + traffic_ms - now_ms());
     callers.stop();
     play_history h;
     h.traffic_ended_at = now_ms();
-    callers.await_ends(review::finish_ms);
+    callers.await_ends(standins::finish_ms);
     h.ended_at = now_ms();
     callers.copy_to(h);
     faults.copy_to(h);
--- a/tests/soak/processor_shares.cpp
+++ b/tests/soak/processor_shares.cpp
@@ -5,14 +5,14 @@
 namespace
 {
 
-using review::milliseconds;
+using standins::milliseconds;
 
 constexpr milliseconds period_ms = 100;
 constexpr milliseconds step_ms = 1;
 
 } // namespace
 
-processor_shares::processor_shares(review::cluster& c, double share)
+processor_shares::processor_shares(standins::cluster& c, double share)
     : cluster_(c), share_(share)
 {
     if (share_ < 1)
@@ -34,11 +34,11 @@
     auto const count = static_cast<milliseconds>(vms.size());
     while (!stopping_)
     {
-        auto const now = review::now_ms();
+        auto const now = standins::now_ms();
         for (milliseconds i = 0; i < count; ++i)
             vms[static_cast<std::size_t>(i)]->set_turn(
                 (now + i * period_ms / count) % period_ms < turn);
-        review::sleep_ms(step_ms);
+        standins::sleep_ms(step_ms);
     }
     for (auto const& vm : vms)
         vm->set_turn(true);
--- a/tests/soak/processor_shares.hpp
+++ b/tests/soak/processor_shares.hpp
@@ -15,7 +15,7 @@
 {
 public:
     /// \param share  of a core, for each VM; 1 and above: no limit
-    processor_shares(review::cluster& c, double share);
+    processor_shares(standins::cluster& c, double share);
     ~processor_shares();
     processor_shares(processor_shares const&) = delete;
     processor_shares& operator=(processor_shares const&) = delete;
@@ -23,7 +23,7 @@
 private:
     void run();
 
-    review::cluster& cluster_;
+    standins::cluster& cluster_;
     double share_;
     std::atomic<bool> stopping_{false};
     std::thread thread_;
--- a/tests/soak/schedule.hpp
+++ b/tests/soak/schedule.hpp
@@ -11,7 +11,7 @@
 namespace jasminetrack::soak
 {
 
-using review::milliseconds;
+using standins::milliseconds;
 
 enum class fault_kind : std::uint8_t
 {
--- a/tests/soak/traffic.cpp
+++ b/tests/soak/traffic.cpp
@@ -12,8 +12,8 @@
 {
 
 using nlohmann::json;
-using review::now_ms;
-using review::sleep_ms;
+using standins::now_ms;
+using standins::sleep_ms;
 
 constexpr int max_attempts = 5;
 constexpr milliseconds retry_pause_ms = 200;
@@ -44,7 +44,7 @@
 
 std::string path_of(job_history const& j)
 {
-    return (j.urgent ? review::urgent_prefix : review::batch_prefix) + j.id;
+    return (j.urgent ? standins::urgent_prefix : standins::batch_prefix) + j.id;
 }
 
 /// \returns whether the job's end is still to be asked for. A state that was
@@ -56,15 +56,15 @@
     return j.last_status != status_ok || j.last_state != "completed";
 }
 
-request_end to_request_end(review::call_end e)
+request_end to_request_end(standins::call_end e)
 {
     switch (e)
     {
-    case review::call_end::answered:
+    case standins::call_end::answered:
         return request_end::answered;
-    case review::call_end::closed:
+    case standins::call_end::closed:
         return request_end::closed;
-    case review::call_end::timed_out:
+    case standins::call_end::timed_out:
         return request_end::timed_out;
     default:
         return request_end::not_sent;
@@ -81,7 +81,7 @@
     {
         for (auto const& vm : all.cluster_.vms())
             sessions_.push_back(
-                std::make_unique<review::http_session>(vm->address()));
+                std::make_unique<standins::http_session>(vm->address()));
     }
 
     void run()
@@ -145,10 +145,10 @@
         return below(static_cast<std::uint32_t>(sessions_.size()));
     }
 
-    review::client_answer call(std::size_t vm, std::string const& method,
-                               job_history const& j, std::string const& body)
+    standins::client_answer call(std::size_t vm, std::string const& method,
+                                 job_history const& j, std::string const& body)
     {
-        auto request = review::cluster::client_call(method, path_of(j));
+        auto request = standins::cluster::client_call(method, path_of(j));
         request.body = body;
         auto const answer = sessions_[vm]->send(request);
         auto const& name = all_.cluster_.vms()[vm]->name();
@@ -180,7 +180,7 @@
     job_history make_job()
     {
         job_history j;
-        j.id = review::job_id(all_.next_job_++);
+        j.id = standins::job_id(all_.next_job_++);
         auto const task_ms = min_task_ms + below(max_task_ms - min_task_ms + 1);
         j.spec = std::to_string(task_ms) + " of " + j.id;
         j.tasks = 1 + static_cast<int>(below(max_tasks));
@@ -201,7 +201,7 @@
         auto const body = json{{"spec", j.spec}}.dump();
         auto const text =
             body.substr(0, body.size() - 1) + ",\"steps\":" +
-            review::one_step(j.tasks, std::stoll(j.spec), j.is_gang) + "}";
+            standins::one_step(j.tasks, std::stoll(j.spec), j.is_gang) + "}";
         bool is_unknown = false;
         for (int i = 0; i < max_attempts && !all_.stopping_; ++i)
         {
@@ -261,12 +261,12 @@
 
     traffic& all_;
     std::mt19937 engine_;
-    std::vector<std::unique_ptr<review::http_session>> sessions_;
+    std::vector<std::unique_ptr<standins::http_session>> sessions_;
     std::vector<due_cancel> cancels_;
 };
 
-traffic::traffic(traffic_plan const& plan, review::cluster& c,
-                 review::record& log)
+traffic::traffic(traffic_plan const& plan, standins::cluster& c,
+                 standins::record& log)
     : plan_(plan), cluster_(c), log_(log)
 {
 }
--- a/tests/soak/traffic.hpp
+++ b/tests/soak/traffic.hpp
@@ -29,7 +29,8 @@
 class traffic
 {
 public:
-    traffic(traffic_plan const& plan, review::cluster& c, review::record& log);
+    traffic(traffic_plan const& plan, standins::cluster& c,
+            standins::record& log);
     ~traffic();
     traffic(traffic const&) = delete;
     traffic& operator=(traffic const&) = delete;
@@ -56,8 +57,8 @@
     [[nodiscard]] std::vector<job_history> jobs();
 
     traffic_plan plan_;
-    review::cluster& cluster_;
-    review::record& log_;
+    standins::cluster& cluster_;
+    standins::record& log_;
     std::atomic<bool> stopping_{false};
     std::atomic<int> next_job_{1};
     std::vector<std::thread> threads_;
--- a/tests/unit/test_soak_checks.cpp
+++ b/tests/unit/test_soak_checks.cpp
@@ -14,9 +14,9 @@
 {
 
 using namespace jasminetrack::soak;
-using jasminetrack::review::cancel_ms;
-using jasminetrack::review::contact_ms;
-using jasminetrack::review::finish_ms;
+using jasminetrack::standins::cancel_ms;
+using jasminetrack::standins::contact_ms;
+using jasminetrack::standins::finish_ms;
 using support::expect;
 using support::section;
 
