The soak uses the server, the proxy and the store of review/ as they are

Cause: its stand-ins were copies of all of those in review/. Change: only the cluster, the workers and the client with kept connections are its own; open reads end at an outage by a reset of their connections, as the store of review/ goes on with them.

--- a/tests/soak/fault_player.cpp
+++ b/tests/soak/fault_player.cpp
@@ -132,6 +132,10 @@
         store_actions_.push_back(action);
         apply();
     }
+    // Reads that wait for records would go on during the outage.
+    if (action == standins::store_action::refuse)
+        for (auto const& vm : cluster_.vms())
+            vm->store_link().reset_connections();
     sleep_ms(f.for_ms);
     {
         std::lock_guard<std::mutex> const lock(mutex_);
--- a/tests/soak/schedule.hpp
+++ b/tests/soak/schedule.hpp
@@ -2,7 +2,7 @@
 /// \file
 /// The disruptions of a soak, drawn from its seed.
 
-#include <standins/http.hpp>
+#include <standins/http_session.hpp>
 
 #include <cstdint>
 #include <string>
