Tests of four waits that were changed without one

Cause: repeats after a worker's silence, refused renewals, the leases of earlier dispatchers and the wait for isolation had been changed on a reviewer's reading, without a test. Change: four tests, no product code. The wait for a verified worker still has no test.

--- a/tests/support/manual_dispatcher.hpp
+++ b/tests/support/manual_dispatcher.hpp
@@ -104,6 +104,12 @@
         dispatcher_.on_start(now, r);
     }
 
+    /// The newest record of earlier dispatchers was read at this time.
+    void set_earlier_proof(milliseconds read_at)
+    {
+        dispatcher_.on_earlier_proof(read_at);
+    }
+
     void cancel(std::string const& job)
     {
         dispatcher_.cancel_job(now, job);
--- a/tests/unit/test_crashes.cpp
+++ b/tests/unit/test_crashes.cpp
@@ -38,6 +38,7 @@
     CPPUNIT_TEST(a_run_that_a_successor_never_saw_does_not_wait_for_isolation);
     CPPUNIT_TEST(nothing_is_started_beside_a_suspected_task);
     CPPUNIT_TEST(a_suspected_task_on_a_busy_fleet_does_not_wait_for_good);
+    CPPUNIT_TEST(workers_are_cleared_for_a_suspected_task);
     CPPUNIT_TEST(workers_that_stay_silent_do_not_hold_a_task_for_good);
     CPPUNIT_TEST_SUITE_END();
 
@@ -366,6 +367,40 @@
         expect_no_violations(w);
     }
 
+    void workers_are_cleared_for_a_suspected_task()
+    {
+        constexpr milliseconds max_wait_ms = 3'000;
+        dispatch_simulation w(8);
+        w.set_comeback(comeback::same_id);
+        w.configure(two_queues());
+        for (int i = 0; i < 8; ++i)
+            w.add_worker(name_of(i), "r1", {64'000, 128'000, 8});
+        int jobs = 0;
+        auto const run_busy = [&](milliseconds duration)
+        {
+            for (milliseconds t = 0; t < duration; t += 50)
+            {
+                w.submit("short" + std::to_string(jobs++), "batch",
+                         simple_job(7, 1), {400});
+                w.run_for(50);
+            }
+        };
+        run_busy(2'000);
+        w.submit("a", "batch", simple_job(1, 1), {6'000});
+        run_busy(300);
+        std::string lost;
+        for (int i = 0; i < 8; ++i)
+            if (w.running("a", name_of(i)) > 0)
+                lost = name_of(i);
+        expect(!lost.empty(), "it runs");
+        w.crash_for_a_while(lost);
+        // The worker is back, and its loss is known.
+        run_busy(4'000);
+        run_busy(max_wait_ms);
+        expect(w.starts("a") == 2, "it is started again");
+        expect_no_violations(w);
+    }
+
     void workers_that_stay_silent_do_not_hold_a_task_for_good()
     {
         manual_dispatcher h;
--- a/tests/unit/test_stray_starts.cpp
+++ b/tests/unit/test_stray_starts.cpp
@@ -36,6 +36,9 @@
     CPPUNIT_TEST(an_absent_run_is_sent_again_once_the_list_is_current);
     CPPUNIT_TEST(a_successor_waits_for_starts_of_its_predecessor);
     CPPUNIT_TEST(a_run_that_its_worker_refuses_is_placed_again_at_once);
+    CPPUNIT_TEST(a_start_is_sent_again_after_a_silence_of_its_worker);
+    CPPUNIT_TEST(a_worker_that_refused_renewals_is_used_after_its_restart);
+    CPPUNIT_TEST(leases_of_a_predecessor_count_from_its_last_record);
     CPPUNIT_TEST(a_start_under_way_is_not_sent_again);
     CPPUNIT_TEST(a_cancelled_job_does_not_wait_for_late_starts);
     CPPUNIT_TEST(a_late_start_of_a_done_task_counts_towards_its_steps_limit);
@@ -324,6 +327,62 @@
         expect(h.starts[0].run.run == 2, "as another run");
     }
 
+    void a_start_is_sent_again_after_a_silence_of_its_worker()
+    {
+        manual_dispatcher h;
+        h.add_worker("w1", 1);
+        h.run_for(second_ms);
+        lose_start_on_w1(h);
+        h.unresponsive.insert("w1");
+        h.run_for(5 * second_ms);
+        expect(h.starts.size() == 1, "not while the worker is silent");
+        h.unresponsive.clear();
+        h.run_for(second_ms);
+        expect(h.starts.size() == 2, "once it answers");
+        expect_only_first_run(h);
+    }
+
+    void a_worker_that_refused_renewals_is_used_after_its_restart()
+    {
+        manual_dispatcher h;
+        h.add_worker("w1", 1);
+        h.run_for(second_ms);
+        h.unanswered_result = call_result::unhealthy;
+        h.unresponsive.insert("w1");
+        h.run_for(2 * second_ms);
+        h.unresponsive.clear();
+        h.add_worker("w1", 2);
+        h.submit("a", "batch");
+        h.run_for(second_ms);
+        expect(h.starts.size() == 1, "nothing is left to arrive late");
+    }
+
+    void leases_of_a_predecessor_count_from_its_last_record()
+    {
+        constexpr milliseconds outage_ms = 5'000;
+        manual_dispatcher h;
+        auto const taken_over = h.now;
+        h.set_earlier_proof(taken_over - holder_timeout_ms - outage_ms);
+        h.add_worker("w1", 1);
+        h.add_worker("w2", 1);
+        h.unresponsive.insert("w1");
+        h.adopt("a", "w1", 1);
+        auto const until = taken_over - holder_timeout_ms - outage_ms +
+                           max_earlier_lease(dispatch_limits());
+        section("it is not started elsewhere while one may last",
+                [&]
+                {
+                    h.run_for(until - h.now);
+                    expect(h.starts.empty(), "no start");
+                });
+        section("it is when all have ended",
+                [&]
+                {
+                    h.run_for(second_ms);
+                    expect(h.starts.size() == 1, "a start");
+                });
+    }
+
     void a_start_under_way_is_not_sent_again()
     {
         manual_dispatcher h;
