--- a/packages/entry/include/jasminetrack/entry/topic_follower.hpp
+++ b/packages/entry/include/jasminetrack/entry/topic_follower.hpp
@@ -9,6 +9,7 @@
 #include <condition_variable>
 #include <functional>
 #include <mutex>
+#include <optional>
 #include <thread>
 
 namespace jasminetrack::entry
--- a/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -16,6 +16,7 @@
 
 #include <deque>
 #include <functional>
+#include <optional>
 
 namespace jasminetrack::tasks
 {
--- a/packages/tasks/src/dispatcher_crashes.cpp
+++ b/packages/tasks/src/dispatcher_crashes.cpp
@@ -16,8 +16,7 @@
 /// Longest wait for silent workers to show whether they have crashed.
 constexpr milliseconds max_silence_wait_ms = gone_ms + 5'000;
 /// Longest wait for a worker on which nothing is being started, after one loss
-/// and after several. The first is below the time for which a task may wait
-/// beside free capacity.
+/// and after several.
 constexpr milliseconds max_isolation_wait_ms = 2'000;
 constexpr milliseconds max_repeated_isolation_wait_ms = 20'000;
 
--- a/packages/tasks/src/dispatcher_starts.cpp
+++ b/packages/tasks/src/dispatcher_starts.cpp
@@ -178,8 +178,8 @@
 }
 
 /// \returns whether the start was sent again to the worker, which does not have
-/// the run, or will be. No other worker may get it before the earlier start can
-/// no longer arrive.
+/// the run, or will be. No other worker may get it while an earlier send of
+/// this dispatcher may arrive.
 bool dispatcher::resend_start(milliseconds now, unit_ref const& ref,
                               std::size_t index)
 {
