A successor waits only for what its predecessor can have granted or sent

Cause: waits ended by the clock where evidence can be made. * A dispatcher without proof of its role renewed leases for 10 s, so that its successor waited 16.3 s for any worker that it could not reach. Leases now end 6 s after the proof. To keep running work through an outage of the log for all, the dispatcher asks the other VMs (GET /log-state): while most of them answer, and none can read the log, none can claim the role, which is a proof as well. A VM that told so counts leases from then on if it takes the role, and every successor counts from the end of its own outage. * A successor took every run of its predecessor for one whose start may come late. The record of a job now says which run's starts were all answered, written along with other changes, or after 0.5 s. * A worker that is neither listed (current list) nor answers is gone; only a listed one can have a next process. Starts without an answer wait for the second only.

--- a/packages/entry/include/jasminetrack/entry/dispatch_loop.hpp
+++ b/packages/entry/include/jasminetrack/entry/dispatch_loop.hpp
@@ -8,6 +8,7 @@
 #include <jasminetrack/entry/gauges.hpp>
 #include <jasminetrack/entry/job_table.hpp>
 #include <jasminetrack/entry/latencies.hpp>
+#include <jasminetrack/entry/log_survey.hpp>
 #include <jasminetrack/entry/node_record.hpp>
 #include <jasminetrack/entry/settings.hpp>
 #include <jasminetrack/entry/topic_follower.hpp>
@@ -32,10 +33,19 @@
 class dispatch_loop
 {
 public:
+    /// How the node learns from the other VMs of outages of the log, and what
+    /// it tells them.
+    struct outage_ports
+    {
+        log_survey& survey;
+        outage_reports& reports;
+    };
+
     /// \param jobs  reads the jobs into `table` and calls on_jobs()
     dispatch_loop(entry_settings const& settings, std::string incarnation,
-                  platform_ports ports, job_table& table, topic_follower& jobs,
-                  runtime::timer_service& timers, latencies& l);
+                  platform_ports ports, outage_ports outages, job_table& table,
+                  topic_follower& jobs, runtime::timer_service& timers,
+                  latencies& l);
     ~dispatch_loop();
 
     [[nodiscard]] dispatch_metrics metrics() const;
@@ -83,6 +93,11 @@
     void post_jobs_currency();
     /// Hands the role on if the jobs cannot be read here.
     void check_jobs_read(milliseconds now);
+    /// While the log confirms no append, asks the other VMs whether it is away
+    /// for them as well.
+    void survey_outage(milliseconds now);
+    void on_survey(std::int64_t epoch, milliseconds asked_at,
+                   survey_answers const& a);
     void step_down(std::string const& why);
     /// Passes a job that has not ended to the dispatcher.
     void forward_job(std::string const& id);
@@ -115,6 +130,7 @@
     entry_settings settings_;
     std::string incarnation_;
     platform_ports ports_;
+    outage_ports outages_;
     job_table& table_;
     topic_follower& jobs_follower_;
     runtime::timer_service& timers_;
@@ -155,6 +171,10 @@
     milliseconds append_started_ms_ = 0;     ///< first send of that append
     milliseconds append_sent_ms_ = 0;        ///< its latest send
     milliseconds log_failing_since_ms_ = -1; ///< -1: appends succeed
+    milliseconds role_confirmed_ms_ = 0;     ///< when an append was confirmed
+    milliseconds surveyed_ms_ = 0;           ///< begin of the newest survey
+    bool survey_open_ = false;               ///< it waits for answers
+    bool outage_confirmed_ = false;          ///< result of the newest survey
     std::set<std::string> listed_workers_;
     bool resigning_ = false;
 };
--- a/packages/entry/include/jasminetrack/entry/entry_node.hpp
+++ b/packages/entry/include/jasminetrack/entry/entry_node.hpp
@@ -57,6 +57,8 @@
     runtime::http_client client_;
     peer_directory peers_;
     relayed_log log_;
+    log_survey survey_;
+    outage_reports outage_reports_;
     std::string incarnation_;
     mutable std::mutex mutex_;
     std::shared_ptr<tasks::configuration const> config_;
--- a/packages/entry/src/dispatch_loop.cpp
+++ b/packages/entry/src/dispatch_loop.cpp
@@ -37,10 +37,12 @@
 
 dispatch_loop::dispatch_loop(entry_settings const& settings,
                              std::string incarnation, platform_ports ports,
-                             job_table& table, topic_follower& jobs,
+                             outage_ports outages, job_table& table,
+                             topic_follower& jobs,
                              runtime::timer_service& timers, latencies& l)
     : settings_(settings), incarnation_(std::move(incarnation)), ports_(ports),
-      table_(table), jobs_follower_(jobs), timers_(timers), latencies_(l),
+      outages_(outages), table_(table), jobs_follower_(jobs), timers_(timers),
+      latencies_(l),
       workers_follower_(
           ports.log, topic::workers,
           {workers_long_poll_ms, workers_interval_ms},
@@ -174,6 +176,8 @@
         send_append();
     if (dispatcher_)
         append_if_due(now);
+    if (dispatcher_)
+        survey_outage(now);
     if (dispatcher_)
         check_jobs_read(now);
     if (dispatcher_)
@@ -201,6 +205,7 @@
     if (!dispatcher_)
         return;
     dispatcher_.reset();
+    outages_.reports.set_leading(false);
     reading_jobs_since_ms_ = -1;
     leadership_.step_down();
     workers_follower_.pause(true);
--- a/packages/entry/src/dispatch_loop_log.cpp
+++ b/packages/entry/src/dispatch_loop_log.cpp
@@ -4,6 +4,8 @@
 
 #include <jasminetrack/runtime/logging.hpp>
 
+#include <utility>
+
 namespace jasminetrack::entry
 {
 namespace
@@ -17,6 +19,9 @@
 /// role.
 constexpr milliseconds heartbeat_interval_ms = 500;
 constexpr milliseconds claim_timeout_ms = 600;
+/// Without a confirmed append for this time, the log may be away for all.
+constexpr milliseconds survey_after_ms = 1'000;
+constexpr milliseconds survey_interval_ms = 500;
 constexpr char const* writer_name = "dispatcher";
 
 } // namespace
@@ -30,7 +35,7 @@
               {{"epoch", std::to_string(role.epoch)},
                {"at", std::to_string(work_next_)},
                {"previous", leadership_.newest().holder}});
-    earlier_proof_ms_ = leadership_.heartbeat_at();
+    earlier_proof_ms_ = leadership_.earlier_proof();
     leadership_.on_claim_sent(now);
     claim_sent_ms_ = now;
     append_call call;
@@ -161,10 +166,40 @@
     log_failing_since_ms_ = -1;
     append_timeout_.on_answer(now - append_sent_ms_);
     latencies_.record(latency::append, now - append_started_ms_);
-    last_append_ms_ = now;
+    last_append_ms_ = role_confirmed_ms_ = now;
     dispatcher_->on_role_confirmed(append_started_ms_);
 }
 
+void dispatch_loop::survey_outage(milliseconds now)
+{
+    if (survey_open_ || now - role_confirmed_ms_ < survey_after_ms ||
+        now - surveyed_ms_ < survey_interval_ms)
+        return;
+    survey_open_ = true;
+    surveyed_ms_ = now;
+    outages_.survey.ask(
+        [this, epoch = epoch_, now](survey_answers const& a)
+        { post([this, epoch, now, a] { on_survey(epoch, now, a); }); });
+}
+
+void dispatch_loop::on_survey(std::int64_t epoch, milliseconds asked_at,
+                              survey_answers const& a)
+{
+    survey_open_ = false;
+    if (!dispatcher_ || epoch != epoch_)
+        return;
+    bool const confirmed = confirms_outage(a);
+    if (confirmed)
+        dispatcher_->on_outage_confirmed(asked_at);
+    if (confirmed == std::exchange(outage_confirmed_, confirmed))
+        return;
+    write_log(log_level::info, "log.outage.surveyed",
+              {{"confirmed", confirmed ? "yes" : "no"},
+               {"asked", std::to_string(a.asked)},
+               {"away", std::to_string(a.away)},
+               {"readable", std::to_string(a.readable)}});
+}
+
 tasks::log_record dispatch_loop::heartbeat_record() const
 {
     return {role_key, encode(tasks::role_record{epoch_, incarnation_, false})};
--- a/packages/entry/src/dispatch_loop_takeover.cpp
+++ b/packages/entry/src/dispatch_loop_takeover.cpp
@@ -2,6 +2,7 @@
 
 #include <jasminetrack/runtime/logging.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace jasminetrack::entry
@@ -39,12 +40,15 @@
     append_in_flight_.reset();
     append_retry_pending_ = false;
     store_queue_.clear();
-    last_append_ms_ = now;
+    last_append_ms_ = role_confirmed_ms_ = now;
+    outage_confirmed_ = false;
     listed_workers_.clear();
     dispatcher_ = std::make_unique<tasks::dispatcher>(
         epoch_, settings_.limits, now,
         [this](tasks::decision const& d) { log_decision(d); });
-    dispatcher_->on_earlier_proof(earlier_proof_ms_);
+    outages_.reports.set_leading(true);
+    dispatcher_->on_earlier_proof(
+        std::max(earlier_proof_ms_, outages_.reports.newest()));
     dispatcher_->on_role_confirmed(claim_sent_ms_);
     dispatcher_->on_log_back(leadership_.readable_since().value_or(now));
     if (config_)
--- a/packages/entry/src/entry_node.cpp
+++ b/packages/entry/src/entry_node.cpp
@@ -45,13 +45,14 @@
 
 entry_node::entry_node(entry_settings const& settings, platform_ports ports)
     : settings_(settings), ports_(ports), peers_(settings.node),
-      log_(ports.log, client_, peers_),
+      log_(ports.log, client_, peers_), survey_(client_, peers_),
       incarnation_(new_incarnation(settings.node)),
       writer_(log_, topic::jobs, incarnation_, timers_),
       requests_(table_, writer_, jobs_age_, work_age_, jobs_follower_,
                 work_follower_, latencies_),
       dispatch_(settings, incarnation_, {log_, ports.workers, ports.decoder},
-                table_, jobs_follower_, timers_, latencies_),
+                {survey_, outage_reports_}, table_, jobs_follower_, timers_,
+                latencies_),
       config_follower_(
           log_, topic::configuration, {long_poll_ms, config_interval_ms},
           log_outages(
@@ -70,6 +71,7 @@
           log_outages("work", {[this](std::vector<log_entry> const& entries,
                                       std::int64_t next, bool reloaded)
                                {
+                                   outage_reports_.on_read(true);
                                    if (!entries.empty())
                                        work_age_.record_contact(monotonic_ms());
                                    for (auto const& e : entries)
@@ -78,7 +80,10 @@
                                    set_poll_intervals();
                                },
                                [this](std::string const&)
-                               { dispatch_.on_work_read_failed(); }}))
+                               {
+                                   outage_reports_.on_read(false);
+                                   dispatch_.on_work_read_failed();
+                               }}))
 {
 }
 
@@ -184,6 +189,8 @@
 runtime::http_response
 entry_node::serve_peer(runtime::http_request const& request)
 {
+    if (is_log_state_request(request))
+        return serve_log_state(outage_reports_);
     return serve_relay(ports_.log, request);
 }
 
--- a/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -127,13 +127,18 @@
     /// The log works since this time, so that the list of workers may be older;
     /// before the list is read.
     void on_log_back(milliseconds since) noexcept;
-    /// The newest record of earlier dispatchers was read at this time. The
-    /// conditional claim shows that there is no later one.
+    /// Earlier dispatchers have had no later proof of the role: their newest
+    /// record was read at this time, or the log was away up to then. The
+    /// conditional claim shows that there is no later record.
     void on_earlier_proof(milliseconds read_at) noexcept;
     /// The log has confirmed an append of this dispatcher that was first sent
     /// at `sent_at`, so that it held the role then. Leases end a limited time
     /// after that; the caller calls this again and again.
     void on_role_confirmed(milliseconds sent_at) noexcept;
+    /// A survey that began at `asked_at` shows that the log is away for the
+    /// other VMs as well, so that none of them could claim the role. Leases go
+    /// on, and nothing is started.
+    void on_outage_confirmed(milliseconds asked_at) noexcept;
     /// Runs all periodic work.
     /// \param wall  wall-clock time, milliseconds since 1970
     void tick(milliseconds now, milliseconds wall);
@@ -195,6 +200,9 @@
     /// \returns how long a lease that is granted now may last, as successors
     /// rely on its end; not positive if no lease may be granted.
     [[nodiscard]] milliseconds grantable_lease(milliseconds now) const noexcept;
+    /// \returns whether a start that is sent now arrives before successors
+    /// count its lease as over.
+    [[nodiscard]] bool may_grant_start(milliseconds now) const noexcept;
     /// Sends the worker's next renewal at `due`, or after the answer to the one
     /// that is under way.
     void schedule_renewal(std::string const& worker, worker_view const& w,
@@ -207,6 +215,14 @@
     void record_unresponsive(milliseconds now, worker_view& w,
                              call_result result);
     void record_answer(milliseconds now, worker_view& w, renew_reply const& r);
+    /// \returns when all leases of earlier dispatchers have ended.
+    [[nodiscard]] milliseconds earlier_leases_end() const noexcept;
+    /// \param clock_ms  the worker's, in its first answer
+    /// \returns until when earlier dispatchers may have granted it leases, on
+    /// its clock.
+    [[nodiscard]] milliseconds earlier_lease_end(milliseconds now,
+                                                 worker_view const& w,
+                                                 milliseconds clock_ms) const;
     /// Handles an answer that arrives before all jobs are read.
     void keep_lease(milliseconds now, worker_view& w, renew_reply const& r,
                     bool is_first_answer);
@@ -320,6 +336,9 @@
                                               std::size_t index);
     void member_started(milliseconds now, unit_ref const& ref,
                         std::size_t index, milliseconds clock_ms);
+    void note_answered_run(milliseconds now, job_entry& e, unit_ref const& ref);
+    /// Records the answers to starts that no other record has taken along.
+    void record_answers(milliseconds now);
     void start_failed(milliseconds now, unit_ref const& ref, std::size_t index,
                       call_result result);
     /// \returns whether no job can have been cancelled for so long that
@@ -517,6 +536,8 @@
     milliseconds earlier_proof_at_;
     /// Send time of the newest append that shows that it holds the role.
     milliseconds confirmed_at_;
+    /// Begin of the newest survey that has found the log away for all VMs.
+    milliseconds outage_confirmed_at_ = 0;
     /// Start of the time in which the role has been proven without a gap.
     milliseconds proven_since_ = 0;
     listener listen_;
@@ -568,6 +589,8 @@
     std::map<std::string, service_utilization> pending_utilization_;
     std::deque<unit_ref> unsent_; ///< runs whose starts wait for the log
     std::set<std::string> dirty_; ///< jobs whose progress is not yet in a batch
+    /// Jobs with answers to starts that are in no batch, and since when.
+    std::map<std::string, milliseconds> unrecorded_answers_;
     /// Batch that records the end of each finished job.
     std::map<std::string, std::int64_t> final_batch_;
     /// Jobs finished here whose final record the node has not read back.
--- a/packages/tasks/include/jasminetrack/tasks/leadership.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/leadership.hpp
@@ -74,6 +74,10 @@
     {
         return heartbeat_at_;
     }
+    /// \returns the latest time at which an earlier dispatcher can have had a
+    /// proof of the role: when its newest record was read, or when the log,
+    /// which may have been away for all VMs, was read again.
+    [[nodiscard]] milliseconds earlier_proof() const noexcept;
     /// \returns whether to claim now, with the epoch after the newest.
     [[nodiscard]] bool should_claim(milliseconds now) const noexcept;
 
--- a/packages/tasks/include/jasminetrack/tasks/lease_bounds.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/lease_bounds.hpp
@@ -5,6 +5,8 @@
 
 #include <jasminetrack/tasks/dispatch_limits.hpp>
 
+#include <algorithm>
+
 namespace jasminetrack::tasks
 {
 
@@ -15,18 +17,19 @@
 /// A worker's clock may be slow by one part in this many.
 inline constexpr milliseconds clock_drift_divisor = 50;
 
-/// Time for which a dispatcher may grant leases while the log confirms none of
-/// its appends, as during an outage of the log.
-inline constexpr milliseconds unconfirmed_grant_ms = 6'000;
+/// Longest lease that a dispatcher grants. Long enough for a successor to take
+/// over, and for a short disconnection of the worker.
+inline constexpr milliseconds granted_lease_ms = 6'000;
 
-/// The dispatcher's proof of the role is the send time of its newest append
-/// that the log has confirmed: a successor's claim was stored later.
-/// \returns how long after that its leases end at the latest, but for the drift
-/// of the workers' clocks.
+/// A dispatcher's proof of the role is the send time of its newest append that
+/// the log has confirmed: a successor's claim was stored later. A survey which
+/// shows that no VM can reach the log is a proof as well.
+/// \returns how long after the newest proof its leases end at the latest, but
+/// for the drift of the workers' clocks.
 [[nodiscard]] constexpr milliseconds
 max_lease_after_proof(dispatch_limits const& limits) noexcept
 {
-    return limits.max_lease_ms + unconfirmed_grant_ms;
+    return std::min(granted_lease_ms, limits.max_lease_ms);
 }
 
 /// \returns how long after the newest proof of earlier dispatchers all their
--- a/packages/tasks/include/jasminetrack/tasks/progress.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/progress.hpp
@@ -42,6 +42,9 @@
     /// Incarnation of each of these workers at the placement; 0: not known.
     std::vector<std::int64_t> incarnations;
     std::vector<worker_loss> losses; ///< of all runs
+    /// Newest run of which all starts were sent once and answered, so that none
+    /// can be carried out late; 0: none.
+    std::int64_t answered_run = 0;
 
     friend bool operator==(unit const&, unit const&) = default;
 };
--- a/packages/tasks/include/jasminetrack/tasks/worker_view.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/worker_view.hpp
@@ -79,6 +79,11 @@
     {
         return ended_incarnations_.count(incarnation) != 0;
     }
+    /// \returns whether an earlier incarnation is known.
+    [[nodiscard]] bool has_restarted() const noexcept
+    {
+        return !ended_incarnations_.empty();
+    }
     /// \returns what its runs occupy, those that are being stopped included.
     [[nodiscard]] resources const& used() const noexcept
     {
@@ -148,8 +153,11 @@
     /// Another process is at its address, so its own process has ended.
     bool replaced = false;
 
-    bool renewal_sent = false;            ///< a renewal awaits its answer
-    milliseconds renewal_at = 0;          ///< when the latest one was sent
+    bool renewal_sent = false;   ///< a renewal awaits its answer
+    milliseconds renewal_at = 0; ///< when the latest one was sent
+    /// It grants a lease or acknowledges ends, so that it does harm if a later
+    /// incarnation carries it out.
+    bool renewal_binds = false;
     std::string renewal_address;          ///< where it was sent
     std::int64_t renewal_incarnation = 0; ///< to which it was sent
     /// Pause before the next renewal, while the worker hosts no run.
--- a/packages/tasks/src/dispatcher.cpp
+++ b/packages/tasks/src/dispatcher.cpp
@@ -242,7 +242,7 @@
 
 void dispatcher::on_earlier_proof(milliseconds read_at) noexcept
 {
-    earlier_proof_at_ = std::min(earlier_proof_at_, read_at);
+    earlier_proof_at_ = read_at;
 }
 
 void dispatcher::on_role_confirmed(milliseconds sent_at) noexcept
@@ -252,12 +252,18 @@
     confirmed_at_ = sent_at;
 }
 
+void dispatcher::on_outage_confirmed(milliseconds asked_at) noexcept
+{
+    outage_confirmed_at_ = std::max(outage_confirmed_at_, asked_at);
+}
+
 void dispatcher::tick(milliseconds now, milliseconds wall)
 {
     if (jobs_read_)
     {
         monitor(now);
         schedule(now, wall);
+        record_answers(now);
     }
     send_due_renewals(now);
     if (jobs_read_)
@@ -295,6 +301,7 @@
         {
             bound_record(now, *e);
             order.records.push_back({id, encode(e->progress)});
+            unrecorded_answers_.erase(id);
         }
     dirty_.clear();
     batch_sent_ = true;
--- a/packages/tasks/src/dispatcher_losses.cpp
+++ b/packages/tasks/src/dispatcher_losses.cpp
@@ -9,8 +9,6 @@
 
 /// Unlisted workers are kept for this time, as they may be listed again.
 constexpr milliseconds unlisted_keep_ms = 60'000;
-/// A process that has started is in the list by then.
-constexpr milliseconds max_listing_delay_ms = 3'000;
 
 } // namespace
 
@@ -20,8 +18,8 @@
     {
         auto& w = at->second;
         w.drop_late_starts(now);
-        auto const runs_until = std::max(
-            earlier_proof_at_ + max_earlier_lease(limits_), w.late_runs_until);
+        auto const runs_until =
+            std::max(earlier_leases_end(), w.late_runs_until);
         bool const never_reached =
             !w.token_known && w.clock_at_ < 0 && now > runs_until;
         if (!w.hosted_runs.empty() &&
@@ -76,12 +74,12 @@
         at == active_.end() ? std::nullopt : member_index(ref, at->second, run);
     if (!index || !is_placed_again(ref))
         return 0;
-    auto const& m = at->second.members[*index];
-    if (!may_start_late(w, m))
-        return 0;
+    auto m = at->second.members[*index];
+    note_earlier_sends(m);
     bool const has_left = !w.listed && list_currency_.is_current(now);
-    return detail::late_start_end(m) +
-           (has_left ? max_listing_delay_ms : longest_lease());
+    if (has_left || !may_start_late(w, m))
+        return 0;
+    return detail::late_start_end(m) + longest_lease();
 }
 
 milliseconds dispatcher::longest_lease() const noexcept
--- a/packages/tasks/src/dispatcher_renewals.cpp
+++ b/packages/tasks/src/dispatcher_renewals.cpp
@@ -8,9 +8,6 @@
 namespace
 {
 
-/// Long enough for a successor to take over a lost dispatcher's leases, and for
-/// a short disconnection of the worker.
-constexpr milliseconds lease_ms = 6'000;
 /// A draining worker may be gone before a longer lease ends.
 constexpr milliseconds draining_lease_ms = 3'000;
 /// Longest wait of a renewal at its worker. A third of the lease, so that two
@@ -96,8 +93,9 @@
 
 milliseconds dispatcher::grantable_lease(milliseconds now) const noexcept
 {
-    auto const left = confirmed_at_ + max_lease_after_proof(limits_) - now;
-    return std::min({lease_ms, limits_.max_lease_ms, left});
+    auto const proof_at = std::max(confirmed_at_, outage_confirmed_at_);
+    auto const left = proof_at + max_lease_after_proof(limits_) - now;
+    return std::min(max_lease_after_proof(limits_), left);
 }
 
 bool dispatcher::is_role_proven(milliseconds now) const noexcept
@@ -128,6 +126,7 @@
         order.wait_ms = std::min(order.wait_ms, cleared_renewal_wait_ms);
     w.renewal_sent = true;
     w.renewal_at = now;
+    w.renewal_binds = order.until_ms > 0 || order.last_seen > 0;
     w.renewal_address = w.info.address;
     w.renewal_incarnation = w.info.incarnation;
     out_.push_back(order);
@@ -219,7 +218,8 @@
             end_lost_runs(now, w, "another process answers at its address");
     }
     schedule_renewal(w.info.id, w, now + unresponsive_retry_ms);
-    bool const may_come_late = result == call_result::no_answer;
+    bool const may_come_late =
+        result == call_result::no_answer && w.renewal_binds;
     if (may_come_late)
         w.last_unanswered_at = now;
     if (may_come_late && w.renewal_incarnation != w.info.incarnation)
@@ -229,7 +229,39 @@
         return;
     w.unresponsive_since = now;
     log_decision("worker.silent", "",
-                 "worker=" + w.info.id + " result=" + to_text(result));
+                 "worker=" + w.info.id + " result=" + to_text(result) +
+                     " listed=" + (w.listed ? "1" : "0") +
+                     " reached=" + (w.clock_at_ >= 0 ? "1" : "0") +
+                     " runs=" + std::to_string(w.hosted_runs.size()) +
+                     " earlier_leases_ms=" +
+                     std::to_string(std::max<milliseconds>(
+                         0, earlier_leases_end() - now)));
+}
+
+/// Earlier dispatchers may have granted leases, and the worker refuses their
+/// orders from this answer on. A start that was meant for an earlier
+/// incarnation names an end on that one's clock, so that the worker has granted
+/// its longest lease; it can have arrived only while this incarnation was
+/// young.
+milliseconds dispatcher::earlier_lease_end(milliseconds now,
+                                           worker_view const& w,
+                                           milliseconds clock_ms) const
+{
+    // A run that the worker lists goes on at least until the next renewal.
+    auto const left =
+        std::max(earlier_leases_end() - w.renewal_at, min_lease_ms);
+    auto const granted = clock_ms + left;
+    bool const may_have_late_start =
+        w.has_restarted() || now < created_at_ + detail::late_order_ms;
+    if (!may_have_late_start)
+        return granted;
+    auto const by_late_start = std::min(clock_ms, detail::late_order_ms);
+    return std::max(granted, by_late_start + limits_.max_lease_ms);
+}
+
+milliseconds dispatcher::earlier_leases_end() const noexcept
+{
+    return earlier_proof_at_ + max_earlier_lease(limits_);
 }
 
 void dispatcher::record_answer(milliseconds now, worker_view& w,
@@ -249,7 +281,7 @@
     bool const first = w.clock_at_ < 0;
     w.update_clock(now, r.clock_ms);
     if (first)
-        w.extend_lease(r.clock_ms + limits_.max_lease_ms);
+        w.extend_lease(earlier_lease_end(now, w, r.clock_ms));
     if (!w.token_known)
         changed_ = true;
     w.token_known = true;
@@ -258,7 +290,7 @@
     w.unresponsive_since = -1;
     w.replaced = false;
     dismiss_losses(r.worker, w.info.incarnation);
-    if (r.repeated)
+    if (r.repeated && w.renewal_binds)
         w.last_unanswered_at = now;
     w.answered_at = now;
     w.answered_renewal_at = w.renewal_at;
--- a/packages/tasks/src/dispatcher_runs.cpp
+++ b/packages/tasks/src/dispatcher_runs.cpp
@@ -393,7 +393,7 @@
             m.worker = u.places[i];
             m.phase = u.places[i].empty() ? member_phase::released
                                           : member_phase::adopted;
-            m.sent_before = created_at_;
+            m.sent_before = u.answered_run == u.run ? -1 : created_at_;
             a.members.push_back(m);
             if (m.phase == member_phase::released)
                 continue;
--- a/packages/tasks/src/dispatcher_starts.cpp
+++ b/packages/tasks/src/dispatcher_starts.cpp
@@ -20,6 +20,9 @@
 /// An answer to a renewal arrives at most this long after the worker gave it.
 constexpr milliseconds max_answer_delay_ms = 5'000;
 constexpr milliseconds refused_quarantine_ms = 2'000;
+/// Answers to starts are recorded this much later, if the job's progress is not
+/// recorded for another reason before.
+constexpr milliseconds max_unrecorded_ms = 500;
 /// A task may be started for 3 s after the cancellation of its job. An answer
 /// to a read can be 0.6 s old, and a start takes up to 0.3 s to its worker.
 constexpr milliseconds max_jobs_age_ms = 2'100;
@@ -100,11 +103,17 @@
     return !jobs_current_at_ || now - *jobs_current_at_ <= max_jobs_age_ms;
 }
 
+bool dispatcher::may_grant_start(milliseconds now) const noexcept
+{
+    auto const leases_end = confirmed_at_ + max_lease_after_proof(limits_);
+    return now + start_window_ms <= leases_end;
+}
+
 bool dispatcher::can_start(milliseconds now, unit_ref const& ref,
                            active_run const& a) const
 {
     if (!knows_cancellations(now) || !list_currency_.is_current(now) ||
-        grantable_lease(now) < start_window_ms)
+        !may_grant_start(now))
         return false;
     auto const* q = queue_of(jobs_.at(ref.job));
     bool const advised = q && q->advised;
@@ -272,6 +281,7 @@
     m.progress_at = now;
     w.update_clock(now, clock_ms);
     auto& e = *find_job(ref.job);
+    note_answered_run(now, e, ref);
     if (e.progress.units.at(ref.unit).checkpoint.empty())
         m.progress.update(clock_ms, 0);
     if (e.progress.begun)
@@ -284,6 +294,37 @@
     mark_dirty(ref.job);
 }
 
+/// A successor then knows that no start of the run can come late. The record is
+/// not written for this alone, unless no other one follows soon.
+void dispatcher::note_answered_run(milliseconds now, job_entry& e,
+                                   unit_ref const& ref)
+{
+    auto const& a = active_.at(ref);
+    bool const all_answered =
+        std::all_of(a.members.begin(), a.members.end(),
+                    [](member const& m)
+                    {
+                        return m.phase == member_phase::running &&
+                               m.sent_before < 0 && m.unanswered_at < 0;
+                    });
+    if (!all_answered)
+        return;
+    e.progress.units.at(ref.unit).answered_run = a.run;
+    unrecorded_answers_.emplace(ref.job, now);
+}
+
+void dispatcher::record_answers(milliseconds now)
+{
+    std::erase_if(unrecorded_answers_,
+                  [&](auto const& entry)
+                  {
+                      if (now - entry.second < max_unrecorded_ms)
+                          return false;
+                      mark_dirty(entry.first);
+                      return true;
+                  });
+}
+
 void dispatcher::start_failed(milliseconds now, unit_ref const& ref,
                               std::size_t index, call_result result)
 {
--- a/packages/tasks/src/dispatcher_workers.cpp
+++ b/packages/tasks/src/dispatcher_workers.cpp
@@ -198,10 +198,12 @@
             m.sent_before >= 0 &&
             m.sent_before + detail::late_order_ms > w.answered_renewal_at;
         // A start sent after the latest renewal that the earlier incarnation
-        // has answered may have been answered by the new one.
+        // has answered may have been answered by the new one. Earlier
+        // dispatchers record which of theirs were answered.
+        bool const is_own = m.last_sent_at > 0;
         if (is_unconfirmed(m.phase) || may_start_late(w, m) ||
             was_sent_before ||
-            (m.phase != member_phase::recorded &&
+            (is_own && m.phase != member_phase::recorded &&
              m.last_sent_at >= w.answered_renewal_at))
             list.emplace(run, o);
     }
--- a/packages/tasks/src/leadership.cpp
+++ b/packages/tasks/src/leadership.cpp
@@ -96,6 +96,11 @@
     return readable_since_;
 }
 
+milliseconds leadership::earlier_proof() const noexcept
+{
+    return std::max(heartbeat_at_, readable_since_);
+}
+
 bool leadership::should_claim(milliseconds now) const noexcept
 {
     if (stopped_ || leading_ || claiming_ || readable_since_ < 0 ||
--- a/packages/tasks/src/progress.cpp
+++ b/packages/tasks/src/progress.cpp
@@ -44,17 +44,20 @@
     return rows;
 }
 
-/// The last two fields are missing if they are empty, and in records of earlier
-/// builds.
+/// The last three fields are missing if they are empty, and in records of
+/// earlier builds.
 json row_of(unit_id const& id, unit const& u)
 {
     auto row = json::array({id.occurrence, id.step, id.index,
                             static_cast<int>(u.phase), u.run, u.failures,
                             u.failed_run, u.checkpoint, u.places});
-    if (!u.incarnations.empty() || !u.losses.empty())
+    bool const is_answered = u.answered_run != 0;
+    if (!u.incarnations.empty() || !u.losses.empty() || is_answered)
         row.push_back(u.incarnations);
-    if (!u.losses.empty())
+    if (!u.losses.empty() || is_answered)
         row.push_back(rows_of(u.losses));
+    if (is_answered)
+        row.push_back(u.answered_run);
     return row;
 }
 
@@ -85,6 +88,8 @@
         u.incarnations = row.at(9).get<std::vector<std::int64_t>>();
     if (row.size() > 10)
         u.losses = read_losses(row.at(10));
+    if (row.size() > 11)
+        u.answered_run = row.at(11);
 }
 
 } // namespace
--- a/tests/support/dispatch_simulation.hpp
+++ b/tests/support/dispatch_simulation.hpp
@@ -393,6 +393,7 @@
     std::int64_t epoch_ = 0;
     milliseconds max_jobs_read_ms_ = 0; ///< 0: at once
     bool log_down_ = false;
+    milliseconds proof_at_ = 0; ///< newest proof of the role
     milliseconds log_up_since_ = 0;
     std::optional<std::size_t> cut_node_;    ///< dispatcher behind a cut
     std::set<std::string> cut_workers_;      ///< on its side
--- a/tests/support/dispatch_simulation_cuts.cpp
+++ b/tests/support/dispatch_simulation_cuts.cpp
@@ -34,8 +34,15 @@
 void dispatch_simulation::confirm_role()
 {
     auto const& holder = nodes_[leader_];
-    if (holder && frozen_.count(leader_) == 0 && !is_cut_from_log(leader_))
-        holder->on_role_confirmed(now_);
+    if (!holder || frozen_.count(leader_) != 0)
+        return;
+    // The other nodes tell that the log is away for them as well.
+    if (log_down_)
+        holder->on_outage_confirmed(now_);
+    if (is_cut_from_log(leader_))
+        return;
+    holder->on_role_confirmed(now_);
+    proof_at_ = now_;
 }
 
 } // namespace support
--- a/tests/support/manual_dispatcher.hpp
+++ b/tests/support/manual_dispatcher.hpp
@@ -149,8 +149,9 @@
 
     /// The dispatcher reads a job whose only task an earlier dispatcher has
     /// placed there.
+    /// \param answered  whether it recorded that the start was answered
     void adopt(std::string const& id, std::string const& worker,
-               std::int64_t incarnation)
+               std::int64_t incarnation, bool answered = false)
     {
         accepted_job job;
         job.id = id;
@@ -163,6 +164,7 @@
         u.run = 1;
         u.places = {worker};
         u.incarnations = {incarnation};
+        u.answered_run = answered ? 1 : 0;
         submit(job, progress);
     }
 
@@ -193,6 +195,8 @@
                 dispatcher_.on_list_read(now);
             if (stores)
                 dispatcher_.on_role_confirmed(now);
+            if (outage_confirmed)
+                dispatcher_.on_outage_confirmed(now);
             dispatcher_.tick(now, now);
             for (auto const& a : dispatcher_.take_actions())
                 handle(a);
@@ -252,6 +256,8 @@
     /// Results of the next starts; the worker runs none of them.
     std::deque<call_result> start_results;
     bool stores = true; ///< false: the log is away
+    /// The other VMs tell that the log is away for them as well.
+    bool outage_confirmed = false;
     bool list_readable = true;
     std::set<std::string> unresponsive;
     std::set<std::string> held; ///< renewals of these stay without an answer
@@ -277,6 +283,14 @@
         return text;
     }
 
+    /// \returns what the log has of the only unit of a job.
+    [[nodiscard]] unit newest_progress(std::string const& job,
+                                       job_spec const& spec) const
+    {
+        auto const progress = decode_progress(records_.at(job), spec);
+        return progress.value().units.begin()->second;
+    }
+
     /// \returns the worker's own clock.
     [[nodiscard]] milliseconds clock_of(std::string const& id) const
     {
@@ -300,7 +314,7 @@
         if (auto const* ask = std::get_if<advice_order>(&a))
             advice_requests.push_back(*ask);
         if (auto const* store = std::get_if<store_order>(&a))
-            on_store(store->batch);
+            on_store(*store);
     }
 
     void answer(renew_order const& o)
@@ -323,18 +337,21 @@
         dispatcher_.on_renew(now, r);
     }
 
-    void on_store(std::int64_t batch)
+    void on_store(store_order const& o)
     {
+        for (auto const& r : o.records)
+            records_[r.key] = r.value;
         if (stores)
-            dispatcher_.on_stored(now, batch);
+            dispatcher_.on_stored(now, o.batch);
         else
-            unstored_ = batch;
+            unstored_ = o.batch;
     }
 
     std::map<std::string, std::int64_t> incarnations_;
     std::map<std::string, milliseconds> started_at_;
     std::map<std::string, worker_info> infos_;
     std::int64_t unstored_ = 0;
+    std::map<std::string, std::string> records_; ///< newest, by job
     dispatcher dispatcher_;
 };
 
--- a/tests/unit/test_leases.cpp
+++ b/tests/unit/test_leases.cpp
@@ -21,7 +21,7 @@
 {
     CPPUNIT_TEST_SUITE(test_leases);
     CPPUNIT_TEST(leases_end_with_the_proof_of_the_role);
-    CPPUNIT_TEST(a_short_outage_of_the_log_ends_no_lease);
+    CPPUNIT_TEST(an_outage_of_the_log_for_all_ends_no_lease);
     CPPUNIT_TEST(nothing_is_started_without_a_proof_of_the_role);
     CPPUNIT_TEST(a_successor_outwaits_a_dispatcher_that_is_cut_off);
     CPPUNIT_TEST(random_cuts_violate_no_invariant);
@@ -66,7 +66,7 @@
                 });
     }
 
-    void a_short_outage_of_the_log_ends_no_lease()
+    void an_outage_of_the_log_for_all_ends_no_lease()
     {
         for (milliseconds const max_lease_ms : {6'000, 10'000})
             section("a platform with leases of " +
@@ -156,6 +156,7 @@
         h.submit("a", "batch");
         h.run_for(second_ms);
         h.stores = false;
+        h.outage_confirmed = true;
         for (milliseconds passed = 0; passed < outage_ms;
              passed += manual_dispatcher::step_ms)
         {
--- a/tests/unit/test_random_crashes.cpp
+++ b/tests/unit/test_random_crashes.cpp
@@ -8,6 +8,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <cstdlib>
+#include <iostream>
 #include <random>
 
 namespace
@@ -44,6 +45,8 @@
         auto const below = [&](int n)
         { return std::uniform_int_distribution<>(0, n - 1)(random); };
         dispatch_simulation w(seed, {0.02, 0.02, 0.02, 0});
+        if (std::getenv("JASMINETRACK_TRACE"))
+            w.trace_to(&std::cerr);
         w.set_comeback(below(2) == 0 ? comeback::same_id : comeback::new_id);
         add_racks(w);
         int sound = 0;
--- a/tests/unit/test_stray_starts.cpp
+++ b/tests/unit/test_stray_starts.cpp
@@ -39,6 +39,12 @@
     CPPUNIT_TEST(a_start_is_sent_again_after_a_silence_of_its_worker);
     CPPUNIT_TEST(a_worker_that_refused_renewals_is_used_after_its_restart);
     CPPUNIT_TEST(leases_of_a_predecessor_count_from_its_last_record);
+    CPPUNIT_TEST(a_lost_worker_holds_no_run_after_the_leases_of_a_predecessor);
+    CPPUNIT_TEST(a_worker_reached_once_holds_no_run_after_these_leases);
+    CPPUNIT_TEST(an_answered_run_waits_for_no_start_of_a_predecessor);
+    CPPUNIT_TEST(an_answered_start_is_recorded_for_a_successor);
+    CPPUNIT_TEST(a_worker_that_is_gone_gets_no_late_start);
+    CPPUNIT_TEST(a_renewal_that_grants_nothing_blocks_no_starts);
     CPPUNIT_TEST(a_start_under_way_is_not_sent_again);
     CPPUNIT_TEST(a_cancelled_job_does_not_wait_for_late_starts);
     CPPUNIT_TEST(a_late_start_of_a_done_task_counts_towards_its_steps_limit);
@@ -366,7 +372,7 @@
         h.add_worker("w1", 1);
         h.add_worker("w2", 1);
         h.unresponsive.insert("w1");
-        h.adopt("a", "w1", 1);
+        h.adopt("a", "w1", 1, true);
         auto const until = taken_over - holder_timeout_ms - outage_ms +
                            max_earlier_lease(dispatch_limits());
         section("it is not started elsewhere while one may last",
@@ -383,6 +389,123 @@
                 });
     }
 
+    /// Guards against work that stands still after a take-over (LOST, issue
+    /// 53).
+    void a_lost_worker_holds_no_run_after_the_leases_of_a_predecessor()
+    {
+        manual_dispatcher h;
+        auto const taken_over = h.now;
+        h.add_worker("w1", 1);
+        h.add_worker("w2", 1);
+        h.unresponsive.insert("w1");
+        h.adopt("a", "w1", 1);
+        h.run_for(2 * second_ms);
+        h.unlist_worker("w1");
+        section("it may while one of these leases may last",
+                [&]
+                {
+                    h.run_for(taken_over - holder_timeout_ms + lease_ms -
+                              h.now);
+                    expect(h.starts.empty(), "no start");
+                });
+        section("its run is started elsewhere afterwards",
+                [&]
+                {
+                    h.run_for(500);
+                    expect(h.starts.size() == 1 && h.starts[0].worker == "w2",
+                           "a start on w2");
+                });
+    }
+
+    void a_worker_reached_once_holds_no_run_after_these_leases()
+    {
+        manual_dispatcher h;
+        h.add_worker("w1", 1);
+        h.now += 60 * second_ms;
+        h.set_earlier_proof(h.now - holder_timeout_ms);
+        h.run_for(manual_dispatcher::step_ms);
+        auto const reached = h.now;
+        h.unresponsive.insert("w1");
+        h.adopt("a", "w1", 1, true);
+        h.run_for(reached + lease_ms + 500 - h.now);
+        expect(h.view_of("w1").hosted_runs.empty(), "its run counts as over");
+    }
+
+    /// Guards against work that stands still after a restart of its worker
+    /// (LOST, issue 53).
+    void an_answered_run_waits_for_no_start_of_a_predecessor()
+    {
+        manual_dispatcher h;
+        h.add_worker("w1", 1);
+        h.add_worker("w2", 1);
+        h.adopt("a", "w1", 1, true);
+        h.running["w1"].insert({{"a", 0, 0, 0}, 1});
+        h.run_for(second_ms);
+        expect(h.starts.empty(), "it runs");
+        h.running["w1"].clear();
+        h.add_worker("w1", 2);
+        h.run_for(second_ms);
+        expect(h.starts.size() == 1 && h.starts[0].run.run == 2,
+               "it is started again at once");
+    }
+
+    void an_answered_start_is_recorded_for_a_successor()
+    {
+        accepted_job job;
+        job.spec = simple_job(1, 1);
+        manual_dispatcher h;
+        h.add_worker("w1", 1);
+        h.run_for(second_ms);
+        section("if it was sent once",
+                [&]
+                {
+                    h.submit("a", "batch");
+                    h.run_for(second_ms);
+                    expect(h.newest_progress("a", job.spec).answered_run == 1,
+                           "recorded");
+                });
+        section("not if an earlier send of it may be carried out late",
+                [&]
+                {
+                    h.add_worker("w2", 1);
+                    h.run_for(second_ms);
+                    h.start_results = {call_result::no_answer};
+                    h.submit("b", "batch");
+                    h.run_for(second_ms);
+                    expect(h.starts.size() == 3, "sent again and answered");
+                    expect(h.newest_progress("b", job.spec).answered_run == 0,
+                           "not recorded");
+                });
+    }
+
+    /// Guards against work that stands still after a start to a lost worker
+    /// (LOST, issue 53).
+    void a_worker_that_is_gone_gets_no_late_start()
+    {
+        manual_dispatcher h;
+        h.run_for(30 * second_ms);
+        auto const sent = start_unanswered_beside_w2(h);
+        h.unresponsive.insert("w1");
+        h.run_for(4 * second_ms);
+        h.unlist_worker("w1");
+        h.run_for(sent + lease_ms + second_ms - h.now);
+        expect(h.starts.size() == 2 && h.starts[1].worker == "w2",
+               "it is started elsewhere once the lease has expired");
+    }
+
+    void a_renewal_that_grants_nothing_blocks_no_starts()
+    {
+        manual_dispatcher h;
+        h.unresponsive.insert("w1");
+        h.add_worker("w1", 1);
+        h.run_for(2 * second_ms);
+        h.unresponsive.clear();
+        h.add_worker("w1", 2);
+        h.submit("a", "batch");
+        h.run_for(second_ms);
+        expect(h.starts.size() == 1, "the next process is used at once");
+    }
+
     void a_start_under_way_is_not_sent_again()
     {
         manual_dispatcher h;
