--- a/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -324,6 +324,7 @@
                                               std::size_t index);
     void member_started(milliseconds now, unit_ref const& ref,
                         std::size_t index, milliseconds clock_ms);
+    /// Notes in the job's progress if all starts of the run are answered.
     void note_answered_run(milliseconds now, job_entry& e, unit_ref const& ref);
     /// Records the answers to starts that no other record has taken along.
     void record_answers(milliseconds now);
--- a/packages/tasks/src/dispatcher_starts.cpp
+++ b/packages/tasks/src/dispatcher_starts.cpp
@@ -289,8 +289,8 @@
     mark_dirty(ref.job);
 }
 
-/// A successor then knows that no start of the run can come late. The record is
-/// not written for this alone, unless no other one follows soon.
+/// A successor then knows that no start of the run can come late. The progress
+/// is not stored for this alone, unless nothing else changes it soon.
 void dispatcher::note_answered_run(milliseconds now, job_entry& e,
                                    unit_ref const& ref)
 {
