Evacuation of a data center for general jobs

Change: the entry VMs read the records from the topic of configurations; a worker of an evacuated data center takes no starts, for the reason 'evacuated', and is left out of capacity, headroom, least shares and reservations. With a bound in the settings (jobs.evacuate) a dispatcher whose view of the records is older than the bound less 2 s starts nothing. Cold workers come last for urgent work. Logs, metrics and a hold reason. The simulated fleet evacuates racks and checks each start. Result: builds; tests not run yet.

--- a/packages/entry/include/jasminetrack/entry/dispatch_loop.hpp
+++ b/packages/entry/include/jasminetrack/entry/dispatch_loop.hpp
@@ -59,6 +59,8 @@
 
     // Called by the topic followers, on their threads.
     void on_configuration(std::shared_ptr<tasks::configuration const> c);
+    /// \param as_of  the log held no later records of operators at this time
+    void on_evacuations(std::set<std::string> data_centers, milliseconds as_of);
     void on_jobs(std::vector<std::string> ids);
     void on_work(topic_page const& page);
     void on_work_read_failed();
@@ -153,6 +155,8 @@
     tasks::leadership leadership_;
     std::unique_ptr<tasks::dispatcher> dispatcher_;
     std::shared_ptr<tasks::configuration const> config_;
+    std::set<std::string> evacuated_;     ///< data centers
+    milliseconds evacuations_as_of_ = -1; ///< -1: not read yet
     std::int64_t work_next_ = -1;    ///< end of the topic of work; -1: not read
     milliseconds claim_sent_ms_ = 0; ///< newest claim of this node
     /// When the newest record of a dispatcher before that claim was read.
--- a/packages/entry/include/jasminetrack/entry/entry_node.hpp
+++ b/packages/entry/include/jasminetrack/entry/entry_node.hpp
@@ -46,6 +46,9 @@
 
 private:
     void apply_configuration(std::vector<log_entry> const& entries);
+    void apply_evacuations(topic_page const& page);
+    void log_evacuations(std::set<std::string> const& before,
+                         topic_page const& page) const;
     void apply_jobs(std::vector<log_entry> const& entries);
     void set_poll_intervals();
     void apply_peer(log_entry const& e);
@@ -62,6 +65,8 @@
     std::string incarnation_;
     mutable std::mutex mutex_;
     std::shared_ptr<tasks::configuration const> config_;
+    std::set<std::string>
+        evacuated_; ///< used by the follower of configurations
     view_age jobs_age_;
     view_age work_age_; ///< since a new record of work was read
     std::atomic<bool> draining_{false};
--- a/packages/entry/include/jasminetrack/entry/gauges.hpp
+++ b/packages/entry/include/jasminetrack/entry/gauges.hpp
@@ -15,6 +15,7 @@
     std::int64_t leading = 0; ///< 1: this process is the dispatcher
     std::int64_t epoch = 0;
     std::int64_t open_jobs = 0;
+    std::int64_t evacuated = 0; ///< data centers
     std::int64_t lease_renewals = 0;
     std::int64_t starts = 0;
     std::int64_t stops = 0;
--- a/packages/entry/include/jasminetrack/entry/ports.hpp
+++ b/packages/entry/include/jasminetrack/entry/ports.hpp
@@ -145,6 +145,15 @@
                         std::function<void(tasks::advice_reply)> done) = 0;
 };
 
+/// An operator's request to start nothing in a data center.
+struct evacuation
+{
+    std::string data_center;
+    bool in_force = false; ///< false: it was withdrawn
+
+    friend bool operator==(evacuation const&, evacuation const&) = default;
+};
+
 /// Decodes entries that operators and workers write into the log. A function
 /// returns nothing and sets `reason` for an entry that cannot be decoded.
 class record_decoder
@@ -156,6 +165,10 @@
     /// the configuration's.
     [[nodiscard]] virtual std::optional<tasks::configuration>
     configuration_of(log_entry const& e, std::string& reason) const = 0;
+    /// Returns nothing for an entry of the topic of the configuration that is
+    /// no evacuation.
+    [[nodiscard]] virtual std::optional<evacuation>
+    evacuation_of(log_entry const& e) const = 0;
     [[nodiscard]] virtual std::optional<tasks::worker_info>
     worker_of(log_entry const& e, std::string& reason) const = 0;
 };
--- a/packages/entry/src/dispatch_loop.cpp
+++ b/packages/entry/src/dispatch_loop.cpp
@@ -254,6 +254,22 @@
         });
 }
 
+void dispatch_loop::on_evacuations(std::set<std::string> data_centers,
+                                   milliseconds as_of)
+{
+    post(
+        [this, data_centers = std::move(data_centers), as_of]
+        {
+            evacuated_ = data_centers;
+            evacuations_as_of_ = as_of;
+            if (dispatcher_)
+                dispatcher_->set_evacuations(monotonic_ms(), data_centers,
+                                             as_of);
+            std::lock_guard<std::mutex> const lock(mutex_);
+            metrics_.evacuated = std::ssize(data_centers);
+        });
+}
+
 void dispatch_loop::on_jobs(std::vector<std::string> ids)
 {
     post(
--- a/packages/entry/src/dispatch_loop_takeover.cpp
+++ b/packages/entry/src/dispatch_loop_takeover.cpp
@@ -53,6 +53,8 @@
     dispatcher_->on_log_back(leadership_.readable_since().value_or(now));
     if (config_)
         dispatcher_->set_configuration(*config_);
+    if (evacuations_as_of_ >= 0)
+        dispatcher_->set_evacuations(now, evacuated_, evacuations_as_of_);
     dispatcher_->await_jobs();
     reading_jobs_since_ms_ = now;
     read_jobs();
--- a/packages/entry/src/entry_node.cpp
+++ b/packages/entry/src/entry_node.cpp
@@ -56,7 +56,10 @@
       config_follower_(
           log_, topic::configuration, {long_poll_ms, config_interval_ms},
           log_outages("configuration", {[this](topic_page const& page)
-                                        { apply_configuration(page.entries); },
+                                        {
+                                            apply_configuration(page.entries);
+                                            apply_evacuations(page);
+                                        },
                                         [](std::string const&) {}})),
       jobs_follower_(log_, topic::jobs, {long_poll_ms, standby_intervals.jobs},
                      log_outages("jobs", {[this](topic_page const& page)
@@ -109,6 +112,8 @@
 {
     for (auto const& e : entries)
     {
+        if (ports_.decoder.evacuation_of(e))
+            continue;
         std::string reason;
         auto config = ports_.decoder.configuration_of(e, reason);
         if (!config)
@@ -131,6 +136,46 @@
     }
 }
 
+/// The topic was read to its end, or the dispatcher learns of the set with a
+/// later page.
+void entry_node::apply_evacuations(topic_page const& page)
+{
+    auto const before = evacuated_;
+    if (page.reloaded)
+        evacuated_.clear();
+    for (auto const& e : page.entries)
+    {
+        auto const evacuation = ports_.decoder.evacuation_of(e);
+        if (!evacuation)
+            continue;
+        if (evacuation->in_force)
+            evacuated_.insert(evacuation->data_center);
+        else
+            evacuated_.erase(evacuation->data_center);
+    }
+    log_evacuations(before, page);
+    if (page.at_end)
+        dispatch_.on_evacuations(evacuated_, page.as_of_ms);
+}
+
+void entry_node::log_evacuations(std::set<std::string> const& before,
+                                 topic_page const& page) const
+{
+    auto const log = [&](char const* step, std::set<std::string> const& from,
+                         std::set<std::string> const& to)
+    {
+        for (auto const& data_center : to)
+            if (from.count(data_center) == 0)
+                write_log(log_level::info, step,
+                          {{"data_center", data_center},
+                           {"read_to", std::to_string(page.next)},
+                           {"age_ms",
+                            std::to_string(monotonic_ms() - page.as_of_ms)}});
+    };
+    log("evacuation.in_force", before, evacuated_);
+    log("evacuation.ended", evacuated_, before);
+}
+
 void entry_node::apply_jobs(std::vector<log_entry> const& entries)
 {
     jobs_age_.record_contact(monotonic_ms());
--- a/packages/entry/src/gauges.cpp
+++ b/packages/entry/src/gauges.cpp
@@ -36,6 +36,9 @@
     gauge<dispatch_metrics>{"jasminetrack_open_jobs",
                             "Jobs that have not ended, at the dispatcher",
                             &dispatch_metrics::open_jobs},
+    gauge<dispatch_metrics>{"jasminetrack_evacuated_data_centers",
+                            "Data centers that operators have evacuated",
+                            &dispatch_metrics::evacuated},
     gauge<dispatch_metrics>{"jasminetrack_holds_total",
                             "Lease renewals sent to workers",
                             &dispatch_metrics::lease_renewals},
@@ -119,6 +122,9 @@
             "Tasks and gangs of ready steps without a run, by what they wait "
             "for",
             {{"service", service}, {"reason", describe(reason).name}}, count);
+    add(registry, "jasminetrack_evacuated_runs",
+        "Runs that are left in evacuated data centers", {{"service", service}},
+        u.evacuated_runs);
     for (auto const& [priority, p] : u.priorities)
         for (auto const& g : priority_gauges)
             add(registry, g.name, g.help,
--- a/packages/tasks/include/jasminetrack/tasks/detail/hold_state.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/detail/hold_state.hpp
@@ -29,14 +29,18 @@
     std::vector<worker_candidate> fit;    ///< workers that take starts
     std::vector<worker_candidate> listed; ///< as if all of them took starts
     std::vector<resources> unfit; ///< free on workers that take no starts
+    /// Listed workers of evacuated data centers, as if they took starts; not
+    /// part of the above.
+    std::vector<worker_candidate> evacuated;
 };
 
 /// How a unit fits on the workers of a service.
 enum class unit_fit : std::uint8_t
 {
     now,
-    on_unfit,   ///< if all listed workers took starts
-    fragmented, ///< only in total, not in places that it can use
+    on_unfit,     ///< if all listed workers took starts
+    on_evacuated, ///< if evacuated data centers took starts
+    fragmented,   ///< only in total, not in places that it can use
     none,
 };
 
--- a/packages/tasks/include/jasminetrack/tasks/dispatch_limits.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatch_limits.hpp
@@ -24,6 +24,9 @@
     /// A start may rely on a capacity that has changed within this time and a
     /// heartbeat, as the list may not show the change before.
     milliseconds unseen_change_ms = 4'000;
+    /// Nothing is started in a data center later than this after its evacuation
+    /// was recorded; 0: no limit.
+    milliseconds evacuation_bound_ms = 0;
 
     friend bool operator==(dispatch_limits const&,
                            dispatch_limits const&) = default;
--- a/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -9,6 +9,7 @@
 #include <jasminetrack/tasks/detail/hold_state.hpp>
 #include <jasminetrack/tasks/dispatch_limits.hpp>
 #include <jasminetrack/tasks/due_queue.hpp>
+#include <jasminetrack/tasks/evacuations.hpp>
 #include <jasminetrack/tasks/headroom.hpp>
 #include <jasminetrack/tasks/hold_tracker.hpp>
 #include <jasminetrack/tasks/list_currency.hpp>
@@ -112,6 +113,10 @@
     /// on. After the first call, nothing is started without a recent read.
     void on_jobs_current(milliseconds now, milliseconds read_at);
     void set_configuration(configuration const& c);
+    /// Replaces the evacuated data centers.
+    /// \param as_of  the log held no later records of operators at this time
+    void set_evacuations(milliseconds now, std::set<std::string> data_centers,
+                         milliseconds as_of);
     /// Adds a job. A job that this dispatcher has already finished is ignored,
     /// as the progress that was read may be older than its final record.
     /// \param progress  as the node has read it from the log
@@ -473,6 +478,13 @@
                                          unit_need const& need) const;
     [[nodiscard]] milliseconds max_rack_wait(reclaim_terms const& terms,
                                              unit_need const& need) const;
+    // dispatcher_evacuations.cpp
+    /// \returns whether the views of the jobs, the workers and the evacuations
+    /// allow starts.
+    [[nodiscard]] bool has_current_views(milliseconds now) const noexcept;
+    /// Logs an evacuation that begins or ends, and what is left there.
+    void log_evacuation(milliseconds now, std::string const& data_center,
+                        milliseconds as_of) const;
     // dispatcher_waits.cpp
     /// \returns whether something must end before the unit may run.
     [[nodiscard]] bool awaits_earlier_run(milliseconds now, job_entry const& e,
@@ -656,6 +668,7 @@
     std::map<std::string, job_entry> jobs_;
     std::map<std::string, worker_view> workers_;
     list_currency list_currency_;
+    evacuations evacuations_;
     /// Id of the worker that was listed last, by address.
     std::map<std::string, std::string> holder_of_address_;
     /// Units with a loss that may be a crash or only silence, by worker.
--- a/packages/tasks/include/jasminetrack/tasks/hold_reason.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/hold_reason.hpp
@@ -18,6 +18,7 @@
     no_queue,
     jobs_not_current,
     list_not_current,
+    evacuations_not_current,
     role_unproven,
     placement_not_stored,
     start_unanswered,
@@ -33,6 +34,7 @@
     headroom, ///< it has places beside which the headroom would not stay free
     rack,     ///< it has places, in several racks
     advice,
+    evacuated,     ///< it has places only in evacuated data centers
     workers_unfit, ///< it would have places if all listed workers took starts
     fragmented,    ///< enough is free in total, not in places that it can use
     no_room,
@@ -61,8 +63,9 @@
 enum class unfit_reason : std::uint8_t
 {
     unlisted,
-    views_not_current, ///< the list of workers or the jobs
+    views_not_current, ///< the workers, the jobs or the evacuations
     draining,
+    evacuated, ///< its data center is
     outdated_entry,
     late_orders, ///< orders to an earlier process may still arrive
     silent,
--- a/packages/tasks/include/jasminetrack/tasks/orders.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/orders.hpp
@@ -23,6 +23,7 @@
     resources capacity;
     bool draining = false;
     milliseconds remaining_ms = 0; ///< at least; only while it drains
+    milliseconds cold_ms = 0;      ///< for how much longer it is slow
     /// Start time of its process, milliseconds; distinguishes successive
     /// processes under one id.
     std::int64_t incarnation = 0;
--- a/packages/tasks/include/jasminetrack/tasks/service_utilization.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/service_utilization.hpp
@@ -32,8 +32,9 @@
     std::int64_t spread =
         0; ///< held by gangs that want one rack but span several
     std::map<std::int64_t, priority_utilization> priorities;
-    unfit_counts unfit_by;  ///< `unfit` by its cause
-    hold_counts held_units; ///< units of ready steps without a run
+    std::int64_t evacuated_runs = 0; ///< in evacuated data centers
+    unfit_counts unfit_by;           ///< `unfit` by its cause
+    hold_counts held_units;          ///< units of ready steps without a run
 
     friend bool operator==(service_utilization const&,
                            service_utilization const&) = default;
--- a/packages/tasks/include/jasminetrack/tasks/worker_view.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/worker_view.hpp
@@ -106,6 +106,17 @@
     /// counted, as they may keep their capacity until the lease expires.
     [[nodiscard]] resources
     capacity_after_stops(milliseconds since) const noexcept;
+    /// \returns whether the platform and the operators allow new work on it,
+    /// so that its capacity counts as the service's.
+    [[nodiscard]] bool takes_new_work() const noexcept
+    {
+        return listed && !info.draining && !evacuated;
+    }
+    /// \returns whether it reported that it is slow after its start.
+    [[nodiscard]] bool is_cold(milliseconds now) const noexcept
+    {
+        return now < cold_until;
+    }
     /// \returns whether the worker has answered this dispatcher recently.
     [[nodiscard]] bool answered_recently(milliseconds now) const noexcept;
     /// \returns why its entry or its answers allow no starts now; nothing if
@@ -154,7 +165,9 @@
     milliseconds unlisted_since = -1;
     /// Earliest time at which a draining worker leaves; -1: not known.
     milliseconds leaves_at = -1;
-    bool token_known = false; ///< it has accepted this dispatcher's token
+    bool evacuated = false;      ///< its data center is
+    milliseconds cold_until = 0; ///< it is slow until then
+    bool token_known = false;    ///< it has accepted this dispatcher's token
     /// It runs a task of an unknown job, so its free capacity is not known.
     bool runs_unknown_task = false;
     milliseconds answered_at = -1; ///< latest answer to a renewal
--- a/packages/tasks/src/dispatcher_candidates.cpp
+++ b/packages/tasks/src/dispatcher_candidates.cpp
@@ -184,7 +184,7 @@
 std::optional<unfit_reason>
 dispatcher::unfit_reason_of(milliseconds now, worker_view const& w) const
 {
-    if (!knows_cancellations(now) || !list_currency_.is_current(now))
+    if (!has_current_views(now))
         return unfit_reason::views_not_current;
     if (auto const refusal = w.refusal(now))
         return refusal;
@@ -215,7 +215,8 @@
         candidate.penalty += crawling_penalty;
     candidate.verified = w.last_success_at >= 0 &&
                          now - w.last_success_at <= max_verified_age_ms;
-    candidate.slower = priority == 0 && speed == worker_speed::slower;
+    candidate.slower =
+        priority == 0 && (speed == worker_speed::slower || w.is_cold(now));
     candidate.same_step = 0;
     candidate.vulnerable = w.hosts_vulnerable_run();
     candidate.suspects = 0;
--- a/packages/tasks/src/dispatcher_hold_log.cpp
+++ b/packages/tasks/src/dispatcher_hold_log.cpp
@@ -37,6 +37,11 @@
 {
     worker_candidate candidate;
     update_candidate(now, w, not_urgent, candidate);
+    if (w.evacuated)
+    {
+        room.evacuated.push_back(std::move(candidate));
+        return;
+    }
     room.capacity += w.info.capacity;
     room.used += w.used();
     auto const free = w.free_capacity();
--- a/packages/tasks/src/dispatcher_holds.cpp
+++ b/packages/tasks/src/dispatcher_holds.cpp
@@ -147,6 +147,8 @@
         return hold_reason::jobs_not_current;
     if (!list_currency_.is_current(now))
         return hold_reason::list_not_current;
+    if (!evacuations_.is_current(now))
+        return hold_reason::evacuations_not_current;
     if (!role_.is_proven(now))
         return hold_reason::role_unproven;
     auto need = need_of(now, e, ref);
@@ -169,10 +171,13 @@
     need.spares_vulnerable = spares_vulnerable(now, q.service);
     count_same_step(room.fit, ref, need);
     count_same_step(room.listed, ref, need);
+    count_same_step(room.evacuated, ref, need);
     switch (fit_of(room, need))
     {
     case detail::unit_fit::on_unfit:
         return hold_reason::workers_unfit;
+    case detail::unit_fit::on_evacuated:
+        return hold_reason::evacuated;
     case detail::unit_fit::fragmented:
         return hold_reason::fragmented;
     case detail::unit_fit::none:
--- a/packages/tasks/src/dispatcher_reclaim.cpp
+++ b/packages/tasks/src/dispatcher_reclaim.cpp
@@ -127,8 +127,8 @@
                                std::string const& worker) const
 {
     auto const at = workers_.find(worker);
-    return at != workers_.end() && at->second.listed &&
-           !at->second.info.draining && !at->second.runs_unknown_task &&
+    return at != workers_.end() && at->second.takes_new_work() &&
+           !at->second.runs_unknown_task &&
            now >= at->second.starts_blocked_until && is_eligible(ref, worker);
 }
 
--- a/packages/tasks/src/dispatcher_shares.cpp
+++ b/packages/tasks/src/dispatcher_shares.cpp
@@ -31,7 +31,7 @@
     for (auto const& [id, w] : workers_)
     {
         auto& count = counts[w.info.service];
-        if (w.listed && !w.info.draining)
+        if (w.takes_new_work())
         {
             ++count.workers;
             count.isolating +=
--- a/packages/tasks/src/dispatcher_starts.cpp
+++ b/packages/tasks/src/dispatcher_starts.cpp
@@ -106,8 +106,7 @@
 bool dispatcher::can_start(milliseconds now, unit_ref const& ref,
                            active_run const& a) const
 {
-    if (!knows_cancellations(now) || !list_currency_.is_current(now) ||
-        !role_.may_start(now, start_window_ms))
+    if (!has_current_views(now) || !role_.may_start(now, start_window_ms))
         return false;
     auto const* q = queue_of(jobs_.at(ref.job));
     bool const advised = q && q->advised;
--- a/packages/tasks/src/dispatcher_utilization.cpp
+++ b/packages/tasks/src/dispatcher_utilization.cpp
@@ -49,6 +49,7 @@
     (unfit ? c.unfit : c.free) += w.listed ? free : 0;
     if (unfit && w.listed && free > 0)
         c.unfit_by[*unfit] += free;
+    c.evacuated_runs += w.evacuated ? std::ssize(w.hosted_runs) : 0;
     c.reserved += w.reserved.accelerators;
     for (auto const& [run, o] : w.hosted_runs)
         if (auto const job = jobs_.find(o.unit.job); job != jobs_.end())
--- a/packages/tasks/src/dispatcher_waits.cpp
+++ b/packages/tasks/src/dispatcher_waits.cpp
@@ -80,7 +80,7 @@
     auto const [at, is_new] = listed_.try_emplace(service);
     if (is_new)
         for (auto const& [id, w] : workers_)
-            if (w.listed && !w.info.draining && w.info.service == service)
+            if (w.takes_new_work() && w.info.service == service)
                 at->second.push_back(empty_candidate(w.info));
     return fits_one_rack(at->second, need);
 }
--- a/packages/tasks/src/dispatcher_workers.cpp
+++ b/packages/tasks/src/dispatcher_workers.cpp
@@ -51,6 +51,8 @@
     log_capacity(w, info);
     confirm_losses(now, info.id, incarnation);
     record_remaining_time(now, w, info);
+    w.evacuated = evacuations_.contains(info.zone);
+    w.cold_until = info.cold_ms > 0 ? now + info.cold_ms : 0;
     bool const is_new = w.info.address != info.address;
     w.info = info;
     w.info.incarnation = incarnation;
--- a/packages/tasks/src/hold_reason.cpp
+++ b/packages/tasks/src/hold_reason.cpp
@@ -15,6 +15,7 @@
         {"jobs_not_current", "a read of the jobs to their end", 1'900},
         {"list_not_current", "a read of the workers after their reports",
          2'500},
+        {"evacuations_not_current", "a read of the operators' records", 1'500},
         {"role_unproven", "a confirmed append or a survey", 6'000},
         {"placement_not_stored", "the log's confirmation", 600},
         {"start_unanswered", "the worker's answer", 4'000},
@@ -30,6 +31,7 @@
         {"headroom", "free capacity beyond that of urgent work", by_load},
         {"rack", "room in one rack", by_load},
         {"advice", "the advice service", by_load},
+        {"evacuated", "the end of an evacuation, or of another run", by_load},
         {"workers_unfit", "a worker with room that takes starts", by_load},
         {"fragmented", "free capacity in places that the unit can use",
          by_load},
@@ -37,10 +39,10 @@
     }};
 
 constexpr std::array<char const*, static_cast<std::size_t>(unfit_reason::count)>
-    unfit_names{"unlisted",       "views_not_current", "draining",
-                "outdated_entry", "late_orders",       "silent",
-                "not_reached",    "unknown_task",      "isolating",
-                "cleared"};
+    unfit_names{
+        "unlisted",       "views_not_current", "draining", "evacuated",
+        "outdated_entry", "late_orders",       "silent",   "not_reached",
+        "unknown_task",   "isolating",         "cleared"};
 
 char const* name_of(hold_reason r)
 {
--- a/packages/tasks/src/hold_state.cpp
+++ b/packages/tasks/src/hold_state.cpp
@@ -43,11 +43,22 @@
            find_places(candidates, need, allowed).has_value();
 }
 
+/// \returns whether the unit would fit if no data center were evacuated.
+bool fits_with_evacuated(service_room const& room, unit_need const& need)
+{
+    if (room.evacuated.empty())
+        return false;
+    auto all = room.listed;
+    all.insert(all.end(), room.evacuated.begin(), room.evacuated.end());
+    return fits_on(all, need, rack_spread::multiple);
+}
+
 } // namespace
 
 bool may_fit(service_room const& room, unit_need const& need)
 {
-    return fits_in_total(room.free, need) || has_unfit_room(room, need);
+    return fits_in_total(room.free, need) || has_unfit_room(room, need) ||
+           !room.evacuated.empty();
 }
 
 unit_fit fit_of(service_room const& room, unit_need const& need)
@@ -59,6 +70,8 @@
     if (has_unfit_room(room, need) &&
         fits_on(room.listed, need, rack_spread::multiple))
         return unit_fit::on_unfit;
+    if (fits_with_evacuated(room, need))
+        return unit_fit::on_evacuated;
     return in_total ? unit_fit::fragmented : unit_fit::none;
 }
 
--- a/packages/tasks/src/service_utilization.cpp
+++ b/packages/tasks/src/service_utilization.cpp
@@ -26,6 +26,7 @@
            " headroom=" + std::to_string(c.headroom) +
            " least_share=" + std::to_string(c.least_share) +
            " spread=" + std::to_string(c.spread) +
+           " evacuated_runs=" + std::to_string(c.evacuated_runs) +
            " held=" + by_priority(c, &priority_utilization::held) +
            " waiting=" + by_priority(c, &priority_utilization::waiting) +
            " kept_out=" + by_priority(c, &priority_utilization::kept_out) +
--- a/packages/tasks/src/worker_view.cpp
+++ b/packages/tasks/src/worker_view.cpp
@@ -79,6 +79,8 @@
         return unfit_reason::unlisted;
     if (info.draining)
         return unfit_reason::draining;
+    if (evacuated)
+        return unfit_reason::evacuated;
     if (has_outdated_entry())
         return unfit_reason::outdated_entry;
     if (now < starts_blocked_until)
--- a/tests/support/dispatch_simulation.cpp
+++ b/tests/support/dispatch_simulation.cpp
@@ -11,6 +11,8 @@
 
 constexpr milliseconds step_ms = 10;
 constexpr milliseconds heartbeat_ms = 1'500;
+/// Between reads of the operators' records.
+constexpr milliseconds read_interval_ms = 500;
 
 } // namespace
 
@@ -31,7 +33,7 @@
     constexpr std::array names{
         "two runs",     "run after end", "over capacity", "step order",
         "attempts",     "crash budget",  "cancelled job", "failed job",
-        "wrong worker", "idle wait"};
+        "wrong worker", "evacuated",     "idle wait"};
     return names[static_cast<std::size_t>(kind)];
 }
 
@@ -126,7 +128,7 @@
     w.info.id = id;
     w.info.address = address.empty() ? id : address;
     w.info.service = "service";
-    w.info.rack = rack;
+    w.info.rack = w.info.zone = rack;
     w.info.labels = {label, rack};
     w.info.capacity = capacity;
     w.info.incarnation = w.incarnation = now_;
@@ -281,6 +283,8 @@
             advance_worker(w);
     advance_gangs();
     confirm_role();
+    if (now_ % read_interval_ms == 0)
+        read_evacuations();
     crash_workers_of_crashing_tasks();
     stop_fenced_nodes();
     for (std::size_t i = 0; i < nodes_.size(); ++i)
--- a/tests/support/dispatch_simulation.hpp
+++ b/tests/support/dispatch_simulation.hpp
@@ -53,6 +53,9 @@
     /// Also checks what late orders do at a later incarnation than the one
     /// that they were sent to.
     bool checks_stray_orders = false;
+    /// Bound of evacuations, for the dispatchers and for the check of starts;
+    /// 0: evacuations have no bound.
+    milliseconds evacuation_bound_ms = 0;
     /// Workers cap longer leases, and the dispatchers know it.
     milliseconds max_lease_ms = dispatch_limits{}.max_lease_ms;
 };
@@ -70,6 +73,7 @@
     failed_job, ///< a job failed without a cause
     /// Of another service or label, or with too many tasks of the step.
     wrong_worker,
+    evacuated, ///< a start in a data center after the bound of its evacuation
     idle_wait, ///< a unit waits while there is room, see idle_wait_check.hpp
 };
 
@@ -215,6 +219,16 @@
     /// \returns the worker as it is.
     [[nodiscard]] worker_info const& info(std::string const& worker) const;
 
+    // dispatch_simulation_evacuations.cpp
+    /// Evacuates a data center, which is the rack of its workers, or restores
+    /// it.
+    void evacuate(std::string const& data_center, bool in_force);
+    [[nodiscard]] std::map<std::string, milliseconds> const&
+    evacuated() const noexcept
+    {
+        return evacuated_;
+    }
+
     // dispatch_simulation_nodes.cpp
     [[nodiscard]] std::size_t leader_node() const noexcept
     {
@@ -406,6 +420,11 @@
                  std::function<void(call_result)> no_answer);
     [[nodiscard]] bool chance(double share);
 
+    // dispatch_simulation_evacuations.cpp
+    /// The dispatchers read the operators' records.
+    void read_evacuations();
+    void check_evacuation(sim_worker const& w, std::string const& name);
+
     // dispatch_simulation_idle_waits.cpp
     /// Something happens that may hold work.
     void disturb();
@@ -479,6 +498,7 @@
     std::set<std::size_t> cut_from_log_;
     std::set<task_run> refused_starts_; ///< whose next send is refused
     std::map<std::size_t, milliseconds> replaced_at_; ///< by node
+    std::map<std::string, milliseconds> evacuated_;   ///< since when
     idle_wait_check idle_waits_;
     std::map<std::string, std::string> holds_; ///< what the dispatcher says
     std::ostream* trace_ = nullptr;
--- a/tests/support/dispatch_simulation_idle_waits.cpp
+++ b/tests/support/dispatch_simulation_idle_waits.cpp
@@ -131,7 +131,8 @@
     service_room room;
     for (auto const& [id, w] : workers_)
     {
-        if (!w.up || w.info.service != q.service)
+        if (!w.up || w.info.service != q.service ||
+            evacuated_.count(w.info.zone) != 0)
             continue;
         worker_room r{w.info.labels, w.info.capacity - held_on(w), {}};
         for (auto const& [run, s] : w.runs)
--- a/tests/support/dispatch_simulation_workers.cpp
+++ b/tests/support/dispatch_simulation_workers.cpp
@@ -145,6 +145,7 @@
         report_violation(violation_kind::cancelled_job,
                          name + " started after its job was cancelled");
     check_crash_budget(o, name);
+    check_evacuation(w, name);
     check_worker(w, o, name);
 }
 
--- a/tests/support/manual_dispatcher.hpp
+++ b/tests/support/manual_dispatcher.hpp
@@ -69,6 +69,20 @@
         dispatcher_.put_worker(now, w);
     }
 
+    /// Puts the worker into a data center.
+    void place_in(std::string const& id, std::string const& data_center)
+    {
+        auto& w = infos_.at(id);
+        w.zone = data_center;
+        dispatcher_.put_worker(now, w);
+    }
+
+    /// The operators' records are read: these data centers are evacuated.
+    void evacuate(std::set<std::string> const& data_centers)
+    {
+        dispatcher_.set_evacuations(now, data_centers, now);
+    }
+
     void unlist_worker(std::string const& id)
     {
         dispatcher_.unlist_worker(now, id);
--- a/tests/support/memory_platform.cpp
+++ b/tests/support/memory_platform.cpp
@@ -352,6 +352,15 @@
     return config_;
 }
 
+std::optional<entry::evacuation>
+memory_decoder::evacuation_of(entry::log_entry const& e) const
+{
+    constexpr std::string_view prefix = "evacuate/";
+    if (!e.key.starts_with(prefix))
+        return std::nullopt;
+    return entry::evacuation{e.key.substr(prefix.size()), !e.value.empty()};
+}
+
 std::optional<tasks::worker_info>
 memory_decoder::worker_of(entry::log_entry const& e, std::string&) const
 {
--- a/tests/support/random_fleet.cpp
+++ b/tests/support/random_fleet.cpp
@@ -242,6 +242,18 @@
          false,
          false,
          true},
+        {"evacuations",
+         with_evacuations(lossy),
+         {&fleet::evacuate, &fleet::restore, &fleet::take_over,
+          &fleet::replace_leader, &fleet::restart_at_once}},
+        {"evacuations and frozen dispatchers",
+         with_evacuations(lossy),
+         {&fleet::evacuate, &fleet::restore, &fleet::freeze_leader,
+          &fleet::wake}},
+        {"evacuations and isolated dispatchers",
+         with_evacuations(lossy),
+         {&fleet::evacuate, &fleet::restore, &fleet::isolate_with_workers,
+          &fleet::log_outage, &fleet::restore_links}},
         {"resubmissions", lossy, {&fleet::resubmit, &fleet::take_over}},
         {"other kinds and take-overs",
          with_slow_answers(lossy),
@@ -326,6 +338,7 @@
 {
     restore_links();
     correct_entries();
+    restore();
     cancel_lasting();
     world_.limit_order_faults(usual_share);
     for (auto const& id : world_.live_workers())
@@ -397,6 +410,18 @@
                   below(2) == 0 ? gang_job(3, 2) : simple_job(3, 1), work);
 }
 
+void random_fleet::evacuate()
+{
+    if (world_.evacuated().empty())
+        world_.evacuate(below(2) == 0 ? "r1" : "r2", true);
+}
+
+void random_fleet::restore()
+{
+    while (!world_.evacuated().empty())
+        world_.evacuate(world_.evacuated().begin()->first, false);
+}
+
 void random_fleet::cancel()
 {
     auto const& jobs = below(4) == 0 ? crashing_ : sound_;
--- a/tests/support/random_fleet.hpp
+++ b/tests/support/random_fleet.hpp
@@ -39,6 +39,12 @@
     bool has_bursts = false;
 };
 
+/// \returns the faults, with evacuations that are in force after 5 s.
+[[nodiscard]] inline simulation_faults with_evacuations(simulation_faults f)
+{
+    f.evacuation_bound_ms = 5'000;
+    return f;
+}
 /// \returns the profiles of fleets with five racks.
 [[nodiscard]] std::vector<fleet_profile>
 rack_profiles(simulation_faults const& faults);
@@ -106,6 +112,9 @@
     void report_wrong_service();
     void list_twice();
     void correct_entries();
+    /// Evacuates a rack, if none is evacuated.
+    void evacuate();
+    void restore();
 
     // random_fleet_racks.cpp
     /// A gang of whole or half workers that wants one rack.
--- a/tests/support/random_fleet_racks.cpp
+++ b/tests/support/random_fleet_racks.cpp
@@ -104,6 +104,9 @@
         with_bursts(racks_with(" and failing tasks", failing,
                                {&fleet::submit_lasting, &fleet::submit_sound,
                                 &fleet::submit_sound, &fleet::submit_sound})),
+        racks_with(" and evacuations", with_evacuations(faults),
+                   {&fleet::evacuate, &fleet::restore, &fleet::submit_sound,
+                    &fleet::take_over}),
         racks_with(" that shrink", faults,
                    {&fleet::shrink, &fleet::grow, &fleet::submit_sound}),
         with_bursts(with_uneven_memory(racks_with(
