Tasks of a job that runs may wait by choice in an idle service

Cause: a service that is little used by its cores counts as idle, and then each unit is placed without regard to the headroom after 2 s. On a large service that gave the headroom for urgent work to the many tasks of jobs that ran already. Only a job with nothing running must not wait. Change: with jobs.wait_beside_running, the limit of chosen waits holds for units of jobs that stand still and for lasting ones.

--- a/packages/entry/src/settings.cpp
+++ b/packages/entry/src/settings.cpp
@@ -17,6 +17,8 @@
     b.far_factor = in.integer("far_factor", b.far_factor, 1, 1'000);
     b.heartbeat_ms = in.duration("heartbeat", b.heartbeat_ms);
     b.unseen_change_ms = in.duration("unseen_change", b.unseen_change_ms);
+    b.wait_beside_running =
+        in.boolean("wait_beside_running", b.wait_beside_running);
     b.evacuation_bound_ms = in.duration("evacuate", b.evacuation_bound_ms);
     in.check_unknown_keys();
 }
--- a/packages/tasks/include/jasminetrack/tasks/dispatch_limits.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatch_limits.hpp
@@ -28,6 +28,10 @@
     /// was recorded; 0: no limit.
     milliseconds evacuation_bound_ms = 0;
 
+    /// Whether tasks of a job that runs already may wait by choice in an idle
+    /// service, as only a job that stands still must not.
+    bool wait_beside_running = false;
+
     friend bool operator==(dispatch_limits const&,
                            dispatch_limits const&) = default;
 };
--- a/packages/tasks/src/dispatcher_waits.cpp
+++ b/packages/tasks/src/dispatcher_waits.cpp
@@ -13,6 +13,39 @@
 /// Which racks there are changes rarely.
 constexpr milliseconds max_listed_age_ms = 500;
 
+/// A run that is being started counts as running for this time.
+constexpr milliseconds max_starting_ms = 1'000;
+
+/// \returns whether the run goes on at workers that answer, or is about to.
+bool is_under_way(milliseconds now, detail::active_run const& a,
+                  std::map<std::string, worker_view> const& workers)
+{
+    if (a.over)
+        return false;
+    if (now - a.placed_at <= max_starting_ms)
+        return true;
+    return std::all_of(a.members.begin(), a.members.end(),
+                       [&](detail::member const& m)
+                       {
+                           auto const w = workers.find(m.worker);
+                           return m.phase == detail::member_phase::running &&
+                                  w != workers.end() &&
+                                  w->second.unresponsive_since < 0;
+                       });
+}
+
+/// \returns whether any run of the job is under way.
+bool is_under_way(milliseconds now, std::string const& job,
+                  std::map<unit_ref, detail::active_run> const& active,
+                  std::map<std::string, worker_view> const& workers)
+{
+    auto at = active.lower_bound({job, {}});
+    for (; at != active.end() && at->first.job == job; ++at)
+        if (is_under_way(now, at->second, workers))
+            return true;
+    return false;
+}
+
 /// \returns the worker as if nothing ran there.
 worker_candidate empty_candidate(worker_info const& info)
 {
@@ -64,7 +97,12 @@
     auto const times = e.idle_times.find({ref.unit.occurrence, ref.unit.step});
     bool const may_wait =
         times == e.idle_times.end() || times->second.may_wait(now);
-    need.may_wait = !is_idle || (may_wait && !is_older && !need.lasting);
+    // Only a job that stands still may not wait in an idle service; the other
+    // tasks of one that runs leave the headroom to urgent work.
+    bool const stands_still = need.lasting || !limits_.wait_beside_running ||
+                              !is_under_way(now, e.job.id, active_, workers_);
+    need.may_wait =
+        !is_idle || !stands_still || (may_wait && !is_older && !need.lasting);
 }
 
 bool dispatcher::wants_rack(milliseconds now, std::string const& service,
--- a/tests/support/dispatch_simulation.hpp
+++ b/tests/support/dispatch_simulation.hpp
@@ -53,6 +53,7 @@
     /// Also checks what late orders do at a later incarnation than the one
     /// that they were sent to.
     bool checks_stray_orders = false;
+    bool wait_beside_running = false; ///< see dispatch_limits
     /// Bound of evacuations, for the dispatchers and for the check of starts;
     /// 0: evacuations have no bound.
     milliseconds evacuation_bound_ms = 0;
--- a/tests/support/dispatch_simulation_nodes.cpp
+++ b/tests/support/dispatch_simulation_nodes.cpp
@@ -61,6 +61,7 @@
     trace("take-over by " + std::to_string(leader_));
     dispatch_limits limits;
     limits.max_lease_ms = faults_.max_lease_ms;
+    limits.wait_beside_running = faults_.wait_beside_running;
     limits.evacuation_bound_ms = faults_.evacuation_bound_ms;
     auto const node = std::make_shared<dispatcher>(
         epoch_, limits, now_,
--- a/tests/support/random_fleet_racks.cpp
+++ b/tests/support/random_fleet_racks.cpp
@@ -85,11 +85,16 @@
 std::vector<fleet_profile> rack_profiles(simulation_faults const& faults)
 {
     using fleet = random_fleet;
+    auto waiting = faults;
+    waiting.wait_beside_running = true;
     auto failing = faults;
     failing.failing = failing_share;
     return {
         racks_with("", faults, {}),
         with_bursts(racks_with(" and bursts", faults, {})),
+        with_bursts(racks_with(" and waits beside running tasks", waiting,
+                               {&fleet::submit_sound, &fleet::submit_sound,
+                                &fleet::take_over, &fleet::crash})),
         racks_with(" and take-overs", faults,
                    {&fleet::take_over, &fleet::replace_leader}),
         with_bursts(racks_with(" with bursts and take-overs", faults,
--- a/tests/unit/test_chosen_waits.cpp
+++ b/tests/unit/test_chosen_waits.cpp
@@ -107,10 +107,39 @@
     CPPUNIT_TEST(bursts_do_not_keep_a_gang_out_of_an_idle_fleet);
     CPPUNIT_TEST(bursts_do_not_keep_a_large_gang_out_without_end);
     CPPUNIT_TEST(a_lasting_task_is_not_kept_out_while_there_is_room);
+    CPPUNIT_TEST(other_tasks_of_a_running_job_leave_the_headroom);
     CPPUNIT_TEST(a_task_that_failed_everywhere_runs_again);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    /// Guards against urgent work that finds no room in a service that is
+    /// little used by its cores: the many tasks of a job that runs already took
+    /// the headroom, as if the job stood still.
+    void other_tasks_of_a_running_job_leave_the_headroom()
+    {
+        auto const running_after = [](bool waits)
+        {
+            simulation_faults faults;
+            faults.wait_beside_running = waits;
+            dispatch_simulation w(67, faults);
+            add_fleet(w);
+            w.submit("burst", "urgent", simple_job(8, whole_worker), {1'000});
+            w.run_for(1'500);
+            auto many = simple_job(60, 2);
+            many.steps[0].estimate_ms = long_ms;
+            w.submit("many", "batch", many, {long_ms});
+            w.run_for(2'400);
+            expect(w.running("many") > 0, "the job does not stand still");
+            return w.running("many");
+        };
+        auto const all = running_after(false);
+        auto const some = running_after(true);
+        expect(some < all, std::to_string(some) +
+                               " tasks run beside the "
+                               "headroom, without the setting " +
+                               std::to_string(all));
+    }
+
     void a_gang_does_not_wait_for_a_rack_in_an_idle_fleet()
     {
         dispatch_simulation w(59);
