Estimates of worker speeds from progress reports, setting learn_speeds

Finished tasks show a slower worker late: four tasks per worker are needed, gangs are left out, and each new dispatcher starts empty. Speeds are now estimated from all progress reports together, order the candidates of all priorities, and are recorded for a successor. Off by default.

--- a/packages/entry/include/jasminetrack/entry/dispatch_loop.hpp
+++ b/packages/entry/include/jasminetrack/entry/dispatch_loop.hpp
@@ -14,6 +14,7 @@
 #include <jasminetrack/entry/topic_follower.hpp>
 #include <jasminetrack/runtime/timer_service.hpp>
 #include <jasminetrack/tasks/leadership.hpp>
+#include <jasminetrack/tasks/speed_record.hpp>
 
 #include <deque>
 
@@ -104,6 +105,7 @@
     /// Passes a job that has not ended to the dispatcher.
     void forward_job(std::string const& id);
     void handle_progress(log_entry const& e);
+    void read_slower_workers(log_entry const& e);
     void perform_actions();
     void perform(tasks::renew_order const& o);
     void perform(tasks::start_order const& o);
@@ -157,6 +159,8 @@
     std::shared_ptr<tasks::configuration const> config_;
     std::set<std::string> evacuated_;     ///< data centers
     milliseconds evacuations_as_of_ = -1; ///< -1: not read yet
+    /// As the newest dispatcher has recorded them.
+    std::vector<tasks::slower_worker> slower_workers_;
     std::int64_t work_next_ = -1;    ///< end of the topic of work; -1: not read
     milliseconds claim_sent_ms_ = 0; ///< newest claim of this node
     /// When the newest record of a dispatcher before that claim was read.
--- a/packages/entry/src/dispatch_loop.cpp
+++ b/packages/entry/src/dispatch_loop.cpp
@@ -290,6 +290,11 @@
             work_next_ = std::max(work_next_, page.next);
             for (auto const& e : page.entries)
             {
+                if (e.key == tasks::speed_record_key)
+                {
+                    read_slower_workers(e);
+                    continue;
+                }
                 if (e.key != role_key)
                 {
                     handle_progress(e);
@@ -318,6 +323,24 @@
         dispatcher_->on_final_record_read(e.key);
 }
 
+/// Keeps the earlier state if the record is not readable. A dispatcher uses it
+/// only when it takes over.
+void dispatch_loop::read_slower_workers(log_entry const& e)
+{
+    if (e.value.empty())
+    {
+        slower_workers_.clear();
+        return;
+    }
+    if (auto const slower = tasks::decode_slower_workers(e.value))
+        slower_workers_ = *slower;
+    else
+        write_log(log_level::warning, "worker.speeds.skipped",
+                  {{"key", e.key},
+                   {"offset", std::to_string(e.offset)},
+                   {"reason", "not a record of slower workers"}});
+}
+
 void dispatch_loop::on_work_read_failed()
 {
     post([this] { leadership_.on_read_failed(monotonic_ms()); });
--- a/packages/entry/src/dispatch_loop_takeover.cpp
+++ b/packages/entry/src/dispatch_loop_takeover.cpp
@@ -55,6 +55,7 @@
         dispatcher_->set_configuration(*config_);
     if (evacuations_as_of_ >= 0)
         dispatcher_->set_evacuations(now, evacuated_, evacuations_as_of_);
+    dispatcher_->set_slower_workers(now, slower_workers_);
     dispatcher_->await_jobs();
     reading_jobs_since_ms_ = now;
     read_jobs();
--- a/packages/entry/src/gauges.cpp
+++ b/packages/entry/src/gauges.cpp
@@ -125,6 +125,10 @@
     add(registry, "jasminetrack_evacuated_runs",
         "Runs that are left in evacuated data centers", {{"service", service}},
         u.evacuated_runs);
+    for (auto const& [speed, count] : u.speeds)
+        add(registry, "jasminetrack_worker_speeds",
+            "Listed workers, by their speed as learned from progress reports",
+            {{"service", service}, {"speed", to_text(speed)}}, count);
     for (auto const& [priority, p] : u.priorities)
         for (auto const& g : priority_gauges)
             add(registry, g.name, g.help,
--- a/packages/entry/src/log_keys.hpp
+++ b/packages/entry/src/log_keys.hpp
@@ -7,7 +7,8 @@
 namespace jasminetrack::entry
 {
 
-/// Key of the dispatcher's role in the topic of work.
+/// Key of the dispatcher's role in the topic of work. Another key there is
+/// tasks::speed_record_key.
 inline constexpr char const* role_key = "role";
 /// With a job's id, the key of its cancellation in the topic of jobs.
 inline constexpr std::string_view cancel_prefix = "cancel/";
--- a/packages/tasks/include/jasminetrack/tasks/dispatch_limits.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatch_limits.hpp
@@ -27,6 +27,9 @@
     /// Nothing is started in a data center later than this after its evacuation
     /// was recorded; 0: no limit.
     milliseconds evacuation_bound_ms = 0;
+    /// Whether the speeds of workers are learned from the progress of their
+    /// tasks and order the candidates of all priorities; see worker_speeds.hpp.
+    bool learn_speeds = false;
 
     friend bool operator==(dispatch_limits const&,
                            dispatch_limits const&) = default;
--- a/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -16,6 +16,8 @@
 #include <jasminetrack/tasks/placement_advice.hpp>
 #include <jasminetrack/tasks/role_proof.hpp>
 #include <jasminetrack/tasks/service_utilization.hpp>
+#include <jasminetrack/tasks/speed_record.hpp>
+#include <jasminetrack/tasks/worker_speeds.hpp>
 
 #include <deque>
 #include <functional>
@@ -117,6 +119,10 @@
     /// \param as_of  the log held no later records of operators at this time
     void set_evacuations(milliseconds now, std::set<std::string> data_centers,
                          milliseconds as_of);
+    /// Takes over which workers an earlier dispatcher found to be slower,
+    /// before they are listed. Has no effect unless speeds are learned.
+    void set_slower_workers(milliseconds now,
+                            std::vector<slower_worker> const& slower);
     /// Adds a job. A job that this dispatcher has already finished is ignored,
     /// as the progress that was read may be older than its final record.
     /// \param progress  as the node has read it from the log
@@ -256,6 +262,18 @@
                      member& m, milliseconds clock_ms, std::int64_t percent);
     void send_stop(milliseconds now, worker_view& w, task_run const& run);
 
+    // dispatcher_speeds.cpp
+    void observe_speed(milliseconds now, worker_view const& w,
+                       unit_ref const& ref, member const& m,
+                       milliseconds clock_ms, std::int64_t percent);
+    /// Estimates the speeds anew if that is due, and logs what has changed.
+    void update_speeds(milliseconds now);
+    [[nodiscard]] worker_speed speed_of(milliseconds now,
+                                        worker_view const& w) const;
+    [[nodiscard]] speed_preference preferred_speeds(milliseconds now,
+                                                    job_entry const& e,
+                                                    unit_ref const& ref) const;
+
     // dispatcher_losses.cpp
     void check_lost_workers(milliseconds now);
     void end_expired_runs(milliseconds now, worker_view& w);
@@ -690,6 +708,8 @@
     std::set<std::pair<unit_ref, std::size_t>> deferred_resends_;
     placement_advice advice_;
     std::map<std::string, urgent_headroom> headroom_; ///< by service
+    worker_speeds speeds_;
+    speed_record_writer speed_writer_;
     /// State of the current scheduling pass, by service.
     std::map<std::string, accelerator_count> counts_;
     /// State of the current scheduling pass, by service and priority.
--- a/packages/tasks/include/jasminetrack/tasks/placement.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/placement.hpp
@@ -5,6 +5,7 @@
 /// are filled first (best fit) and whole workers stay free for large tasks.
 
 #include <jasminetrack/tasks/model.hpp>
+#include <jasminetrack/tasks/speed_preference.hpp>
 
 #include <set>
 
@@ -36,6 +37,8 @@
     /// A run completed there recently and none has failed since.
     bool verified = false;
     bool slower = false; ///< too slow for urgent work only
+    /// Its machine is slower than the usual one of its service.
+    bool slow_machine = false;
     /// Runs are being started there; only known where a unit is isolated.
     bool starting = false;
     std::int64_t same_step = 0;    ///< tasks of the unit's step on this worker
@@ -82,6 +85,7 @@
     milliseconds waited_ms = 0;   ///< since its job was accepted or due
     bool may_wait = true;         ///< by choice, rather than run at once
     milliseconds estimate_ms = 1; ///< duration of one task
+    speed_preference speeds = speed_preference::none;
 
     /// \returns the accelerators of all its tasks.
     [[nodiscard]] std::int64_t accelerators() const noexcept
--- a/packages/tasks/include/jasminetrack/tasks/service_utilization.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/service_utilization.hpp
@@ -4,6 +4,7 @@
 /// work was not placed. For logs and metrics only; no decision depends on it.
 
 #include <jasminetrack/tasks/hold_reason.hpp>
+#include <jasminetrack/tasks/worker_pace.hpp>
 
 namespace jasminetrack::tasks
 {
@@ -35,6 +36,8 @@
     std::int64_t evacuated_runs = 0; ///< in evacuated data centers
     unfit_counts unfit_by;           ///< `unfit` by its cause
     hold_counts held_units;          ///< units of ready steps without a run
+    /// Listed workers; empty unless speeds are learned.
+    std::map<worker_speed, std::int64_t> speeds;
 
     friend bool operator==(service_utilization const&,
                            service_utilization const&) = default;
--- a/packages/tasks/src/dispatcher.cpp
+++ b/packages/tasks/src/dispatcher.cpp
@@ -245,6 +245,7 @@
     if (jobs_read_)
     {
         monitor(now);
+        update_speeds(now);
         schedule(now, wall);
         update_holds(now, wall);
         record_answers(now);
@@ -276,7 +277,13 @@
 
 void dispatcher::emit_batch(milliseconds now)
 {
-    if (batch_sent_ || dirty_.empty())
+    if (batch_sent_)
+        return;
+    auto const speeds =
+        limits_.learn_speeds
+            ? speed_writer_.take_due(now, speeds_.slower_workers())
+            : std::nullopt;
+    if (dirty_.empty() && !speeds)
         return;
     store_order order;
     order.batch = next_batch_++;
@@ -287,6 +294,8 @@
             order.records.push_back({id, encode(e->progress)});
             unrecorded_answers_.erase(id);
         }
+    if (speeds)
+        order.records.push_back(*speeds);
     dirty_.clear();
     batch_sent_ = true;
     out_.push_back(std::move(order));
--- a/packages/tasks/src/dispatcher_candidates.cpp
+++ b/packages/tasks/src/dispatcher_candidates.cpp
@@ -210,13 +210,15 @@
     candidate.penalty = 0;
     if (now < w.quarantined_until)
         candidate.penalty = quarantine_penalty + w.failures;
-    auto const speed = w.pace.speed(now);
+    auto const speed = speed_of(now, w);
     if (speed == worker_speed::crawling)
         candidate.penalty += crawling_penalty;
     candidate.verified = w.last_success_at >= 0 &&
                          now - w.last_success_at <= max_verified_age_ms;
     candidate.slower =
         priority == 0 && (speed == worker_speed::slower || w.is_cold(now));
+    candidate.slow_machine =
+        limits_.learn_speeds && speed == worker_speed::slower;
     candidate.same_step = 0;
     candidate.vulnerable = w.hosts_vulnerable_run();
     candidate.suspects = 0;
--- a/packages/tasks/src/dispatcher_monitor.cpp
+++ b/packages/tasks/src/dispatcher_monitor.cpp
@@ -65,6 +65,7 @@
                              unit_ref const& ref, member& m,
                              milliseconds clock_ms, std::int64_t percent)
 {
+    observe_speed(now, w, ref, m, clock_ms, percent);
     auto& e = jobs_.at(ref.job);
     auto const& step = step_of(e, ref);
     if (step.gang || step.lasting ||
@@ -74,17 +75,17 @@
     auto const took = m.progress.take_projected_duration();
     if (!took)
         return;
-    auto const before = w.pace.speed(now);
+    auto const before = speed_of(now, w);
     auto& durations = e.durations[ref.unit.step];
     if (auto const usual = durations.median())
         w.pace.add_sample(now, *took, *usual);
     durations.add(*took);
-    if (w.pace.speed(now) == before)
+    if (speed_of(now, w) == before)
         return;
     changed_ = true;
     log_decision("worker.pace", ref.job,
                  "worker=" + w.info.id +
-                     " speed=" + to_text(w.pace.speed(now)) +
+                     " speed=" + to_text(speed_of(now, w)) +
                      " factor=" + std::to_string(w.pace.factor()) +
                      " task_ms=" + std::to_string(*took));
 }
--- a/packages/tasks/src/dispatcher_utilization.cpp
+++ b/packages/tasks/src/dispatcher_utilization.cpp
@@ -44,6 +44,8 @@
 {
     if (w.listed)
         c.capacity += w.info.capacity.accelerators;
+    if (w.listed && limits_.learn_speeds)
+        ++c.speeds[speed_of(now, w)];
     auto const free = std::max<std::int64_t>(0, w.free_capacity().accelerators);
     auto const unfit = unfit_reason_of(now, w);
     (unfit ? c.unfit : c.free) += w.listed ? free : 0;
--- a/packages/tasks/src/placement.cpp
+++ b/packages/tasks/src/placement.cpp
@@ -15,22 +15,40 @@
 
 using namespace detail;
 
+/// \returns whether the unit prefers workers of another speed.
+bool is_of_other_speed(worker_candidate const& w, unit_need const& need)
+{
+    bool const is_slow = w.slower || w.slow_machine;
+    switch (need.speeds)
+    {
+    case speed_preference::usual_first:
+        return is_slow;
+    case speed_preference::slower_first:
+        return !is_slow;
+    case speed_preference::none:
+        break;
+    }
+    return w.slower;
+}
+
 /// \returns the key by which workers are filled: lowest penalty first, then
-/// those without vulnerable runs, verified workers, the preferred rack, fast
-/// workers, and the least free capacity, or the most if the unit is isolated.
+/// those without vulnerable runs, verified workers, the preferred rack, the
+/// preferred speed, and the least free capacity, or the most if the unit is
+/// isolated.
 auto fill_order(worker_candidate const& w, unit_need const& need)
 {
     bool const wants_empty = need.isolated || need.vulnerable;
     std::int64_t const sign = wants_empty ? -1 : 1;
     return std::tuple(need.failed_on.count(w.id), w.penalty, w.vulnerable,
                       wants_empty && w.starting, is_unverified(w, need),
-                      !need.rack.empty() && w.rack != need.rack, w.slower,
-                      w.suspects, sign * w.free.accelerators,
-                      sign * w.free.memory_mb, std::string_view(w.id));
+                      !need.rack.empty() && w.rack != need.rack,
+                      is_of_other_speed(w, need), w.suspects,
+                      sign * w.free.accelerators, sign * w.free.memory_mb,
+                      std::string_view(w.id));
 }
 
 std::optional<std::vector<std::string>>
-fill(candidate_pointers const& candidates, unit_need const& need)
+fill_any_speed(candidate_pointers const& candidates, unit_need const& need)
 {
     // Under load, few workers have room.
     candidate_pointers with_room;
@@ -64,24 +82,84 @@
     return std::nullopt;
 }
 
-/// \returns the worst penalty, and whether any is slower: a gang goes on at the
-/// speed of its slowest member.
-std::tuple<int, bool, bool> worst_of(std::vector<std::string> const& places,
-                                     candidate_pointers const& candidates,
-                                     unit_need const& need)
+/// How the workers of a gang differ in speed. A gang goes on at the speed of
+/// its slowest member, so that the usual ones among slower ones are wasted.
+enum class speed_mix : std::uint8_t
 {
+    preferred, ///< all have the preferred speed
+    other,     ///< all have another one
+    mixed,
+};
+
+/// The worst properties of places, the most important one first.
+struct worst_place
+{
+    bool failed_on = false;
     int penalty = 0;
+    bool vulnerable = false;
     bool unverified = false;
-    bool slower = false;
+
+    friend auto operator<=>(worst_place const&, worst_place const&) = default;
+};
+
+struct places_quality
+{
+    worst_place worst;
+    speed_mix speeds = speed_mix::preferred;
+};
+
+places_quality quality_of(std::vector<std::string> const& places,
+                          candidate_pointers const& candidates,
+                          unit_need const& need)
+{
+    places_quality q;
+    bool any_other = false;
+    bool any_preferred = false;
     for (auto const* w : candidates)
     {
         if (std::find(places.begin(), places.end(), w->id) == places.end())
             continue;
-        penalty = std::max(penalty, w->penalty);
-        unverified = unverified || is_unverified(*w, need);
-        slower = slower || w->slower;
+        auto& worst = q.worst;
+        worst.failed_on = worst.failed_on || need.failed_on.count(w->id) != 0;
+        worst.penalty = std::max(worst.penalty, w->penalty);
+        worst.vulnerable = worst.vulnerable || w->vulnerable;
+        worst.unverified = worst.unverified || is_unverified(*w, need);
+        (is_of_other_speed(*w, need) ? any_other : any_preferred) = true;
     }
-    return {penalty, unverified, slower};
+    if (any_other)
+        q.speeds = any_preferred ? speed_mix::mixed : speed_mix::other;
+    return q;
+}
+
+/// Fills workers of one speed only, if these are otherwise no worse.
+std::optional<std::vector<std::string>>
+fill_one_speed(candidate_pointers const& candidates, unit_need const& need,
+               worst_place const& limit)
+{
+    for (bool const other : {false, true})
+    {
+        candidate_pointers alike;
+        for (auto const* w : candidates)
+            if (is_of_other_speed(*w, need) == other)
+                alike.push_back(w);
+        auto places = fill_any_speed(alike, need);
+        if (places && quality_of(*places, alike, need).worst <= limit)
+            return places;
+    }
+    return std::nullopt;
+}
+
+std::optional<std::vector<std::string>>
+fill(candidate_pointers const& candidates, unit_need const& need)
+{
+    auto places = fill_any_speed(candidates, need);
+    if (!places || need.count == 1 || need.speeds == speed_preference::none)
+        return places;
+    auto const quality = quality_of(*places, candidates, need);
+    if (quality.speeds != speed_mix::mixed)
+        return places;
+    auto alike = fill_one_speed(candidates, need, quality.worst);
+    return alike ? alike : places;
 }
 
 /// Chooses the rack with the fewest free accelerators in which the unit fits.
@@ -89,7 +167,7 @@
 fill_one_rack(candidate_pointers const& candidates, unit_need const& need)
 {
     std::optional<std::vector<std::string>> best;
-    std::tuple<int, bool, bool, std::int64_t> best_rank{};
+    std::tuple<int, bool, speed_mix, std::int64_t> best_rank{};
     for (auto const& [rack, members] : by_rack(candidates))
     {
         auto places = fill(members, need);
@@ -98,9 +176,14 @@
         std::int64_t free = 0;
         for (auto const* w : members)
             free += w->free.accelerators;
-        auto const [penalty, unverified, slower] =
-            worst_of(*places, members, need);
-        std::tuple const rank{penalty, unverified, slower, free};
+        auto const q = quality_of(*places, members, need);
+        // Without a preference, any slower member counts.
+        auto const speeds = need.speeds == speed_preference::none &&
+                                    q.speeds == speed_mix::mixed
+                                ? speed_mix::other
+                                : q.speeds;
+        std::tuple const rank{q.worst.penalty, q.worst.unverified, speeds,
+                              free};
         if (best && best_rank <= rank)
             continue;
         best = std::move(places);
--- a/packages/tasks/src/placement_reclaim.cpp
+++ b/packages/tasks/src/placement_reclaim.cpp
@@ -152,6 +152,9 @@
             {
                 return std::tuple(o.worker->penalty,
                                   is_unverified(*o.worker, need), o.price(),
+                                  need.speeds ==
+                                          speed_preference::usual_first &&
+                                      o.worker->slower,
                                   o.worker->free_after_stops.accelerators);
             };
             if (best && rank(*best) <= rank(*offer))
--- a/packages/tasks/src/service_utilization.cpp
+++ b/packages/tasks/src/service_utilization.cpp
@@ -15,6 +15,15 @@
     return text;
 }
 
+std::string speeds_text(service_utilization const& c)
+{
+    std::string text;
+    for (auto const& [speed, workers] : c.speeds)
+        text += (text.empty() ? " speeds=" : ",") +
+                std::string(to_text(speed)) + ":" + std::to_string(workers);
+    return text;
+}
+
 } // namespace
 
 std::string to_text(service_utilization const& c)
@@ -32,7 +41,7 @@
            " kept_out=" + by_priority(c, &priority_utilization::kept_out) +
            " no_room=" + by_priority(c, &priority_utilization::no_room) +
            " unfit_by=" + to_text(c.unfit_by) +
-           " held_units=" + to_text(c.held_units);
+           " held_units=" + to_text(c.held_units) + speeds_text(c);
 }
 
 } // namespace jasminetrack::tasks
