--- a/tests/support/dispatch_simulation_nodes.cpp
+++ b/tests/support/dispatch_simulation_nodes.cpp
@@ -62,6 +62,7 @@
     dispatch_limits limits;
     limits.max_lease_ms = faults_.max_lease_ms;
     limits.evacuation_bound_ms = faults_.evacuation_bound_ms;
+    limits.learn_speeds = faults_.learn_speeds;
     auto const node = std::make_shared<dispatcher>(
         epoch_, limits, now_,
         [this, number = leader_](decision const& d)
@@ -76,6 +77,8 @@
     node->set_configuration(config_);
     node->on_log_back(log_up_since_);
     node->role().on_earlier_proof(std::max(proof_at_, log_up_since_));
+    if (auto const at = log_.find(speed_record_key); at != log_.end())
+        node->set_slower_workers(now_, *decode_slower_workers(at->second));
     send_jobs(*node);
     for (auto const& [id, entry] : list_)
         node->put_worker(now_, entry);
--- a/tests/unit/test_service_utilization.cpp
+++ b/tests/unit/test_service_utilization.cpp
@@ -71,6 +71,7 @@
         f.given_up_jobs = 2;
         f.utilization["s"].capacity = 384;
         f.utilization["s"].priorities[2].kept_out = 5;
+        f.utilization["s"].speeds[worker_speed::slower] = 3;
         auto const text = jasminetrack::entry::gauges_text(f, 40);
         auto const has = [&](char const* line)
         { return text.find(line) != std::string::npos; };
@@ -80,6 +81,9 @@
         expect(has("jasminetrack_kept_out_steps{priority=\"2\","
                    "service=\"s\"} 5"),
                "a series for each priority");
+        expect(has("jasminetrack_worker_speeds{service=\"s\","
+                   "speed=\"slower\"} 3"),
+               "a series for each speed");
         expect(has("jasminetrack_log_age_ms 40"), "a series of the process");
         expect(has("jasminetrack_lost_runs_total 7"), "lost runs");
         expect(has("jasminetrack_given_up_jobs_total 2"), "jobs given up");
--- a/tests/unit/test_unexpected_input.cpp
+++ b/tests/unit/test_unexpected_input.cpp
@@ -67,8 +67,8 @@
                   cbor(7), cbor({{"id", "odd"}, {"steps", 3}}),
                   cbor({{"id", "odd"}, {"spec", json::object()}}),
                   cbor({1, "x", false})})
-                for (auto const* key :
-                     {"odd", "role", "node/odd", "cancel/odd", ""})
+                for (auto const* key : {"odd", "role", "worker-speeds",
+                                        "node/odd", "cancel/odd", ""})
                     cluster.log.put(t, key, value);
         section("jobs are served on",
                 [&]
