--- a/packages/tasks/src/speed_model.cpp
+++ b/packages/tasks/src/speed_model.cpp
@@ -12,8 +12,12 @@
 /// Turns of estimating groups and workers; the estimates change by less than
 /// their errors after that.
 constexpr int turns = 4;
-/// Standard deviation of the logarithm of the duration of alike tasks.
-constexpr double task_spread = 0.1;
+/// Standard deviation of the logarithm of the duration of alike tasks, as far
+/// as the samples do not show it, and its least value.
+constexpr double assumed_task_spread = 0.12;
+constexpr double min_task_spread = 0.06;
+/// Number of samples that count as much as the assumed value.
+constexpr double task_spread_weight = 30;
 /// Of the factors of workers of which nothing is known. A third of them at 1.3
 /// have 0.12.
 constexpr double unknown_spread = 0.15;
@@ -101,7 +105,8 @@
 
 /// \returns the references by worker and group; none for a worker alone.
 references references_of(std::vector<group_members> const& groups,
-                         std::vector<worker_effect> const& effects)
+                         std::vector<worker_effect> const& effects,
+                         double task_variance)
 {
     references all(effects.size());
     for (std::size_t g = 0; g < groups.size(); ++g)
@@ -117,22 +122,22 @@
         auto const others = static_cast<double>(sorted.size() - 1);
         for (std::size_t i = 0; i < sorted.size(); ++i)
             all[sorted[i].worker][g] = {median_without(sorted, i),
-                                        task_spread * task_spread *
-                                            median_inefficiency / others};
+                                        task_variance * median_inefficiency /
+                                            others};
     }
     return all;
 }
 
 std::vector<comparison>
 comparisons_of(sampled_worker const& w,
-               std::map<std::size_t, reference> const& groups)
+               std::map<std::size_t, reference> const& groups,
+               double task_variance)
 {
     std::vector<comparison> list;
     for (auto const& s : w.samples)
         if (auto const at = groups.find(s.group); at != groups.end())
-            list.push_back(
-                {s.log_duration - at->second.log_duration,
-                 s.variance + at->second.variance + task_spread * task_spread});
+            list.push_back({s.log_duration - at->second.log_duration,
+                            s.variance + at->second.variance + task_variance});
     return list;
 }
 
@@ -150,6 +155,7 @@
         return slow.size() >= min_far_samples ? slow
                                               : std::vector<comparison>();
     std::vector<double> ratios;
+    ratios.reserve(near.size());
     for (auto const& c : near)
         ratios.push_back(c.log_ratio);
     auto const middle = quantile(std::move(ratios), 0.5);
@@ -160,6 +166,24 @@
     return near;
 }
 
+/// \returns the variance of alike tasks, from how far the comparisons of each
+/// worker differ from each other.
+double variance_of_tasks(std::vector<std::vector<comparison>> const& all)
+{
+    double sum = assumed_task_spread * assumed_task_spread * task_spread_weight;
+    double freedom = task_spread_weight;
+    for (auto const& list : all)
+    {
+        double mean = 0;
+        for (auto const& c : list)
+            mean += c.log_ratio / static_cast<double>(list.size());
+        for (auto const& c : list)
+            sum += (c.log_ratio - mean) * (c.log_ratio - mean);
+        freedom += std::max<double>(0, static_cast<double>(list.size()) - 1);
+    }
+    return std::max(min_task_spread * min_task_spread, sum / freedom);
+}
+
 /// Updates an effect, whose prior is set, by the worker's comparisons.
 void combine(std::vector<comparison> const& list, double prior_spread,
              worker_effect& e)
@@ -249,17 +273,21 @@
     for (std::size_t i = 0; i < workers.size(); ++i)
         effects[i].log_factor = workers[i].assumed.value_or(0);
     auto const members = durations_by_group(workers, groups);
+    double task_variance = assumed_task_spread * assumed_task_spread;
     for (int turn = 0; turn < turns; ++turn)
     {
         auto const kinds = kind_factors(workers, effects);
-        auto const refs = references_of(members, effects);
+        auto const refs = references_of(members, effects, task_variance);
+        std::vector<std::vector<comparison>> lists(workers.size());
         for (std::size_t i = 0; i < workers.size(); ++i)
         {
+            lists[i] =
+                agreeing(comparisons_of(workers[i], refs[i], task_variance));
             auto const spread = set_prior(workers[i], kinds, effects[i]);
-            combine(agreeing(comparisons_of(workers[i], refs[i])), spread,
-                    effects[i]);
+            combine(lists[i], spread, effects[i]);
         }
         center(workers, effects);
+        task_variance = variance_of_tasks(lists);
     }
     return effects;
 }
--- a/packages/tasks/src/worker_speeds.cpp
+++ b/packages/tasks/src/worker_speeds.cpp
@@ -30,6 +30,9 @@
 /// A worker that counts as slower stays so above this factor, so that its
 /// estimate does not move to and fro between the speeds.
 constexpr double still_slower_factor = 1.08;
+/// Standard errors by which a worker must differ from the usual one to become
+/// slower; where alike tasks differ much, more samples are needed.
+constexpr double min_errors = 2;
 /// One run may be a long task.
 constexpr std::int64_t min_samples = 2;
 /// With so many samples, what was assumed before them is dropped.
@@ -55,9 +58,11 @@
     s.factor = std::exp(e.log_factor);
     s.spread = e.spread;
     s.prior = std::exp(e.prior);
-    auto const limit =
-        before == worker_speed::slower ? still_slower_factor : slower_factor;
-    s.speed = s.factor >= limit ? worker_speed::slower : worker_speed::usual;
+    bool const is_slower = before == worker_speed::slower
+                               ? s.factor >= still_slower_factor
+                               : s.factor >= slower_factor &&
+                                     e.log_factor >= min_errors * e.spread;
+    s.speed = is_slower ? worker_speed::slower : worker_speed::usual;
     return s;
 }
 
