Lend a part of the headroom for urgent work (jobs.lend_headroom)

Accelerators that are kept free for the next peak of urgent work were idle while work of lower priorities waited. With the setting, work that is cheap to stop, or that ends before the next peak, may start there.

--- a/packages/entry/src/gauges.cpp
+++ b/packages/entry/src/gauges.cpp
@@ -76,6 +76,7 @@
     accelerator_gauge{"unfit", &service_utilization::unfit},
     accelerator_gauge{"reserved", &service_utilization::reserved},
     accelerator_gauge{"headroom", &service_utilization::headroom},
+    accelerator_gauge{"lent", &service_utilization::lent},
     accelerator_gauge{"least_share", &service_utilization::least_share},
     accelerator_gauge{"spread", &service_utilization::spread}};
 
--- a/packages/tasks/include/jasminetrack/tasks/detail/dispatcher_state.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/detail/dispatcher_state.hpp
@@ -171,6 +171,7 @@
     std::int64_t capacity = 0;
     std::int64_t free = 0;
     std::int64_t urgent = 0;      ///< held or reserved
+    std::int64_t lent = 0;        ///< of runs that are not being stopped
     std::int64_t least_share = 0; ///< of each lower priority
     std::int64_t workers = 0;     ///< listed
     /// Of these, cleared or with suspected runs that are being started.
--- a/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -11,6 +11,7 @@
 #include <jasminetrack/tasks/due_queue.hpp>
 #include <jasminetrack/tasks/evacuations.hpp>
 #include <jasminetrack/tasks/headroom.hpp>
+#include <jasminetrack/tasks/headroom_lending.hpp>
 #include <jasminetrack/tasks/hold_tracker.hpp>
 #include <jasminetrack/tasks/list_currency.hpp>
 #include <jasminetrack/tasks/placement_advice.hpp>
@@ -328,8 +329,9 @@
                       unit const& u) const;
 
     // dispatcher_starts.cpp, dispatcher_runs.cpp, dispatcher_monitor.cpp
+    /// \param lent  whether it starts within the headroom for urgent work
     void place(milliseconds now, job_entry& e, unit_ref const& ref,
-               std::vector<std::string> const& places);
+               std::vector<std::string> const& places, bool lent);
     [[nodiscard]] std::size_t
     count_racks(std::vector<std::string> const& places) const;
     void send_starts(milliseconds now, unit_ref const& ref);
@@ -490,10 +492,9 @@
     [[nodiscard]] bool awaits_earlier_run(milliseconds now, job_entry const& e,
                                           unit_ref const& ref);
     /// \returns whether the headroom for urgent work keeps the unit out, which
-    /// is counted.
+    /// is counted. Notes in `need` if the unit starts within it.
     [[nodiscard]] bool is_kept_out(milliseconds now, job_entry const& e,
-                                   std::string const& service,
-                                   unit_need const& need);
+                                   std::string const& service, unit_need& need);
     /// Notes since when the service has been idle for the step's units.
     void note_idleness(milliseconds now, waiting_units const& w,
                        unit_need const& need);
@@ -549,6 +550,18 @@
     [[nodiscard]] bool leaves_headroom(milliseconds now,
                                        std::string const& service,
                                        unit_need const& need);
+    // dispatcher_lending.cpp
+    void record_urgent_use(milliseconds now);
+    [[nodiscard]] headroom_state headroom_of(milliseconds now,
+                                             std::string const& service) const;
+    [[nodiscard]] static lending_unit lending_unit_of(job_entry const& e,
+                                                      unit_need const& need);
+    /// \returns whether the unit may start within the headroom for urgent work.
+    [[nodiscard]] bool may_borrow(milliseconds now, job_entry const& e,
+                                  std::string const& service,
+                                  unit_need const& need) const;
+    void log_lending(milliseconds now, job_entry const& e, unit_ref const& ref,
+                     std::string const& service, unit_need const& need) const;
     // dispatcher_utilization.cpp
     void update_utilization(milliseconds now);
     void count_worker(milliseconds now, worker_view const& w,
@@ -690,6 +703,8 @@
     std::set<std::pair<unit_ref, std::size_t>> deferred_resends_;
     placement_advice advice_;
     std::map<std::string, urgent_headroom> headroom_; ///< by service
+    /// By service; empty unless the headroom is lent.
+    std::map<std::string, urgent_history> urgent_history_;
     /// State of the current scheduling pass, by service.
     std::map<std::string, accelerator_count> counts_;
     /// State of the current scheduling pass, by service and priority.
--- a/packages/tasks/include/jasminetrack/tasks/placement.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/placement.hpp
@@ -82,6 +82,8 @@
     milliseconds waited_ms = 0;   ///< since its job was accepted or due
     bool may_wait = true;         ///< by choice, rather than run at once
     milliseconds estimate_ms = 1; ///< duration of one task
+    bool checkpoints = false;     ///< a stop keeps its progress
+    bool lent = false; ///< starts within the headroom for urgent work
 
     /// \returns the accelerators of all its tasks.
     [[nodiscard]] std::int64_t accelerators() const noexcept
--- a/packages/tasks/include/jasminetrack/tasks/service_utilization.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/service_utilization.hpp
@@ -28,6 +28,7 @@
     std::int64_t unfit = 0;       ///< on workers that accept no starts
     std::int64_t reserved = 0;    ///< for units that wait for stops
     std::int64_t headroom = 0;    ///< kept free for urgent work
+    std::int64_t lent = 0;        ///< held by work within the headroom
     std::int64_t least_share = 0; ///< of each lower priority
     std::int64_t spread =
         0; ///< held by gangs that want one rack but span several
--- a/packages/tasks/include/jasminetrack/tasks/worker_view.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/worker_view.hpp
@@ -38,6 +38,7 @@
     /// Its start may be carried out at a later incarnation of the worker until
     /// then.
     milliseconds late_start_until = 0;
+    bool lent = false; ///< was started within the headroom for urgent work
 };
 
 /// A start of a run that has ended. Another send of it, by this dispatcher or
--- a/packages/tasks/src/dispatcher_candidates.cpp
+++ b/packages/tasks/src/dispatcher_candidates.cpp
@@ -13,6 +13,10 @@
 constexpr double late_loss_factor = 0.7;
 /// Weight of the loss if a stop brings a priority below its least share.
 constexpr double least_share_loss_factor = 3;
+/// Weight of the loss of a run within the headroom for urgent work. It is
+/// stopped before any other run of its size that has run for at least a
+/// hundredth of its time.
+constexpr double lent_loss_factor = 0.01;
 /// How long a completed run counts as evidence that its worker is healthy.
 constexpr milliseconds max_verified_age_ms = 10'000;
 /// Added to the penalty of a worker; workers with a penalty come last.
@@ -234,8 +238,9 @@
         auto const& step = step_of(job->second, o.unit);
         if (step.lasting)
             continue;
-        auto const lost = lost_work(now, at->second, step) +
-                          delay_cost(now, job->second, o.unit);
+        auto const lost = (o.lent ? lent_loss_factor : 1) *
+                          (lost_work(now, at->second, step) +
+                           delay_cost(now, job->second, o.unit));
         bool const cuts_share = is_below_share(
             w.info.service, job->second.priority, o.held.accelerators);
         candidate.stoppable.push_back(
--- a/packages/tasks/src/dispatcher_holds.cpp
+++ b/packages/tasks/src/dispatcher_holds.cpp
@@ -185,7 +185,8 @@
     case detail::unit_fit::now:
         break;
     }
-    if (!may_use(now, e, q.service, need))
+    if (!may_use(now, e, q.service, need) &&
+        !may_borrow(now, e, q.service, need))
         return hold_reason::headroom;
     // A unit that has advised places and lacks no rack is placed in the next
     // pass.
--- a/packages/tasks/src/dispatcher_isolation.cpp
+++ b/packages/tasks/src/dispatcher_isolation.cpp
@@ -114,7 +114,7 @@
     drop_clearance(ref);
     if (!usable)
         return;
-    place(now, e, ref, places);
+    place(now, e, ref, places, false);
     deduct_capacity(service, places, need.per_task);
     counts_[service].held[e.priority] += need.accelerators();
 }
--- a/packages/tasks/src/dispatcher_reclaim.cpp
+++ b/packages/tasks/src/dispatcher_reclaim.cpp
@@ -148,7 +148,7 @@
         if (usable && fits_now(now, e, ref, r.places))
         {
             drop_reservation(ref);
-            place(now, e, ref, r.places);
+            place(now, e, ref, r.places, false);
         }
         else if (!usable || overdue)
         {
--- a/packages/tasks/src/dispatcher_schedule.cpp
+++ b/packages/tasks/src/dispatcher_schedule.cpp
@@ -44,6 +44,7 @@
     counts_ = count_accelerators();
     for (auto const& [service, count] : counts_)
         headroom_[service].record(now, count.urgent);
+    record_urgent_use(now);
     pending_utilization_.clear();
     crowded_.clear();
     suspects_in_pass_.clear();
@@ -159,9 +160,12 @@
     }
     if (need.isolated)
         note_suspects(service, plan.places, need.max_group);
-    place(now, e, ref, plan.places);
+    if (need.lent)
+        log_lending(now, e, ref, service, need);
+    place(now, e, ref, plan.places, need.lent);
     deduct_capacity(service, plan.places, need.per_task);
     counts_[service].held[e.priority] += need.accelerators();
+    counts_[service].lent += need.lent ? need.accelerators() : 0;
 }
 
 std::vector<dispatcher::waiting_units>
@@ -245,6 +249,7 @@
         std::max(age_of(now, e, ref.unit.occurrence), now - e.known_at);
     need.lasting = step.lasting;
     need.estimate_ms = std::max<milliseconds>(step.estimate_ms, 1);
+    need.checkpoints = step.checkpoints;
     return need;
 }
 
--- a/packages/tasks/src/dispatcher_shares.cpp
+++ b/packages/tasks/src/dispatcher_shares.cpp
@@ -45,7 +45,10 @@
         for (auto const& [run, o] : w.hosted_runs)
             if (auto const job = jobs_.find(o.unit.job);
                 job != jobs_.end() && !o.ending)
+            {
                 count.held[job->second.priority] += o.held.accelerators;
+                count.lent += o.lent ? o.held.accelerators : 0;
+            }
         count.urgent += w.reserved.accelerators;
     }
     auto const lower = lower_priorities();
--- a/packages/tasks/src/dispatcher_starts.cpp
+++ b/packages/tasks/src/dispatcher_starts.cpp
@@ -30,7 +30,7 @@
 } // namespace
 
 void dispatcher::place(milliseconds now, job_entry& e, unit_ref const& ref,
-                       std::vector<std::string> const& places)
+                       std::vector<std::string> const& places, bool lent)
 {
     auto& u = e.progress.units.at(ref.unit);
     auto const& step = step_of(e, ref);
@@ -56,7 +56,7 @@
         u.incarnations.push_back(w.info.incarnation);
         w.add(run_of(ref, u.run, i, step.gang),
               {ref, held_by(step), false, 0, 0, is_isolated,
-               is_vulnerable(u.losses)});
+               is_vulnerable(u.losses), 0, lent});
         // The lease of an idle worker may have expired.
         if (w.idle_pause_ms > 0)
             schedule_renewal(places[i], w, now);
@@ -76,7 +76,8 @@
                      " estimate_ms=" + std::to_string(step.estimate_ms) +
                      " priority=" + std::to_string(e.priority) +
                      " isolated=" + (is_isolated ? "1" : "0") +
-                     " waited_ms=" + std::to_string(now - e.known_at));
+                     " waited_ms=" + std::to_string(now - e.known_at) +
+                     (lent ? " lent=1" : ""));
 }
 
 std::size_t
--- a/packages/tasks/src/dispatcher_utilization.cpp
+++ b/packages/tasks/src/dispatcher_utilization.cpp
@@ -53,7 +53,10 @@
     c.reserved += w.reserved.accelerators;
     for (auto const& [run, o] : w.hosted_runs)
         if (auto const job = jobs_.find(o.unit.job); job != jobs_.end())
+        {
             c.priorities[job->second.priority].held += o.held.accelerators;
+            c.lent += o.lent ? o.held.accelerators : 0;
+        }
 }
 
 /// \returns the service of a gang that wants one rack but spans several, or
--- a/packages/tasks/src/dispatcher_waits.cpp
+++ b/packages/tasks/src/dispatcher_waits.cpp
@@ -35,10 +35,13 @@
 }
 
 bool dispatcher::is_kept_out(milliseconds now, job_entry const& e,
-                             std::string const& service, unit_need const& need)
+                             std::string const& service, unit_need& need)
 {
     if (may_use(now, e, service, need))
         return false;
+    need.lent = !need.isolated && may_borrow(now, e, service, need);
+    if (need.lent)
+        return false;
     bool const is_free = counts_[service].free >= need.accelerators();
     count_waiting_step(e, is_free ? &priority_utilization::kept_out
                                   : &priority_utilization::no_room);
--- a/packages/tasks/src/service_utilization.cpp
+++ b/packages/tasks/src/service_utilization.cpp
@@ -24,6 +24,7 @@
            " unfit=" + std::to_string(c.unfit) +
            " reserved=" + std::to_string(c.reserved) +
            " headroom=" + std::to_string(c.headroom) +
+           " lent=" + std::to_string(c.lent) +
            " least_share=" + std::to_string(c.least_share) +
            " spread=" + std::to_string(c.spread) +
            " evacuated_runs=" + std::to_string(c.evacuated_runs) +
