--- a/packages/tasks/src/headroom_lending.cpp
+++ b/packages/tasks/src/headroom_lending.cpp
@@ -11,8 +11,11 @@
 constexpr milliseconds interval_ms = 100;
 /// Covers two periods of the waves, so that their range is known.
 constexpr milliseconds range_window_ms = 30'000;
-/// Covers one period of the waves, so that the last rise counts.
-constexpr milliseconds growth_window_ms = 15'000;
+/// Covers one period of the waves, so that their last rise counts.
+constexpr milliseconds rise_window_ms = 15'000;
+/// Between peaks, urgent work arrives as it did within the time for which its
+/// last peak is kept as headroom.
+constexpr milliseconds lull_window_ms = 3'000;
 /// Peaks that began earlier do not count.
 constexpr milliseconds peaks_window_ms = 60'000;
 /// Urgent jobs that follow each other leave gaps that separate no peaks.
@@ -84,9 +87,11 @@
 
 std::int64_t urgent_history::growth(milliseconds now) const noexcept
 {
+    auto const window =
+        next_peak(now).value_or(0) > stop_ms_ ? lull_window_ms : rise_window_ms;
     std::int64_t largest = 0;
     for (auto const& i : intervals_)
-        if (now - i.begin <= growth_window_ms)
+        if (now - i.begin <= window)
             largest = std::max(largest, i.growth);
     return largest;
 }
