--- a/tests/unit/test_headroom_lending.cpp
+++ b/tests/unit/test_headroom_lending.cpp
@@ -139,6 +139,7 @@
         auto const width = gang ? 1 << static_cast<int>(uniform(0, 4)) : 1;
         auto spec = gang ? gang_job(count, width) : simple_job(count, width);
         auto& step = spec.steps[0];
+        step.need = {7'000 * width, 14'000 * width, width};
         step.same_rack = q->priority == 0 && uniform(0, 1) < 0.8;
         step.checkpoints = q->priority != 0 && uniform(0, 1) < 0.5;
         step.estimate_ms = static_cast<milliseconds>(work * uniform(0.5, 1.5));
@@ -190,12 +191,45 @@
     constexpr unsigned seeds = 6;
     simulation_faults settings;
     settings.lend_headroom = lend_headroom;
+    settings.slow_stops = true;
     load_result result;
     for (unsigned seed = 1; seed <= seeds; ++seed)
         wave_load(seed, settings).add_to(result);
     return result;
 }
 
+simulation_faults lending()
+{
+    simulation_faults settings;
+    settings.lend_headroom = true;
+    return settings;
+}
+
+/// Runs ordinary work on 40 of 64 accelerators, and a job of which 8 tasks
+/// start within the headroom that a peak of urgent work has left.
+void lend_eight(dispatch_simulation& w)
+{
+    add_racks(w);
+    auto plain = simple_job(40, 1);
+    plain.steps[0].checkpoints = true;
+    w.submit("plain", "batch", plain, {60'000});
+    w.run_for(2'000);
+    w.submit("first", "urgent", simple_job(2, 8), {3'000});
+    w.run_for(1'500);
+    w.submit("more", "urgent", simple_job(1, 8), {1'500});
+    w.run_for(2'000);
+    // A stop of these loses more than one of the others.
+    auto saves = simple_job(16, 1);
+    saves.steps[0].checkpoints = true;
+    saves.steps[0].need.millicores = 8'000;
+    w.submit("saves", "batch", saves, {60'000});
+    w.run_for(1'500);
+    expect(w.running("saves") == 8 &&
+               w.leader().utilization().at("service").lent == 8,
+           "the free 24 of a headroom of 30 are lent except for the 16 that "
+           "urgent work takes at once");
+}
+
 class test_headroom_lending : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(test_headroom_lending);
@@ -203,6 +237,7 @@
     CPPUNIT_TEST(reserve_stays_free);
     CPPUNIT_TEST(only_work_that_is_cheap_to_stop_is_lent_to);
     CPPUNIT_TEST(lent_work_is_stopped_first);
+    CPPUNIT_TEST(successor_lends_nothing_without_history);
     CPPUNIT_TEST(lending_helps_lower_priorities_at_no_cost_to_urgent_ones);
     CPPUNIT_TEST_SUITE_END();
 
@@ -281,31 +316,10 @@
 
     void lent_work_is_stopped_first()
     {
-        simulation_faults settings;
-        settings.lend_headroom = true;
-        dispatch_simulation w(41, settings);
+        dispatch_simulation w(41, lending());
         std::ostringstream trace;
         w.trace_to(&trace);
-        add_racks(w);
-        auto plain = simple_job(40, 1);
-        plain.steps[0].checkpoints = true;
-        w.submit("plain", "batch", plain, {60'000});
-        w.run_for(2'000);
-        w.submit("first", "urgent", simple_job(2, 8), {3'000});
-        w.run_for(1'500);
-        w.submit("more", "urgent", simple_job(1, 8), {1'500});
-        w.run_for(2'000);
-        // A stop of these loses more than one of the others.
-        auto saves = simple_job(20, 1);
-        saves.steps[0].checkpoints = true;
-        saves.steps[0].need.millicores = 8'000;
-        w.submit("saves", "batch", saves, {60'000});
-        w.run_for(1'500);
-        auto const lent = w.leader().utilization().at("service").lent;
-        expect(w.running("saves") == 8 && lent == 8,
-               "the free 24 of a headroom of 30 are lent except for the 16 "
-               "that urgent work "
-               "takes at once");
+        lend_eight(w);
         expect(trace.str().find("lent=1") != std::string::npos,
                "the placement is marked");
         w.submit("second", "urgent", simple_job(3, 8), {1'000});
@@ -314,6 +328,26 @@
         expect(w.running("plain") == 40, "other work goes on");
     }
 
+    /// The history and the marks are lost with the dispatcher.
+    void successor_lends_nothing_without_history()
+    {
+        dispatch_simulation w(42, lending());
+        lend_eight(w);
+        w.take_over();
+        w.run_for(2'000);
+        expect(w.leader().utilization().at("service").lent == 0,
+               "nothing counts as lent");
+        expect(w.running("plain") == 40 && w.starts("saves") == 16,
+               "no run was stopped by it");
+        auto const submitted = w.now();
+        w.submit("second", "urgent", simple_job(2, 8), {1'000});
+        w.run_for(dispatch_limits{}.max_reclaim_ms);
+        expect(w.begun_at("second") >= 0 &&
+                   w.begun_at("second") - submitted <=
+                       dispatch_limits{}.max_reclaim_ms,
+               "guaranteed work begins within the bound");
+    }
+
     void lending_helps_lower_priorities_at_no_cost_to_urgent_ones()
     {
         constexpr int hundred = 100;
--- a/tests/unit/test_service_utilization.cpp
+++ b/tests/unit/test_service_utilization.cpp
@@ -70,6 +70,7 @@
         f.lost_runs = 7;
         f.given_up_jobs = 2;
         f.utilization["s"].capacity = 384;
+        f.utilization["s"].lent = 40;
         f.utilization["s"].priorities[2].kept_out = 5;
         auto const text = jasminetrack::entry::gauges_text(f, 40);
         auto const has = [&](char const* line)
@@ -77,6 +78,9 @@
         expect(has("jasminetrack_accelerators{service=\"s\","
                    "state=\"capacity\"} 384"),
                "a series for each state");
+        expect(has("jasminetrack_accelerators{service=\"s\","
+                   "state=\"lent\"} 40"),
+               "what is lent within the headroom");
         expect(has("jasminetrack_kept_out_steps{priority=\"2\","
                    "service=\"s\"} 5"),
                "a series for each priority");
