--- a/packages/entry/src/settings.cpp
+++ b/packages/entry/src/settings.cpp
@@ -21,6 +21,7 @@
         in.boolean("wait_beside_running", b.wait_beside_running);
     b.evacuation_bound_ms = in.duration("evacuate", b.evacuation_bound_ms);
     b.learn_speeds = in.boolean("learn_speeds", b.learn_speeds);
+    b.lend_headroom = in.boolean("lend_headroom", b.lend_headroom);
     in.check_unknown_keys();
 }
 
--- a/packages/tasks/include/jasminetrack/tasks/dispatch_limits.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatch_limits.hpp
@@ -34,6 +34,8 @@
     /// Whether tasks of a job that runs already may wait by choice in an idle
     /// service, as only a job that stands still must not.
     bool wait_beside_running = false;
+    /// Lower priorities may use a part of the headroom for urgent work.
+    bool lend_headroom = false;
 
     friend bool operator==(dispatch_limits const&,
                            dispatch_limits const&) = default;
--- a/packages/tasks/include/jasminetrack/tasks/placement.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/placement.hpp
@@ -86,6 +86,8 @@
     bool may_wait = true;         ///< by choice, rather than run at once
     milliseconds estimate_ms = 1; ///< duration of one task
     speed_preference speeds = speed_preference::none;
+    bool checkpoints = false;     ///< a stop keeps its progress
+    bool lent = false; ///< starts within the headroom for urgent work
 
     /// \returns the accelerators of all its tasks.
     [[nodiscard]] std::int64_t accelerators() const noexcept
--- a/tests/support/dispatch_simulation.hpp
+++ b/tests/support/dispatch_simulation.hpp
@@ -60,6 +60,7 @@
     /// Workers cap longer leases, and the dispatchers know it.
     milliseconds max_lease_ms = dispatch_limits{}.max_lease_ms;
     bool learn_speeds = false; ///< see dispatch_limits
+    bool lend_headroom = false; ///< setting of the dispatchers
 };
 
 /// Kinds of invariants.
--- a/tests/support/dispatch_simulation_nodes.cpp
+++ b/tests/support/dispatch_simulation_nodes.cpp
@@ -64,6 +64,7 @@
     limits.wait_beside_running = faults_.wait_beside_running;
     limits.evacuation_bound_ms = faults_.evacuation_bound_ms;
     limits.learn_speeds = faults_.learn_speeds;
+    limits.lend_headroom = faults_.lend_headroom;
     auto const node = std::make_shared<dispatcher>(
         epoch_, limits, now_,
         [this, number = leader_](decision const& d)
