Load shedding: order by cost of delay, published load, admission of jobs

Cause: while work waits for more capacity than the service frees, the order is by age within a priority and nothing is refused, so jobs expire in the queue. Change: setting jobs.shed_load. Waiting units of one group, timeliness and priority are ordered by the value that their callers lose per core-second. The dispatcher publishes its load with its heartbeat; entry VMs refuse a job whose estimated end is clearly beyond its expiry. Off by default.

--- a/packages/entry/include/jasminetrack/entry/dispatch_loop.hpp
+++ b/packages/entry/include/jasminetrack/entry/dispatch_loop.hpp
@@ -123,7 +123,10 @@
     void append_if_due(milliseconds now);
     /// Records in the log that this node gives up the role.
     void give_up_role(std::string const& why);
-    [[nodiscard]] tasks::log_record heartbeat_record() const;
+    /// \returns whether the newest reading of the load in the log is too old.
+    [[nodiscard]] bool is_load_due(milliseconds now) const;
+    /// \returns the record with the load of now, if load is shed.
+    [[nodiscard]] tasks::log_record heartbeat_record();
     void on_workers(topic_page const& page);
     void on_workers_read_failed();
     void unlist_workers_except(milliseconds now,
@@ -172,8 +175,9 @@
     std::deque<tasks::store_order> store_queue_;
     append_timeout append_timeout_;
     milliseconds last_append_ms_ = 0;
-    milliseconds append_started_ms_ = 0;     ///< first send of that append
-    milliseconds append_sent_ms_ = 0;        ///< its latest send
+    milliseconds load_sent_ms_ = 0;      ///< when the load was last published
+    milliseconds append_started_ms_ = 0; ///< first send of that append
+    milliseconds append_sent_ms_ = 0;    ///< its latest send
     milliseconds log_failing_since_ms_ = -1; ///< -1: appends succeed
     milliseconds role_confirmed_ms_ = 0;     ///< when an append was confirmed
     milliseconds surveyed_ms_ = 0;           ///< begin of the newest survey
--- a/packages/entry/include/jasminetrack/entry/entry_node.hpp
+++ b/packages/entry/include/jasminetrack/entry/entry_node.hpp
@@ -49,6 +49,8 @@
     void apply_evacuations(topic_page const& page);
     void log_evacuations(std::set<std::string> const& before,
                          topic_page const& page) const;
+    /// Passes the newest reading of the load on.
+    void apply_load(topic_page const& page);
     void apply_jobs(std::vector<log_entry> const& entries);
     void set_poll_intervals();
     void apply_peer(log_entry const& e);
@@ -67,6 +69,9 @@
     std::shared_ptr<tasks::configuration const> config_;
     std::set<std::string>
         evacuated_; ///< used by the follower of configurations
+    // Used by the follower of work; -1: not yet.
+    milliseconds work_end_read_ms_ = -1; ///< when it was read to its end
+    milliseconds work_records_ms_ = -1;  ///< when the newest records were read
     view_age jobs_age_;
     view_age work_age_; ///< since a new record of work was read
     std::atomic<bool> draining_{false};
@@ -75,6 +80,7 @@
     job_table table_;
     runtime::timer_service timers_;
     record_writer writer_;
+    load_admission admission_;
     job_requests requests_;
     dispatch_loop dispatch_;
     topic_follower config_follower_;
--- a/packages/entry/include/jasminetrack/entry/gauges.hpp
+++ b/packages/entry/include/jasminetrack/entry/gauges.hpp
@@ -2,6 +2,7 @@
 /// \file
 /// Gauges of an entry process for the metrics endpoint.
 
+#include <jasminetrack/entry/load_admission.hpp>
 #include <jasminetrack/tasks/service_utilization.hpp>
 
 #include <string>
@@ -32,5 +33,7 @@
 /// \returns the gauges in Prometheus' text format.
 [[nodiscard]] std::string gauges_text(dispatch_metrics const& m,
                                       tasks::milliseconds log_age);
+/// \returns the gauges of the admission of jobs, in the same format.
+[[nodiscard]] std::string gauges_text(admission_metrics const& m);
 
 } // namespace jasminetrack::entry
--- a/packages/entry/include/jasminetrack/entry/job_requests.hpp
+++ b/packages/entry/include/jasminetrack/entry/job_requests.hpp
@@ -5,6 +5,7 @@
 
 #include <jasminetrack/entry/job_table.hpp>
 #include <jasminetrack/entry/latencies.hpp>
+#include <jasminetrack/entry/load_admission.hpp>
 #include <jasminetrack/entry/record_writer.hpp>
 #include <jasminetrack/entry/topic_follower.hpp>
 
@@ -80,8 +81,15 @@
     /// \param work_age  since a new record of the dispatcher was read
     job_requests(job_table& table, record_writer& writer, view_age const& age,
                  view_age const& work_age, topic_follower& jobs,
-                 topic_follower& work, latencies& l) noexcept;
-
+                 topic_follower& work, load_admission& admission,
+                 latencies& l) noexcept;
+
+    /// Decides on the load, before anything of the job is stored.
+    /// \returns the seconds after which to submit the job again, or nothing if
+    /// it is to be submitted now. A known job is never refused.
+    [[nodiscard]] std::optional<int>
+    refuse_for_load(std::string const& queue, std::string const& id,
+                    tasks::job_spec const& spec);
     [[nodiscard]] submit_result submit(caller const& who,
                                        std::string const& queue,
                                        std::string const& id,
@@ -119,6 +127,7 @@
     view_age const& work_age_;
     topic_follower& jobs_;
     topic_follower& work_;
+    load_admission& admission_;
     latencies& latencies_;
 };
 
--- /dev/null
+++ b/packages/entry/include/jasminetrack/entry/load_admission.hpp
@@ -0,0 +1,70 @@
+#pragma once
+/// \file
+/// Admission of new jobs by the load that the dispatcher publishes. Each entry
+/// VM decides by itself, from its newest reading and what it has accepted since
+/// then.
+
+#include <jasminetrack/tasks/admission.hpp>
+
+#include <memory>
+#include <mutex>
+
+namespace jasminetrack::entry
+{
+
+using tasks::milliseconds;
+
+/// Counters and current values for the metrics endpoint.
+struct admission_metrics
+{
+    std::map<std::string, std::int64_t> refused; ///< jobs, by queue
+    milliseconds reading_age_ms = 0; ///< a very long time if there is none
+};
+
+/// Safe to use from several threads.
+class load_admission
+{
+public:
+    /// \param enabled  false: every job is accepted
+    explicit load_admission(bool enabled) noexcept : enabled_(enabled) {}
+
+    [[nodiscard]] bool enabled() const noexcept
+    {
+        return enabled_;
+    }
+    void set_configuration(std::shared_ptr<tasks::configuration const> config);
+    /// A record of the dispatcher with a reading was read.
+    /// \param gap_ms  time before `now` within which it was taken; a reading is
+    ///                not used if it may be too old
+    void put_reading(milliseconds now, std::string const& encoded,
+                     milliseconds gap_ms);
+    /// \returns the verdict on a new job.
+    [[nodiscard]] tasks::admission_verdict
+    judge(milliseconds now, std::string const& queue,
+          tasks::job_spec const& spec) const;
+    /// The job was stored.
+    void on_accepted(std::string const& queue, tasks::job_spec const& spec);
+    /// The job is refused; logs the decision and its inputs.
+    void on_refused(milliseconds now, std::string const& queue,
+                    std::string const& id, tasks::job_spec const& spec,
+                    tasks::admission_verdict const& v);
+    [[nodiscard]] admission_metrics metrics(milliseconds now) const;
+
+private:
+    /// \returns nullptr if the queue or its service is not known.
+    [[nodiscard]] tasks::queue const* find(std::string const& queue) const;
+    [[nodiscard]] tasks::service_reading const*
+    reading_of(std::string const& service) const;
+    [[nodiscard]] milliseconds age(milliseconds now) const;
+
+    bool enabled_;
+    mutable std::mutex mutex_;
+    std::shared_ptr<tasks::configuration const> config_;
+    std::optional<tasks::load_reading> reading_;
+    milliseconds read_at_ = 0;
+    /// Since the newest reading, by service.
+    std::map<std::string, tasks::accepted_by_priority> accepted_;
+    std::map<std::string, std::int64_t> refused_; ///< by queue
+};
+
+} // namespace jasminetrack::entry
--- a/packages/entry/include/jasminetrack/entry/retry_advice.hpp
+++ b/packages/entry/include/jasminetrack/entry/retry_advice.hpp
@@ -22,4 +22,10 @@
 [[nodiscard]] int retry_after_s(milliseconds outage_ms,
                                 std::string const& request_id);
 
+/// \returns the seconds, 1 to 10, after which a caller should submit a job
+/// again that was refused because of the load; spread as above. \param wait_ms
+/// estimated time until there will be capacity for the job
+[[nodiscard]] int overload_retry_after_s(milliseconds wait_ms,
+                                         std::string const& request_id);
+
 } // namespace jasminetrack::entry
--- a/packages/entry/src/dispatch_loop_log.cpp
+++ b/packages/entry/src/dispatch_loop_log.cpp
@@ -4,6 +4,7 @@
 
 #include <jasminetrack/runtime/logging.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace jasminetrack::entry
@@ -29,8 +30,8 @@
 void dispatch_loop::claim()
 {
     auto const now = monotonic_ms();
-    tasks::role_record const role{leadership_.newest().epoch + 1, incarnation_,
-                                  false};
+    tasks::role_record const role{
+        leadership_.newest().epoch + 1, incarnation_, false, {}};
     write_log(
         log_level::info, "role.claim",
         {{"epoch", std::to_string(role.epoch)},
@@ -84,6 +85,11 @@
                        store_queue_.front().records.end());
         store_queue_.pop_front();
     }
+    // Other appends delay the heartbeat, which carries the load.
+    if (is_load_due(monotonic_ms()) &&
+        std::none_of(records.begin(), records.end(),
+                     [](auto const& r) { return r.key == role_key; }))
+        records.push_back(heartbeat_record());
     // The log does not advance the sequence for an append without records.
     if (records.empty())
         records.push_back(heartbeat_record());
@@ -204,14 +210,26 @@
                {"readable", std::to_string(a.readable)}});
 }
 
-tasks::log_record dispatch_loop::heartbeat_record() const
+bool dispatch_loop::is_load_due(milliseconds now) const
+{
+    return settings_.limits.shed_load && dispatcher_ &&
+           now - load_sent_ms_ >= heartbeat_interval_ms;
+}
+
+tasks::log_record dispatch_loop::heartbeat_record()
 {
-    return {role_key, encode(tasks::role_record{epoch_, incarnation_, false})};
+    tasks::role_record role{epoch_, incarnation_, false, {}};
+    if (settings_.limits.shed_load && dispatcher_)
+    {
+        load_sent_ms_ = monotonic_ms();
+        role.load = encode(dispatcher_->read_load(load_sent_ms_));
+    }
+    return {role_key, encode(role)};
 }
 
 void dispatch_loop::give_up_role(std::string const& why)
 {
-    tasks::role_record const role{epoch_, incarnation_, true};
+    tasks::role_record const role{epoch_, incarnation_, true, {}};
     append({{role_key, encode(role)}});
     step_down(why);
 }
--- a/packages/entry/src/entry_node.cpp
+++ b/packages/entry/src/entry_node.cpp
@@ -5,6 +5,8 @@
 
 #include <jasminetrack/runtime/logging.hpp>
 
+#include <algorithm>
+
 namespace jasminetrack::entry
 {
 namespace
@@ -48,8 +50,9 @@
       log_(ports.log, client_, peers_), survey_(client_, peers_),
       incarnation_(new_incarnation(settings.node)),
       writer_(log_, topic::jobs, incarnation_, timers_),
+      admission_(settings.limits.shed_load),
       requests_(table_, writer_, jobs_age_, work_age_, jobs_follower_,
-                work_follower_, latencies_),
+                work_follower_, admission_, latencies_),
       dispatch_(settings, incarnation_, {log_, ports.workers, ports.decoder},
                 {survey_, outage_reports_}, table_, jobs_follower_, timers_,
                 latencies_),
@@ -74,6 +77,7 @@
                                        work_age_.record_contact(monotonic_ms());
                                    for (auto const& e : page.entries)
                                        (void)table_.apply_progress(e);
+                                   apply_load(page);
                                    dispatch_.on_work(page);
                                    set_poll_intervals();
                                },
@@ -133,6 +137,7 @@
         config_ =
             std::make_shared<tasks::configuration const>(std::move(*config));
         dispatch_.on_configuration(config_);
+        admission_.set_configuration(config_);
     }
 }
 
@@ -190,6 +195,29 @@
     publish_node_record();
 }
 
+/// The dispatcher takes a reading after its previous record was stored, and an
+/// append that is repeated for long carries an old one. So the reading may be
+/// as old as the time since the records before were read.
+void entry_node::apply_load(topic_page const& page)
+{
+    if (!admission_.enabled())
+        return;
+    auto const now = monotonic_ms();
+    std::string newest;
+    for (auto const& e : page.entries)
+        if (auto const role = e.key == role_key ? tasks::decode_role(e.value)
+                                                : std::nullopt;
+            role && !role->load.empty())
+            newest = role->load;
+    auto const before = std::min(work_end_read_ms_, work_records_ms_);
+    if (!newest.empty() && before >= 0)
+        admission_.put_reading(now, newest, now - before);
+    if (page.at_end)
+        work_end_read_ms_ = page.as_of_ms;
+    if (!page.entries.empty())
+        work_records_ms_ = now;
+}
+
 void entry_node::set_poll_intervals()
 {
     auto const rank = dispatch_.rank();
@@ -259,8 +287,11 @@
 
 std::string entry_node::metrics() const
 {
-    return gauges_text(dispatch_.metrics(), jobs_age_.age(monotonic_ms())) +
-           latencies_.to_text();
+    auto const now = monotonic_ms();
+    auto text = gauges_text(dispatch_.metrics(), jobs_age_.age(now));
+    if (admission_.enabled())
+        text += gauges_text(admission_.metrics(now));
+    return text + latencies_.to_text();
 }
 
 } // namespace jasminetrack::entry
--- a/packages/entry/src/gauges.cpp
+++ b/packages/entry/src/gauges.cpp
@@ -147,4 +147,17 @@
     return prometheus::TextSerializer().Serialize(registry.Collect());
 }
 
+std::string gauges_text(admission_metrics const& m)
+{
+    prometheus::Registry registry;
+    for (auto const& [queue, count] : m.refused)
+        add(registry, "jasminetrack_refused_jobs_total",
+            "Jobs refused because they would expire before their end",
+            {{"queue", queue}}, count);
+    add(registry, "jasminetrack_load_reading_age_ms",
+        "Time since the newest reading of the load was read", {},
+        std::min(m.reading_age_ms, max_age_ms));
+    return prometheus::TextSerializer().Serialize(registry.Collect());
+}
+
 } // namespace jasminetrack::entry
--- a/packages/entry/src/job_requests.cpp
+++ b/packages/entry/src/job_requests.cpp
@@ -1,5 +1,6 @@
 #include <jasminetrack/entry/job_requests.hpp>
 
+#include <jasminetrack/entry/retry_advice.hpp>
 #include <jasminetrack/runtime/logging.hpp>
 
 #include <algorithm>
@@ -71,9 +72,9 @@
 job_requests::job_requests(job_table& table, record_writer& writer,
                            view_age const& age, view_age const& work_age,
                            topic_follower& jobs, topic_follower& work,
-                           latencies& l) noexcept
+                           load_admission& admission, latencies& l) noexcept
     : table_(table), writer_(writer), age_(age), work_age_(work_age),
-      jobs_(jobs), work_(work), latencies_(l)
+      jobs_(jobs), work_(work), admission_(admission), latencies_(l)
 {
 }
 
@@ -120,6 +121,22 @@
     return result;
 }
 
+/// Another entry VM may have accepted the job just now, so it is refused only
+/// after a read that begins during the request. If the log cannot be read, the
+/// append decides.
+std::optional<int> job_requests::refuse_for_load(std::string const& queue,
+                                                 std::string const& id,
+                                                 tasks::job_spec const& spec)
+{
+    auto const now = monotonic_ms();
+    auto const verdict = admission_.judge(now, queue, spec);
+    if (verdict.accepted() || table_.find(id) ||
+        !jobs_.read_to_end(complete_read_timeout_ms) || table_.find(id))
+        return std::nullopt;
+    admission_.on_refused(now, queue, id, spec, verdict);
+    return overload_retry_after_s(verdict.wait_ms, id);
+}
+
 submit_result job_requests::submit(caller const& who, std::string const& queue,
                                    std::string const& id, tasks::job_spec spec)
 {
@@ -143,6 +160,8 @@
                {"result", to_text(result)},
                {"took_ms", std::to_string(monotonic_ms() - begun)},
                {"view_age_ms", std::to_string(age_.age(begun))}});
+    if (result != write_result::refused)
+        admission_.on_accepted(queue, job.spec);
     if (result == write_result::stored)
         return submit_result::accepted;
     return result == write_result::refused ? submit_result::refused
--- a/packages/entry/src/settings.cpp
+++ b/packages/entry/src/settings.cpp
@@ -18,6 +18,7 @@
     b.heartbeat_ms = in.duration("heartbeat", b.heartbeat_ms);
     b.unseen_change_ms = in.duration("unseen_change", b.unseen_change_ms);
     b.evacuation_bound_ms = in.duration("evacuate", b.evacuation_bound_ms);
+    b.shed_load = in.boolean("shed_load", b.shed_load);
     in.check_unknown_keys();
 }
 
--- a/packages/tasks/include/jasminetrack/tasks/dispatch_limits.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatch_limits.hpp
@@ -27,6 +27,9 @@
     /// Nothing is started in a data center later than this after its evacuation
     /// was recorded; 0: no limit.
     milliseconds evacuation_bound_ms = 0;
+    /// Waiting work is ordered by its cost of delay, and new jobs that would
+    /// expire before they end are refused.
+    bool shed_load = false;
 
     friend bool operator==(dispatch_limits const&,
                            dispatch_limits const&) = default;
--- a/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -13,6 +13,7 @@
 #include <jasminetrack/tasks/headroom.hpp>
 #include <jasminetrack/tasks/hold_tracker.hpp>
 #include <jasminetrack/tasks/list_currency.hpp>
+#include <jasminetrack/tasks/load_reading.hpp>
 #include <jasminetrack/tasks/placement_advice.hpp>
 #include <jasminetrack/tasks/role_proof.hpp>
 #include <jasminetrack/tasks/service_utilization.hpp>
@@ -20,6 +21,7 @@
 #include <deque>
 #include <functional>
 #include <optional>
+#include <span>
 
 namespace jasminetrack::tasks
 {
@@ -91,6 +93,9 @@
         return utilization_;
     }
 
+    /// \returns the load of each service, for the admission of new jobs.
+    [[nodiscard]] load_reading read_load(milliseconds now) const;
+
     /// \returns whether the list of workers is current, so that starts may rely
     /// on it.
     [[nodiscard]] bool knows_workers(milliseconds now) const noexcept
@@ -526,6 +531,14 @@
     [[nodiscard]] ordering_key ordering_key_of(milliseconds now,
                                                job_entry const& e,
                                                unit_id const& id) const;
+    // dispatcher_load.cpp
+    /// Sets the work that the job still needs in the keys of its steps.
+    void set_waiting_work(job_entry const& e,
+                          std::span<waiting_units> steps) const;
+    void add_waiting_work(milliseconds now, job_entry const& e,
+                          service_reading& load) const;
+    void add_running_work(milliseconds now, unit_ref const& ref,
+                          active_run const& a, service_reading& load) const;
     [[nodiscard]] bool fits_now(milliseconds now, job_entry const& e,
                                 unit_ref const& ref,
                                 std::vector<std::string> const& places) const;
--- a/packages/tasks/include/jasminetrack/tasks/leadership.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/leadership.hpp
@@ -17,6 +17,8 @@
     std::int64_t epoch = 0; ///< also used as the fencing token
     std::string holder;     ///< name of the node's incarnation
     bool resigned = false;
+    /// Encoded load_reading of a dispatcher that sheds load; else empty.
+    std::string load = {};
 
     friend bool operator==(role_record const&, role_record const&) = default;
 };
--- a/packages/tasks/include/jasminetrack/tasks/queue_order.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/queue_order.hpp
@@ -19,6 +19,18 @@
     expired, ///< too late to be of use to the caller
 };
 
+/// Groups of the queue order, first to last.
+enum class queue_group : std::uint8_t
+{
+    urgent,      ///< unless expired
+    below_share, ///< unless expired
+    rest,
+};
+
+/// A job that ends after this multiple of its objective is of no use to its
+/// caller.
+inline constexpr milliseconds expiry_objectives = 3;
+
 /// The properties of a waiting unit that determine its place in the order.
 struct ordering_key
 {
@@ -27,12 +39,17 @@
     milliseconds remaining_ms = 0; ///< critical path from this step on
     milliseconds objective_ms = 0; ///< for the time from acceptance to the end
     bool below_share = false;      ///< its priority is below its least share
+    /// Core-seconds that the job still needs to be placed; set only while the
+    /// order is by cost of delay.
+    double work_core_s = 0;
 
     friend bool operator==(ordering_key const&, ordering_key const&) = default;
 };
 
 [[nodiscard]] timeliness timeliness_of(ordering_key const& c) noexcept;
 
+[[nodiscard]] queue_group group_of(ordering_key const& c) noexcept;
+
 /// \returns whether `a` is placed before `b`.
 [[nodiscard]] bool precedes(ordering_key const& a,
                             ordering_key const& b) noexcept;
--- /dev/null
+++ b/packages/tasks/src/dispatcher_load.cpp
@@ -0,0 +1,153 @@
+#include <jasminetrack/tasks/dispatcher.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace jasminetrack::tasks
+{
+namespace
+{
+
+constexpr milliseconds second_ms = 1'000;
+/// Progress from which the end of a run is projected.
+constexpr std::int64_t min_percent = 10;
+constexpr std::int64_t hundred = 100;
+/// A run that exceeds its estimate is expected to take this part of it longer.
+constexpr milliseconds overrun_divisor = 10;
+
+milliseconds remaining_time(milliseconds ran, milliseconds estimate,
+                            std::int64_t percent)
+{
+    if (percent >= min_percent)
+        return ran * std::max<std::int64_t>(0, hundred - percent) / percent;
+    return std::max(estimate - ran, estimate / overrun_divisor);
+}
+
+std::int64_t tasks_of_unit(step_spec const& s) noexcept
+{
+    return s.gang ? s.count : 1;
+}
+
+milliseconds estimate_of(step_spec const& s) noexcept
+{
+    return std::max<milliseconds>(s.estimate_ms, 1);
+}
+
+/// Expects the ends of the running work to be spread evenly over twice its mean
+/// remaining time. `freed_cores_per_s` holds the cores of that work until then.
+void set_freed_rate(resource_load& load)
+{
+    auto const running = load.freed_cores_per_s;
+    double work = 0;
+    for (auto const& [priority, p] : load.priorities)
+        work += p.running_core_s;
+    load.freed_cores_per_s = work > 0 ? running * running / (2 * work) : 0;
+}
+
+} // namespace
+
+load_reading dispatcher::read_load(milliseconds now) const
+{
+    load_reading reading;
+    reading.taken_ms = now + wall_offset_ms_;
+    for (auto const& [service, count] : counts_)
+    {
+        auto& load = reading.services[service];
+        auto const& capacity = count.load.capacity;
+        auto const used = capacity - count.load.free;
+        load.cores.capacity_cores = core_work(capacity, second_ms);
+        load.cores.used_cores = core_work(used, second_ms);
+        load.accelerators.capacity_cores =
+            accelerator_work(capacity, second_ms);
+        load.accelerators.used_cores = accelerator_work(used, second_ms);
+        load.accelerators.least_share_cores =
+            cores_per_accelerator * static_cast<double>(count.least_share);
+    }
+    for (auto const& [id, e] : jobs_)
+        if (auto const at = reading.services.find(e.service);
+            at != reading.services.end() && !is_final(e.progress.phase))
+            add_waiting_work(now, e, at->second);
+    for (auto const& [ref, a] : active_)
+        if (auto const at = reading.services.find(jobs_.at(ref.job).service);
+            at != reading.services.end())
+            add_running_work(now, ref, a, at->second);
+    for (auto& [service, load] : reading.services)
+    {
+        set_freed_rate(load.cores);
+        set_freed_rate(load.accelerators);
+    }
+    return reading;
+}
+
+/// Work that has expired is placed after all other work, so no new job waits
+/// for it.
+void dispatcher::add_waiting_work(milliseconds now, job_entry const& e,
+                                  service_reading& load) const
+{
+    double cores = 0;
+    double accelerators = 0;
+    for (auto const& [id, u] : e.progress.units)
+    {
+        auto const& step = e.job.spec.steps[static_cast<std::size_t>(id.step)];
+        bool const is_due =
+            e.job.spec.occurrences == 0 ||
+            now + wall_offset_ms_ >= due_of(e.job, id.occurrence);
+        if (u.phase != unit_phase::waiting || step.lasting || !is_due ||
+            timeliness_of(ordering_key_of(now, e, id)) == timeliness::expired)
+            continue;
+        auto const time = tasks_of_unit(step) * estimate_of(step);
+        cores += core_work(held_by(step), time);
+        accelerators += accelerator_work(held_by(step), time);
+    }
+    auto const add = [&](resource_load& to, double work)
+    {
+        if (work <= 0)
+            return;
+        to.priorities[e.priority].queued_core_s += work;
+        ++to.priorities[e.priority].queued_jobs;
+    };
+    add(load.cores, cores);
+    add(load.accelerators, accelerators);
+}
+
+void dispatcher::add_running_work(milliseconds now, unit_ref const& ref,
+                                  active_run const& a,
+                                  service_reading& load) const
+{
+    auto const& e = jobs_.at(ref.job);
+    auto const& step = step_of(e, ref);
+    if ((step.lasting && !a.over) || a.members.empty())
+        return;
+    auto const slowest = std::min_element(a.members.begin(), a.members.end(),
+                                          [](member const& x, member const& y)
+                                          { return x.percent < y.percent; });
+    auto const ran = now - (a.first_sent > 0 ? a.first_sent : a.placed_at);
+    auto const time =
+        a.over ? limits_.max_stop_ms
+               : remaining_time(ran, estimate_of(step), slowest->percent);
+    auto const held = std::ssize(a.members) * held_by(step);
+    load.cores.priorities[e.priority].running_core_s += core_work(held, time);
+    load.cores.freed_cores_per_s += core_work(held, second_ms);
+    load.accelerators.priorities[e.priority].running_core_s +=
+        accelerator_work(held, time);
+    load.accelerators.freed_cores_per_s += accelerator_work(held, second_ms);
+}
+
+void dispatcher::set_waiting_work(job_entry const& e,
+                                  std::span<waiting_units> steps) const
+{
+    if (steps.empty())
+        return;
+    std::map<std::int64_t, double> work; // by occurrence
+    for (auto const& [id, u] : e.progress.units)
+    {
+        auto const& step = e.job.spec.steps[static_cast<std::size_t>(id.step)];
+        if (u.phase == unit_phase::waiting)
+            work[id.occurrence] += core_seconds(
+                held_by(step), tasks_of_unit(step) * estimate_of(step));
+    }
+    for (auto& s : steps)
+        s.key.work_core_s = work[s.occurrence];
+}
+
+} // namespace jasminetrack::tasks
--- a/packages/tasks/src/dispatcher_schedule.cpp
+++ b/packages/tasks/src/dispatcher_schedule.cpp
@@ -1,3 +1,4 @@
+#include <jasminetrack/tasks/cost_of_delay.hpp>
 #include <jasminetrack/tasks/dispatcher.hpp>
 
 #include <algorithm>
@@ -190,10 +191,13 @@
             }
             list.back().indices.push_back(unit.index);
         }
+        if (limits_.shed_load)
+            set_waiting_work(e, std::span(list).subspan(first));
     }
+    auto const order = limits_.shed_load ? precedes_by_cost : precedes;
     std::stable_sort(list.begin(), list.end(),
-                     [](waiting_units const& a, waiting_units const& b)
-                     { return precedes(a.key, b.key); });
+                     [order](waiting_units const& a, waiting_units const& b)
+                     { return order(a.key, b.key); });
     return list;
 }
 
--- a/packages/tasks/src/leadership.cpp
+++ b/packages/tasks/src/leadership.cpp
@@ -69,8 +69,10 @@
 
 std::string encode(role_record const& r)
 {
-    auto const bytes =
-        json::to_cbor(json::array({r.epoch, r.holder, r.resigned}));
+    auto row = json::array({r.epoch, r.holder, r.resigned});
+    if (!r.load.empty())
+        row.push_back(json::binary({r.load.begin(), r.load.end()}));
+    auto const bytes = json::to_cbor(row);
     return {bytes.begin(), bytes.end()};
 }
 
@@ -79,7 +81,11 @@
     try
     {
         auto const row = json::from_cbor(bytes);
-        return role_record{row.at(0), row.at(1), row.at(2)};
+        role_record role{row.at(0), row.at(1), row.at(2), {}};
+        if (row.size() > 3 && row.at(3).is_binary())
+            role.load.assign(row.at(3).get_binary().begin(),
+                             row.at(3).get_binary().end());
+        return role;
     }
     catch (json::exception const&)
     {
--- a/packages/tasks/src/queue_order.cpp
+++ b/packages/tasks/src/queue_order.cpp
@@ -8,9 +8,6 @@
 namespace
 {
 
-/// A job that ends after this multiple of its objective is of no use to its
-/// caller.
-constexpr milliseconds expiry_objectives = 3;
 /// Work of lower priorities is expected to be stopped once and to repeat this
 /// fraction (1 / divisor) of its critical path. Work without time for that is
 /// unlikely to meet its objective.
@@ -21,27 +18,9 @@
     return c.priority == 0 ? 0 : c.remaining_ms / repeated_work_divisor;
 }
 
-/// Groups of the queue order, first to last.
-enum class rank : std::uint8_t
-{
-    urgent,      ///< unless expired
-    below_share, ///< unless expired
-    rest,
-};
-
-rank rank_of(ordering_key const& c) noexcept
-{
-    auto const p = timeliness_of(c);
-    if (p == timeliness::expired)
-        return rank::rest;
-    if (c.priority == 0)
-        return rank::urgent;
-    return c.below_share ? rank::below_share : rank::rest;
-}
-
 auto order_of(ordering_key const& c) noexcept
 {
-    return std::tuple(rank_of(c), timeliness_of(c), c.priority, -c.age_ms);
+    return std::tuple(group_of(c), timeliness_of(c), c.priority, -c.age_ms);
 }
 
 } // namespace
@@ -55,6 +34,15 @@
                                                      : timeliness::expired;
 }
 
+queue_group group_of(ordering_key const& c) noexcept
+{
+    if (timeliness_of(c) == timeliness::expired)
+        return queue_group::rest;
+    if (c.priority == 0)
+        return queue_group::urgent;
+    return c.below_share ? queue_group::below_share : queue_group::rest;
+}
+
 bool precedes(ordering_key const& a, ordering_key const& b) noexcept
 {
     return order_of(a) < order_of(b);
--- a/tests/support/dispatch_simulation.hpp
+++ b/tests/support/dispatch_simulation.hpp
@@ -58,6 +58,7 @@
     milliseconds evacuation_bound_ms = 0;
     /// Workers cap longer leases, and the dispatchers know it.
     milliseconds max_lease_ms = dispatch_limits{}.max_lease_ms;
+    bool shed_load = false; ///< setting of the dispatchers
 };
 
 /// Kinds of invariants.
