Load shedding: tests of the order, the admission and an overload in the simulated cluster

Change: a simulated service with a burst of urgent work beside two lower priorities; estimates count the urgent work that goes on arriving.

--- a/packages/tasks/include/jasminetrack/tasks/load_reading.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/load_reading.hpp
@@ -30,6 +30,7 @@
 {
     double capacity_cores = 0; ///< of workers that take new work
     double used_cores = 0;     ///< of these
+    double kept_cores = 0;     ///< of the unused: headroom for urgent work
     /// Cores that running work is expected to free per second.
     double freed_cores_per_s = 0;
     double least_share_cores = 0; ///< of each lower priority; 0: none
--- a/packages/tasks/src/admission.cpp
+++ b/packages/tasks/src/admission.cpp
@@ -18,6 +18,8 @@
 constexpr double refusal_factor = 1.5;
 /// A service with less in use has room for every job.
 constexpr double used_with_room = 0.5;
+/// Longest burst of urgent work that is expected.
+constexpr double max_burst_s = 8;
 /// Waits beyond this are alike.
 constexpr double max_wait_s = 3'600;
 
@@ -70,7 +72,8 @@
 /// at a constant rate until its end, have completed `work`.
 double time_for(double work, resource_load const& load)
 {
-    auto const free = std::max(0.0, load.capacity_cores - load.used_cores);
+    auto const free =
+        std::max(0.0, load.capacity_cores - load.used_cores - load.kept_cores);
     auto const rate = load.freed_cores_per_s;
     auto const running = running_work(load);
     if (work <= 0)
@@ -103,6 +106,29 @@
     return work / load.least_share_cores;
 }
 
+/// \returns the cores that urgent work uses, by its part of the running work.
+double urgent_cores(resource_load const& load)
+{
+    auto const urgent = load.priorities.find(0);
+    auto const running = running_work(load);
+    if (urgent == load.priorities.end() || running <= 0)
+        return 0;
+    auto const cores = std::sqrt(2 * running * load.freed_cores_per_s);
+    return cores * urgent->second.running_core_s / running;
+}
+
+/// \returns the time for this work and the urgent work that arrives meanwhile:
+/// for the length of a burst it is expected to use as much as now.
+double time_with_urgent(double work, resource_load const& load)
+{
+    constexpr int rounds = 5;
+    auto const urgent = urgent_cores(load);
+    auto time = time_for(work, load);
+    for (int i = 0; i < rounds; ++i)
+        time = time_for(work + urgent * std::min(time, max_burst_s), load);
+    return time;
+}
+
 struct end_estimate
 {
     double wait_s = 0; ///< until the work before it has its capacity
@@ -115,9 +141,10 @@
     if (need.work_core_s <= 0 || load.capacity_cores <= 0)
         return {};
     auto const before = work_before(need, load);
-    return {std::min(time_for(before, load), time_by_share(need, load, 0)),
-            std::min(time_for(before + need.work_core_s, load),
-                     time_by_share(need, load, need.work_core_s))};
+    return {
+        std::min(time_with_urgent(before, load), time_by_share(need, load, 0)),
+        std::min(time_with_urgent(before + need.work_core_s, load),
+                 time_by_share(need, load, need.work_core_s))};
 }
 
 std::map<std::int64_t, double> part_of(accepted_by_priority const& accepted,
--- a/packages/tasks/src/dispatcher_load.cpp
+++ b/packages/tasks/src/dispatcher_load.cpp
@@ -63,6 +63,12 @@
         load.accelerators.least_share_cores =
             cores_per_accelerator * static_cast<double>(count.least_share);
     }
+    for (auto const& [service, headroom] : headroom_)
+        if (auto const at = reading.services.find(service);
+            at != reading.services.end())
+            at->second.accelerators.kept_cores =
+                cores_per_accelerator *
+                static_cast<double>(headroom.required(now));
     for (auto const& [id, e] : jobs_)
         if (auto const at = reading.services.find(e.service);
             at != reading.services.end() && !is_final(e.progress.phase))
--- a/packages/tasks/src/load_reading.cpp
+++ b/packages/tasks/src/load_reading.cpp
@@ -25,10 +25,10 @@
 
 json to_row(resource_load const& load)
 {
-    auto row =
-        json::array({rounded(load.capacity_cores), rounded(load.used_cores),
-                     rounded(load.freed_cores_per_s * rate_scale),
-                     rounded(load.least_share_cores)});
+    auto row = json::array({rounded(load.capacity_cores),
+                            rounded(load.used_cores), rounded(load.kept_cores),
+                            rounded(load.freed_cores_per_s * rate_scale),
+                            rounded(load.least_share_cores)});
     for (auto const& [priority, p] : load.priorities)
         row.push_back({priority, rounded(p.queued_core_s),
                        rounded(p.running_core_s), p.queued_jobs});
@@ -37,12 +37,13 @@
 
 resource_load load_of(json const& row)
 {
-    constexpr std::size_t fields = 4;
+    constexpr std::size_t fields = 5;
     resource_load load;
     load.capacity_cores = row.at(0);
     load.used_cores = row.at(1);
-    load.freed_cores_per_s = row.at(2).get<double>() / rate_scale;
-    load.least_share_cores = row.at(3);
+    load.kept_cores = row.at(2);
+    load.freed_cores_per_s = row.at(3).get<double>() / rate_scale;
+    load.least_share_cores = row.at(4);
     for (auto i = fields; i < row.size(); ++i)
         load.priorities[row.at(i).at(0)] = {row.at(i).at(1), row.at(i).at(2),
                                             row.at(i).at(3)};
--- a/tests/support/overload.cpp
+++ b/tests/support/overload.cpp
@@ -6,11 +6,10 @@
 {
 
 constexpr milliseconds tick_ms = 100;
-constexpr milliseconds burst_ms = 8'000;
-constexpr milliseconds traffic_ms = 24'000;
+/// Of the usual load after the burst.
+constexpr milliseconds usual_ms = 16'000;
 constexpr milliseconds finish_ms = 30'000;
 /// Load as a part of the capacity.
-constexpr double burst_load = 2;
 constexpr double usual_load = 0.7;
 /// Between readings, and until an entry VM has one.
 constexpr milliseconds reading_interval_ms = 500;
@@ -48,9 +47,11 @@
     return all;
 }
 
-overload_simulation::overload_simulation(unsigned seed, bool shed_load)
-    : random_(seed), simulation_(seed, with_setting(shed_load)),
-      config_(three_priorities()), shed_load_(shed_load)
+overload_simulation::overload_simulation(unsigned seed, shedding parts,
+                                         load_burst burst)
+    : random_(seed), simulation_(seed, with_setting(parts != shedding::off)),
+      config_(three_priorities()),
+      admits_all_(parts != shedding::order_and_admission), burst_(burst)
 {
     simulation_.configure(config_);
     for (int i = 0; i < workers; ++i)
@@ -79,8 +80,8 @@
     auto const* load = reading_ && reading_->services.count(q.service) != 0
                            ? &reading_->services.at(q.service)
                            : nullptr;
-    auto const verdict = judge_admission(
-        need, load, simulation_.now() - read_at_, accepted_);
+    auto const verdict =
+        judge_admission(need, load, simulation_.now() - read_at_, accepted_);
     if (verdict.accepted())
     {
         accepted_[q.priority].core_s += need.core_s;
@@ -95,9 +96,8 @@
         static_cast<milliseconds>(uniform(static_cast<double>(k.min_work_ms),
                                           static_cast<double>(k.max_work_ms)));
     step_spec step;
-    step.count =
-        1 + static_cast<std::int64_t>(
-                uniform(0, static_cast<double>(k.max_tasks)));
+    step.count = 1 + static_cast<std::int64_t>(
+                         uniform(0, static_cast<double>(k.max_tasks)));
     step.need = {4'000, 8'000, k.accelerators};
     step.gang = k.gang;
     step.estimate_ms = static_cast<milliseconds>(
@@ -112,7 +112,7 @@
     job.objective_ms =
         q->latency_ms +
         static_cast<milliseconds>(q->stretch * static_cast<double>(work));
-    job.rejected = shed_load_ && !admit(*q, spec);
+    job.rejected = !admits_all_ && !admit(*q, spec);
     if (!job.rejected)
         simulation_.submit(k.queue + std::to_string(jobs_.size() - 1), k.queue,
                            std::move(spec), {work, false});
@@ -120,16 +120,16 @@
 
 void overload_simulation::submit_due(milliseconds at)
 {
-    auto const load = at < burst_ms ? burst_load : usual_load;
+    auto const load = at < burst_.length_ms ? burst_.load : usual_load;
     for (auto const& k : kinds())
     {
         auto const mean_tasks = static_cast<double>(k.max_tasks + 1) / 2;
         auto const mean_work =
             mean_tasks * static_cast<double>(k.accelerators) *
             static_cast<double>(k.min_work_ms + k.max_work_ms) / 2;
-        std::poisson_distribution<> arrivals(
-            load * k.share * workers * accelerators_a_worker * tick_ms /
-            mean_work);
+        std::poisson_distribution<> arrivals(load * k.share * workers *
+                                             accelerators_a_worker * tick_ms /
+                                             mean_work);
         for (int i = arrivals(random_); i > 0; --i)
             submit(k);
     }
@@ -145,9 +145,10 @@
 
 void overload_simulation::run()
 {
+    auto const traffic_ms = burst_.length_ms + usual_ms;
     for (milliseconds at = 0; at < traffic_ms + finish_ms; at += tick_ms)
     {
-        if (shed_load_)
+        if (!admits_all_)
             read_load(simulation_.now());
         if (at < traffic_ms)
             submit_due(at);
@@ -156,18 +157,23 @@
     }
 }
 
+bool overload_simulation::is_expired(submitted_job const& j)
+{
+    return j.completed < 0 ||
+           j.completed - j.submitted > expiry_objectives * j.objective_ms;
+}
+
 std::map<std::int64_t, caller_results> overload_simulation::results() const
 {
     std::map<std::int64_t, caller_results> results;
     for (auto const& [id, j] : jobs_)
     {
         auto& r = results[j.priority];
-        auto const took = j.completed - j.submitted;
         if (j.rejected)
             ++r.rejected;
-        else if (j.completed < 0 || took > expiry_objectives * j.objective_ms)
+        else if (is_expired(j))
             ++r.expired;
-        else if (took > j.objective_ms)
+        else if (j.completed - j.submitted > j.objective_ms)
             ++r.late;
         else
             ++r.in_time;
@@ -175,4 +181,18 @@
     return results;
 }
 
+std::set<std::string> overload_simulation::rejected() const
+{
+    std::set<std::string> ids;
+    for (auto const& [id, j] : jobs_)
+        if (j.rejected)
+            ids.insert(id);
+    return ids;
+}
+
+bool overload_simulation::expired(std::string const& id) const
+{
+    return is_expired(jobs_.at(id));
+}
+
 } // namespace support
--- a/tests/support/overload.hpp
+++ b/tests/support/overload.hpp
@@ -23,15 +23,32 @@
                            caller_results const&) = default;
 };
 
+/// Which parts of load shedding are on.
+enum class shedding : std::uint8_t
+{
+    off,
+    order,               ///< every job is accepted
+    order_and_admission, ///< as with the setting
+};
+
+struct load_burst
+{
+    milliseconds length_ms = 8'000;
+    double load = 2; ///< as a part of the capacity
+};
+
 class overload_simulation
 {
 public:
-    overload_simulation(unsigned seed, bool shed_load);
+    overload_simulation(unsigned seed, shedding parts, load_burst burst);
 
     /// Plays the burst, the usual load, and time to finish.
     void run();
     /// \returns the results by priority.
     [[nodiscard]] std::map<std::int64_t, caller_results> results() const;
+    /// The same seed submits the same jobs with and without load shedding.
+    [[nodiscard]] std::set<std::string> rejected() const;
+    [[nodiscard]] bool expired(std::string const& id) const;
     [[nodiscard]] std::vector<violation> const& violations() const noexcept
     {
         return simulation_.violations();
@@ -58,6 +75,7 @@
     };
 
     [[nodiscard]] static std::vector<job_kind> const& kinds();
+    [[nodiscard]] static bool is_expired(submitted_job const& j);
     void submit_due(milliseconds at);
     void submit(job_kind const& k);
     void read_load(milliseconds at);
@@ -68,7 +86,8 @@
     std::mt19937 random_;
     dispatch_simulation simulation_;
     configuration config_;
-    bool shed_load_;
+    bool admits_all_;
+    load_burst burst_;
     std::optional<load_reading> reading_;
     milliseconds read_at_ = 0;
     accepted_by_priority accepted_; ///< since the reading
