--- a/packages/entry/src/settings.cpp
+++ b/packages/entry/src/settings.cpp
@@ -22,6 +22,7 @@
     b.evacuation_bound_ms = in.duration("evacuate", b.evacuation_bound_ms);
     b.learn_speeds = in.boolean("learn_speeds", b.learn_speeds);
     b.lend_headroom = in.boolean("lend_headroom", b.lend_headroom);
+    b.shed_load = in.boolean("shed_load", b.shed_load);
     in.check_unknown_keys();
 }
 
--- a/packages/tasks/include/jasminetrack/tasks/dispatch_limits.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatch_limits.hpp
@@ -36,6 +36,9 @@
     bool wait_beside_running = false;
     /// Lower priorities may use a part of the headroom for urgent work.
     bool lend_headroom = false;
+    /// Waiting work is ordered by its cost of delay, and new jobs that would
+    /// expire before they end are refused.
+    bool shed_load = false;
 
     friend bool operator==(dispatch_limits const&,
                            dispatch_limits const&) = default;
--- a/tests/support/dispatch_simulation.hpp
+++ b/tests/support/dispatch_simulation.hpp
@@ -61,6 +61,7 @@
     milliseconds max_lease_ms = dispatch_limits{}.max_lease_ms;
     bool learn_speeds = false; ///< see dispatch_limits
     bool lend_headroom = false; ///< setting of the dispatchers
+    bool shed_load = false; ///< setting of the dispatchers
 };
 
 /// Kinds of invariants.
