Evacuation of data centers in the product's own interface

Cause: an operator could not keep new work out of a data center without stopping what runs there. Change: a record in the log evacuates a data center or restores it. Workers carry their data center from the platform's list.

--- a/packages/cli/src/commands.cpp
+++ b/packages/cli/src/commands.cpp
@@ -150,6 +150,49 @@
               << w.value("accelerators", 0) << " accelerators free\n";
 }
 
+void print_evacuations(json const& b)
+{
+    for (auto const& e : b.at("evacuated"))
+    {
+        std::cout << "data center " << e.at("data_center").get<std::string>()
+                  << " is EVACUATED: " << e.at("gang_members")
+                  << " gang members and " << e.at("seats").size()
+                  << " seats remain on " << e.at("workers") << " workers";
+        for (auto const& seat : e.at("seats"))
+            std::cout << "\n  seat " << seat.get<std::string>();
+        std::cout << '\n';
+    }
+    for (auto const& g : b.at("unmet_guarantees"))
+        std::cout << "  UNMET guarantee "
+                  << g.at("guarantee").get<std::string>() << " of team "
+                  << g.at("team").get<std::string>() << " in "
+                  << g.at("region").get<std::string>() << ": "
+                  << g.at("reason").get<std::string>() << '\n';
+}
+
+int change_evacuation(common_options const& c, std::string const& data_center,
+                      bool evacuated)
+{
+    std::string text;
+    try
+    {
+        text =
+            json{{"data_center", data_center}, {"evacuated", evacuated}}.dump();
+    }
+    catch (json::exception const&)
+    {
+        std::cerr << "the name of the data center is not valid UTF-8\n";
+        return exit_usage;
+    }
+    entry_client client(c.entries);
+    return finish(c, client.send(post("/v1/evacuations", text)),
+                  [](json const& b)
+                  {
+                      std::cout << b.at("reason").get<std::string>() << '\n';
+                      print_evacuations(b);
+                  });
+}
+
 void print_status(json const& s)
 {
     std::cout << "node " << s.at("node").get<std::string>() << " in "
@@ -163,7 +206,11 @@
     std::cout << "jobs:";
     for (auto const& [state, count] : s.at("jobs").items())
         std::cout << " " << state << " " << count;
-    std::cout << "\nguaranteed seats: " << s.at("seats")
+    std::cout << '\n';
+    // An entry VM of an older version does not tell its evacuations.
+    if (s.contains("evacuations"))
+        print_evacuations(s.at("evacuations"));
+    std::cout << "guaranteed seats: " << s.at("seats")
               << ", broken: " << s.at("broken_guarantees").size() << '\n';
     for (auto const& b : s.at("broken_guarantees"))
         std::cout << "  BROKEN guarantee "
@@ -226,6 +273,16 @@
     return finish(c, client.send(get("/v1/status")), print_status);
 }
 
+int evacuate(common_options const& c, std::string const& data_center)
+{
+    return change_evacuation(c, data_center, true);
+}
+
+int restore(common_options const& c, std::string const& data_center)
+{
+    return change_evacuation(c, data_center, false);
+}
+
 int jobs(common_options const& c, std::string const& team)
 {
     entry_client client(c.entries);
--- a/packages/cli/src/commands.hpp
+++ b/packages/cli/src/commands.hpp
@@ -40,6 +40,13 @@
 [[nodiscard]] int submit(common_options const& c, submit_options const& o);
 [[nodiscard]] int call(common_options const& c, call_options const& o);
 [[nodiscard]] int status(common_options const& c);
+/// Evacuates a data center; prints what is still there and the guarantees that
+/// cannot be met until it is restored.
+[[nodiscard]] int evacuate(common_options const& c,
+                           std::string const& data_center);
+/// Restores an evacuated data center to service.
+[[nodiscard]] int restore(common_options const& c,
+                          std::string const& data_center);
 [[nodiscard]] int jobs(common_options const& c, std::string const& team);
 [[nodiscard]] int cancel(common_options const& c, std::string const& job);
 /// Waits up to `wait_ms` for the job to end and prints its result.
--- a/packages/cli/src/main.cpp
+++ b/packages/cli/src/main.cpp
@@ -19,6 +19,8 @@
     "  jasminetrack submit --team ledger --class sort-batch --key lot-7\n"
     "  jasminetrack result j12 --wait 60000\n"
     "  jasminetrack explain j12\n"
+    "  jasminetrack evacuate be-1\n"
+    "  jasminetrack restore be-1\n"
     "  jasminetrack timeline --html timeline.html\n"
     "  jasminetrack why 9f7c806f7735ca6d vm-*.log\n"
     "  jasminetrack losses vm-*.log\n\n"
@@ -36,6 +38,7 @@
     std::string job;
     std::string file;
     std::string html;
+    std::string data_center;
     std::vector<std::string> files;
     std::int64_t wait_ms = 0;
     int exit_code = exit_usage;
@@ -52,6 +55,7 @@
         add_requests();
         add_job_commands();
         add_tickets();
+        add_evacuations();
         add_views();
     }
 
@@ -111,6 +115,19 @@
         show->callback([this] { exit_code = ticket_show(common); });
     }
 
+    void add_evacuations()
+    {
+        auto* e = app.add_subcommand(
+            "evacuate", "place nothing new in a data center until it is "
+                        "restored; what runs there runs on");
+        e->add_option("data-center", data_center)->required();
+        e->callback([this] { exit_code = evacuate(common, data_center); });
+        auto* r = app.add_subcommand(
+            "restore", "return an evacuated data center to service");
+        r->add_option("data-center", data_center)->required();
+        r->callback([this] { exit_code = restore(common, data_center); });
+    }
+
     void add_views()
     {
         auto* s = app.add_subcommand("status", "print the state of the system");
--- a/packages/core/include/jasminetrack/core/inventory.hpp
+++ b/packages/core/include/jasminetrack/core/inventory.hpp
@@ -33,10 +33,26 @@
     int millicores = 0;
     int memory_mb = 0;
     worker_condition condition = worker_condition::live;
+    std::string data_center{}; ///< empty: the platform does not tell
 
     friend bool operator==(worker const&, worker const&) = default;
 };
 
+/// Evacuation of one data center by an operator.
+struct evacuation
+{
+    /// Whether unused seats there have moved to other data centers. Otherwise
+    /// they stay, and their guarantees are not met until the data center is
+    /// restored.
+    bool move_seats = true;
+    log_offset offset = 0; ///< of its record
+
+    friend bool operator==(evacuation const&, evacuation const&) = default;
+};
+
+/// Evacuations in force, by data center.
+using evacuation_map = std::map<std::string, evacuation>;
+
 /// One bit for each accelerator of a worker, the lowest first.
 using accelerator_mask = std::uint64_t;
 
@@ -93,8 +109,10 @@
 {
 public:
     occupancy() = default;
-    /// All capacity of the live workers is free.
-    explicit occupancy(std::map<std::string, worker> const& workers);
+    /// All capacity of the live workers is free, except of those in evacuated
+    /// data centers, which have no slots.
+    explicit occupancy(std::map<std::string, worker> const& workers,
+                       evacuation_map const& evacuations = {});
 
     [[nodiscard]] std::vector<free_capacity> const& slots() const noexcept
     {
--- a/packages/core/include/jasminetrack/core/ledger.hpp
+++ b/packages/core/include/jasminetrack/core/ledger.hpp
@@ -19,7 +19,8 @@
     std::int64_t memory_mb = 0;
 };
 
-/// Free capacity and allocations of all live workers. Two jobs hold the same
+/// Free capacity of the live workers outside evacuated data centers, and
+/// allocations of all workers. Two jobs hold the same
 /// accelerator only while one of them is being stopped for the other.
 class capacity_ledger
 {
@@ -55,7 +56,8 @@
     [[nodiscard]] int spare_held(std::string const& team) const;
 
     void rebuild(std::map<std::string, worker> const& workers,
-                 std::map<job_id, job> const& jobs);
+                 std::map<job_id, job> const& jobs,
+                 evacuation_map const& evacuations);
     /// Incremented by each change of jobs and workers.
     [[nodiscard]] std::uint64_t revision() const noexcept
     {
--- a/packages/core/include/jasminetrack/core/records.hpp
+++ b/packages/core/include/jasminetrack/core/records.hpp
@@ -142,6 +142,15 @@
     std::string data;   ///< CBOR
 };
 
+/// An operator evacuates a data center or restores it to service. Refused if
+/// no worker is in the data center, or if no other one would be in service.
+struct evacuate_record
+{
+    std::string data_center;
+    bool evacuated = true;  ///< false: restored
+    bool move_seats = true; ///< whether unused seats there move elsewhere
+};
+
 /// A record of a newer program version; older versions skip it.
 struct unknown_record
 {
@@ -152,7 +161,7 @@
     std::variant<ticket_record, claim_record, workers_record, submit_record,
                  cancel_record, place_record, job_record, call_record,
                  call_result_record, mark_record, digest_record,
-                 snapshot_record, unknown_record>;
+                 snapshot_record, evacuate_record, unknown_record>;
 
 /// A record with its position in the log.
 struct log_entry
--- a/packages/core/include/jasminetrack/core/seat_plan.hpp
+++ b/packages/core/include/jasminetrack/core/seat_plan.hpp
@@ -42,13 +42,23 @@
 /// \param workers all known workers; only live ones are used
 /// \param current the current seats; they keep their places where possible
 /// \param in_use  names of the seats that guaranteed jobs use; they never move
+/// \param evacuations data centers that get no new seats; unused seats there
+///                move, unless the evacuation keeps them
 /// \returns the seats, and the names of those without places.
 /// \remarks Deterministic. Large shapes are placed first. Unused seats move
 /// only if more seats can be placed that way.
 [[nodiscard]] seat_plan plan_seats(configuration const& config,
                                    std::map<std::string, worker> const& workers,
                                    seat_map const& current,
-                                   std::map<std::string, bool> const& in_use);
+                                   std::map<std::string, bool> const& in_use,
+                                   evacuation_map const& evacuations = {});
+
+/// \returns whether one of the places is in a data center whose evacuation
+/// keeps its unused seats.
+[[nodiscard]] bool
+is_kept_in_place(assignment const& places,
+                 std::map<std::string, worker> const& workers,
+                 evacuation_map const& evacuations);
 
 /// \returns the accelerators that seats reserve, as one mask per worker.
 [[nodiscard]] std::map<std::string, accelerator_mask>
--- a/packages/core/include/jasminetrack/core/state.hpp
+++ b/packages/core/include/jasminetrack/core/state.hpp
@@ -68,7 +68,8 @@
 /// A change caused by a record, for the time line and waiting requests.
 struct effect
 {
-    std::string kind; ///< "job", "call", "ticket", "claim", "worker", "seat"
+    /// "job", "call", "ticket", "claim", "worker", "seat", "evacuation"
+    std::string kind;
     std::string key;  ///< job id, team/key, ticket number, region, ...
     std::string text; ///< one sentence
 };
@@ -126,12 +127,13 @@
     std::map<std::string, worker> workers;
     std::map<std::string, worker_faults> faults;
     seat_map seats;
+    evacuation_map evacuations;
     std::map<job_id, job> jobs;
     std::map<std::string, job_id> job_keys; ///< team/key -> job
     std::map<std::string, call_state> calls;
     std::map<std::string, writer_position> writers;
     std::map<std::string, job_class_statistics> history;
-    capacity_ledger ledger; ///< derived from workers and jobs
+    capacity_ledger ledger; ///< derived from workers, jobs and evacuations
 
     friend bool operator==(cluster_state const&,
                            cluster_state const&) = default;
--- a/packages/core/src/apply_config.cpp
+++ b/packages/core/src/apply_config.cpp
@@ -1,5 +1,7 @@
 #include "apply_record.hpp"
 
+#include <jasminetrack/core/evacuation.hpp>
+
 #include <algorithm>
 
 namespace jasminetrack::core::detail
@@ -66,10 +68,12 @@
 {
     std::map<std::string, int> racks;
     for (auto const& [name, w] : s.workers)
-        if (w.region == region && w.condition == worker_condition::live)
+        if (w.region == region && w.condition == worker_condition::live &&
+            !is_evacuated(s, w))
             racks[w.rack] += w.accelerators;
     if (racks.empty())
-        return "region " + region + " has no live workers yet";
+        return "region " + region + " has no live workers" +
+               (s.evacuations.empty() ? " yet" : " in service");
     constexpr std::size_t max_named_racks = 8;
     std::string text = "region " + region + " has";
     std::size_t named = 0;
@@ -111,7 +115,8 @@
 /// \returns the plan of the seats under the given configuration.
 seat_plan plan_seats_for(cluster_state const& s, configuration const& config)
 {
-    return plan_seats(config, s.workers, s.seats, seats_in_use(s));
+    return plan_seats(config, s.workers, s.seats, seats_in_use(s),
+                      s.evacuations);
 }
 
 apply_result record_verdict(cluster_state& s, log_entry const& e,
@@ -189,7 +194,8 @@
         if (newly_broken)
             v.effects.push_back(
                 {"seat", name,
-                 "guarantee " + name + " is broken: not enough live workers"});
+                 "guarantee " + name + " is broken: not enough live workers" +
+                     (s.evacuations.empty() ? "" : " in service")});
     }
     for (auto const& [name, next] : plan.seats)
     {
--- a/packages/core/src/apply_jobs.cpp
+++ b/packages/core/src/apply_jobs.cpp
@@ -1,5 +1,6 @@
 #include "apply_record.hpp"
 
+#include <jasminetrack/core/evacuation.hpp>
 #include <jasminetrack/core/placement.hpp>
 
 #include <algorithm>
@@ -75,6 +76,8 @@
     {
         if (s.workers.at(worker_name).condition != worker_condition::live)
             return "worker " + worker_name + " is not live";
+        if (is_evacuated(s, s.workers.at(worker_name)))
+            return "worker " + worker_name + " is in an evacuated data center";
         if (!has_capacity(s, h, worker_name, victims))
             return "worker " + worker_name +
                    " does not have enough free capacity";
@@ -147,6 +150,9 @@
         return "seat " + r.seat + " is in use and cannot move";
     if (overlaps_other_seat(s, r))
         return "new places of seat " + r.seat + " overlap another seat";
+    if (touches_evacuated(s, r.seat_places))
+        return "new places of seat " + r.seat +
+               " are in an evacuated data center";
     return find_placement_error(r.seat_places, current.wanted, current.region,
                                 s.workers);
 }
--- a/packages/core/src/apply_record.hpp
+++ b/packages/core/src/apply_record.hpp
@@ -41,11 +41,16 @@
                         digest_record const& r);
 apply_result apply_body(cluster_state& s, log_entry const& e,
                         snapshot_record const& r);
+apply_result apply_body(cluster_state& s, log_entry const& e,
+                        evacuate_record const& r);
 apply_result apply_body(cluster_state& s, log_entry const& e,
                         unknown_record const& r);
 
 /// Plans all seats again after a change of the workers or the guarantees.
 void replan_seats(cluster_state& s, apply_result& v);
+/// Plans all seats again if a seat in an evacuated data center is no longer in
+/// use and may move.
+void replan_vacated_seats(cluster_state& s, apply_result& v);
 /// Frees a job's places and puts it back into the queue.
 void requeue_job(cluster_state& s, job& j);
 /// Ends a job and frees its places.
--- a/packages/core/src/explain.cpp
+++ b/packages/core/src/explain.cpp
@@ -1,3 +1,4 @@
+#include <jasminetrack/core/evacuation.hpp>
 #include <jasminetrack/core/policy.hpp>
 
 namespace jasminetrack::core
@@ -15,17 +16,36 @@
     return names;
 }
 
+/// \returns which data centers of the region are evacuated; empty: none.
+std::string explain_evacuations(cluster_state const& s,
+                                std::string const& region)
+{
+    std::set<std::string> names;
+    for (auto const& [name, w] : s.workers)
+        if (w.region == region && is_evacuated(s, w))
+            names.insert(w.data_center);
+    std::string text;
+    for (auto const& name : names)
+        text += (text.empty() ? "evacuated: data center " : ", ") + name;
+    return text;
+}
+
 std::string explain_guaranteed(cluster_state const& s, job const& j)
 {
+    auto const evacuated = explain_evacuations(s, j.region);
     for (auto const& seat : broken_guarantees(s))
         if (seat.team == j.team && seat.region == j.region)
             return "waits: guarantee " + seat.name +
                    " of its team is broken because the region has too few live "
-                   "workers; restore workers";
+                   "workers" +
+                   (evacuated.empty() ? "; restore workers"
+                                      : " in service; " + evacuated);
     auto const holders = seat_holders(s, j);
     if (!holders.empty())
         return "waits: its team's guarantee is in use by " + holders +
                "; it starts when one of them ends";
+    if (!evacuated.empty())
+        return "waits: it has no place on the workers in service; " + evacuated;
     return "waits: its placement is pending";
 }
 
@@ -47,6 +67,9 @@
                        " are free in " + j.region;
     if (free >= total_accelerators(j.gang))
         text += ", but not with the adjacency that it requires";
+    if (auto const evacuated = explain_evacuations(s, j.region);
+        !evacuated.empty())
+        text += "; " + evacuated;
     auto const remaining_ms =
         settings.max_wait_ms - (s.log_time - j.submitted_ms);
     if (remaining_ms > 0)
--- a/packages/core/src/inventory.cpp
+++ b/packages/core/src/inventory.cpp
@@ -7,10 +7,12 @@
 namespace jasminetrack::core
 {
 
-occupancy::occupancy(std::map<std::string, worker> const& workers)
+occupancy::occupancy(std::map<std::string, worker> const& workers,
+                     evacuation_map const& evacuations)
 {
     for (auto const& [name, w] : workers)
-        if (w.condition == worker_condition::live)
+        if (w.condition == worker_condition::live &&
+            evacuations.count(w.data_center) == 0)
         {
             auto const all = range_mask(0, w.accelerators);
             slots_.push_back({name, w.rack, w.region, all, w.millicores,
--- a/packages/core/src/ledger.cpp
+++ b/packages/core/src/ledger.cpp
@@ -47,9 +47,10 @@
 }
 
 void capacity_ledger::rebuild(std::map<std::string, worker> const& workers,
-                              std::map<job_id, job> const& jobs)
+                              std::map<job_id, job> const& jobs,
+                              evacuation_map const& evacuations)
 {
-    free_ = occupancy(workers);
+    free_ = occupancy(workers, evacuations);
     free_of_guaranteed_ = free_;
     holders_.clear();
     spare_held_.clear();
--- a/packages/core/src/seat_plan.cpp
+++ b/packages/core/src/seat_plan.cpp
@@ -63,14 +63,28 @@
 class planner
 {
 public:
-    planner(std::map<std::string, worker> const& workers) : free_(workers) {}
+    planner(std::map<std::string, worker> const& workers,
+            evacuation_map const& evacuations)
+        : free_(workers, evacuations), free_anywhere_(workers)
+    {
+    }
 
     void add_seat(seat s, assignment const& places)
     {
         free_.allocate(places, s.wanted);
+        free_anywhere_.allocate(places, s.wanted);
         s.places = places;
         plan_.seats[s.name] = std::move(s);
     }
+    /// Adds a seat that must not move, also in an evacuated data center.
+    void add_fixed_seat_if_free(seat const& s, assignment const& places,
+                                std::vector<seat>& rest)
+    {
+        if (still_fits(free_anywhere_, places, s.wanted))
+            add_seat(s, places);
+        else
+            rest.push_back(s);
+    }
     void add_seat_if_free(seat const& s, assignment const& places,
                           std::vector<seat>& rest)
     {
@@ -99,7 +113,8 @@
     }
 
 private:
-    occupancy free_;
+    occupancy free_; ///< outside evacuated data centers
+    occupancy free_anywhere_;
     seat_plan plan_;
 };
 
@@ -108,18 +123,21 @@
 seat_plan plan_round(std::vector<seat> const& wanted,
                      std::map<std::string, worker> const& workers,
                      seat_map const& current,
-                     std::map<std::string, bool> const& in_use, bool move_open)
+                     std::map<std::string, bool> const& in_use,
+                     evacuation_map const& evacuations, bool move_open)
 {
-    planner round(workers);
+    planner round(workers, evacuations);
     std::vector<seat> open;
     for (auto const& s : wanted)
     {
         auto const found = current.find(s.name);
-        bool const pinned = in_use.count(s.name) != 0 &&
-                            found != current.end() &&
-                            found->second.wanted == s.wanted;
-        if (pinned)
-            round.add_seat_if_free(s, found->second.places, open);
+        bool const same =
+            found != current.end() && found->second.wanted == s.wanted;
+        bool const fixed = same && (in_use.count(s.name) != 0 ||
+                                    is_kept_in_place(found->second.places,
+                                                     workers, evacuations));
+        if (fixed)
+            round.add_fixed_seat_if_free(s, found->second.places, open);
         else
             open.push_back(s);
     }
@@ -141,17 +159,35 @@
 
 } // namespace
 
+bool is_kept_in_place(assignment const& places,
+                      std::map<std::string, worker> const& workers,
+                      evacuation_map const& evacuations)
+{
+    auto const is_kept = [&](accelerator_range const& place)
+    {
+        auto const w = workers.find(place.worker);
+        if (w == workers.end())
+            return false;
+        auto const e = evacuations.find(w->second.data_center);
+        return e != evacuations.end() && !e->second.move_seats;
+    };
+    return std::any_of(places.begin(), places.end(), is_kept);
+}
+
 seat_plan plan_seats(configuration const& config,
                      std::map<std::string, worker> const& workers,
                      seat_map const& current,
-                     std::map<std::string, bool> const& in_use)
+                     std::map<std::string, bool> const& in_use,
+                     evacuation_map const& evacuations)
 {
     auto wanted = required_seats(config);
     std::sort(wanted.begin(), wanted.end(), is_seated_before);
-    auto stable = plan_round(wanted, workers, current, in_use, false);
+    auto stable =
+        plan_round(wanted, workers, current, in_use, evacuations, false);
     if (stable.unseated.empty())
         return stable;
-    auto moved = plan_round(wanted, workers, current, in_use, true);
+    auto moved =
+        plan_round(wanted, workers, current, in_use, evacuations, true);
     return moved.unseated.size() < stable.unseated.size() ? moved : stable;
 }
 
--- a/packages/core/src/state.cpp
+++ b/packages/core/src/state.cpp
@@ -56,14 +56,17 @@
     advance_time(state, entry.time);
     if (is_repeat(state, entry))
         return detail::refused("repeat");
-    return std::visit([&](auto const& body)
-                      { return detail::apply_body(state, entry, body); },
-                      entry.body);
+    auto result = std::visit([&](auto const& body)
+                             { return detail::apply_body(state, entry, body); },
+                             entry.body);
+    if (result.accepted && !state.evacuations.empty())
+        detail::replan_vacated_seats(state, result);
+    return result;
 }
 
 void rebuild_derived(cluster_state& state)
 {
-    state.ledger.rebuild(state.workers, state.jobs);
+    state.ledger.rebuild(state.workers, state.jobs, state.evacuations);
 }
 
 std::map<std::string, bool> seats_in_use(cluster_state const& state)
--- a/packages/daemon/src/call_chain.hpp
+++ b/packages/daemon/src/call_chain.hpp
@@ -58,8 +58,7 @@
 
     /// Sends the call to the next target. \returns nothing if no target is left
     /// or the deadline has passed.
-    [[nodiscard]] std::optional<attempt>
-    try_next(call& c, std::vector<core::worker> const& list);
+    [[nodiscard]] std::optional<attempt> try_next(call& c);
     [[nodiscard]] runtime::http_client_result
     send_to(call& c, core::target const& where);
     [[nodiscard]] runtime::http_response
--- a/packages/daemon/src/call_send.cpp
+++ b/packages/daemon/src/call_send.cpp
@@ -1,5 +1,7 @@
 #include "call.hpp"
 
+#include <jasminetrack/core/evacuation.hpp>
+
 #include <algorithm>
 
 namespace jasminetrack::daemon
@@ -57,20 +59,9 @@
 std::vector<core::worker> call_chain::workers() const
 {
     auto list = driver_.listed_vms().workers;
-    driver_.with_node(
+    return driver_.with_node(
         [&](core::node const& n)
-        {
-            for (auto& w : list)
-            {
-                auto const known = n.state().workers.find(w.name);
-                if (known != n.state().workers.end() &&
-                    w.condition == core::worker_condition::live &&
-                    known->second.condition == core::worker_condition::lost)
-                    w.condition = core::worker_condition::lost;
-            }
-            return 0;
-        });
-    return list;
+        { return core::call_targets(n.state(), std::move(list)); });
 }
 
 http_client_result call_chain::send_to(call& c, core::target const& where)
@@ -121,12 +112,11 @@
     return response;
 }
 
-std::optional<call_chain::attempt>
-call_chain::try_next(call& c, std::vector<core::worker> const& list)
+std::optional<call_chain::attempt> call_chain::try_next(call& c)
 {
     if (monotonic_ms() >= c.until_ms)
         return std::nullopt;
-    auto where = routers_.begin(c.service.name, list, c.tried);
+    auto where = routers_.begin(c.service.name, workers(), c.tried);
     if (!where)
         return std::nullopt;
     c.tried.insert(where->name);
@@ -147,8 +137,7 @@
         return std::nullopt;
     std::string last_failure = "no target is available";
     int unanswered = 0;
-    auto const list = workers();
-    while (auto const t = try_next(c, list))
+    while (auto const t = try_next(c))
     {
         if (t->result == core::target_result::answered)
             return forward_answer(c, t->answer);
@@ -185,8 +174,7 @@
 call_chain::step_result call_chain::send_once(call& c)
 {
     std::string last_failure = "no target is available";
-    auto const list = workers();
-    while (auto const t = try_next(c, list))
+    while (auto const t = try_next(c))
     {
         if (!was_not_run(t->answer, t->result))
             return end_call(c,
--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -1,4 +1,5 @@
 #include "call_chain.hpp"
+#include "evacuations_api.hpp"
 #include "jobs_api.hpp"
 #include "node_driver.hpp"
 #include "operator_api.hpp"
@@ -37,9 +38,10 @@
     call_chain calls;
     jobs_api jobs;
     operator_api operators;
+    evacuations_api evacuations;
 
     explicit request_router(node_driver& d)
-        : driver(d), calls(d), jobs(d), operators(d, calls)
+        : driver(d), calls(d), jobs(d), operators(d, calls), evacuations(d)
     {
     }
 
@@ -60,6 +62,8 @@
             return jobs.serve(r.path.substr(jobs_prefix.size()), r);
         if (r.path == "/v1/tickets")
             return operators.tickets(r);
+        if (r.path == "/v1/evacuations")
+            return evacuations.serve(r);
         if (r.path == "/v1/status")
             return operators.status();
         if (r.path == "/v1/timeline")
--- a/packages/daemon/src/metrics.cpp
+++ b/packages/daemon/src/metrics.cpp
@@ -82,6 +82,9 @@
     add_gauge(registry, "jasminetrack_broken_guarantees",
               "Guaranteed seats that no accelerators could be found for",
               static_cast<double>(core::broken_guarantees(n.state()).size()));
+    add_gauge(registry, "jasminetrack_evacuated_data_centers",
+              "Data centers on whose workers nothing new is placed",
+              static_cast<double>(n.state().evacuations.size()));
     auto& jobs = prometheus::BuildGauge()
                      .Name("jasminetrack_jobs")
                      .Help("Jobs by state")
--- a/packages/daemon/src/operator_api.cpp
+++ b/packages/daemon/src/operator_api.cpp
@@ -1,4 +1,5 @@
 #include "operator_api.hpp"
+#include "evacuations_api.hpp"
 #include "metrics.hpp"
 
 #include <jasminetrack/protocol/json_types.hpp>
@@ -169,6 +170,7 @@
                  {"calls_kept", s.calls.size()},
                  {"seats", s.seats.size()},
                  {"broken_guarantees", describe_broken_guarantees(s)},
+                 {"evacuations", describe_evacuations(s)},
                  {"peers", std::move(peers)}});
         });
 }
--- a/packages/daemon/src/vm_list.cpp
+++ b/packages/daemon/src/vm_list.cpp
@@ -13,6 +13,7 @@
     w.name = vm.at("name");
     w.region = vm.at("region");
     w.rack = vm.value("rack", "");
+    w.data_center = vm.value("data_center", "");
     w.address = vm.at("address");
     w.accelerators = vm.value("accelerators", 0);
     w.millicores = vm.value("millicores", 0);
--- a/packages/protocol/include/jasminetrack/protocol/json_types.hpp
+++ b/packages/protocol/include/jasminetrack/protocol/json_types.hpp
@@ -66,7 +66,8 @@
 JASMINETRACK_JSON(job_class, name, team, region, gang, draws_on, idempotent)
 JASMINETRACK_JSON(removal, kind, name)
 JASMINETRACK_JSON(worker, name, region, rack, address, accelerators, millicores,
-                  memory_mb, condition)
+                  memory_mb, condition, data_center)
+JASMINETRACK_JSON(evacuation, move_seats, offset)
 JASMINETRACK_JSON(accelerator_range, worker, first, count)
 
 void to_json(nlohmann::json& j, config_object const& object);
@@ -87,6 +88,7 @@
 JASMINETRACK_JSON(call_result_record, team, key, end, status, body)
 JASMINETRACK_JSON(digest_record, mark, digest)
 JASMINETRACK_JSON(snapshot_record, mark, index, count, digest, data)
+JASMINETRACK_JSON(evacuate_record, data_center, evacuated, move_seats)
 
 JASMINETRACK_JSON(job, id, team, key, job_class, region, payload, gang,
                   draws_on, idempotent, submitted, submitted_ms, started_ms,
@@ -103,7 +105,7 @@
 JASMINETRACK_JSON(worker_faults, failed_jobs, quarantined_ms)
 JASMINETRACK_JSON(cluster_state, next, log_time, last_mark, last_mark_ms,
                   config, versions, verdicts, owners, workers, faults, seats,
-                  jobs, job_keys, calls, writers, history)
+                  evacuations, jobs, job_keys, calls, writers, history)
 
 JASMINETRACK_JSON(task_order, task, wish, place, payload, grace_ms)
 JASMINETRACK_JSON(worker_order, region, epoch, sequence, lease_ms, same_as,
--- a/packages/protocol/src/codec.cpp
+++ b/packages/protocol/src/codec.cpp
@@ -55,8 +55,9 @@
 
 /// Record kinds as written in the log, in the order of `core::record`.
 constexpr char const* record_kinds[] = {
-    "ticket", "claim",       "workers", "submit", "cancel",   "place",  "job",
-    "call",   "call_result", "mark",    "digest", "snapshot", "unknown"};
+    "ticket", "claim",    "workers",  "submit",      "cancel",
+    "place",  "job",      "call",     "call_result", "mark",
+    "digest", "snapshot", "evacuate", "unknown"};
 
 struct body_to_json
 {
@@ -86,18 +87,14 @@
 
 using body_reader = core::record (*)(json const&);
 
-constexpr body_reader body_readers[] = {read_body_as<core::ticket_record>,
-                                        read_body_as<core::claim_record>,
-                                        read_body_as<core::workers_record>,
-                                        read_body_as<core::submit_record>,
-                                        read_body_as<core::cancel_record>,
-                                        read_body_as<core::place_record>,
-                                        read_body_as<core::job_record>,
-                                        read_body_as<core::call_record>,
-                                        read_body_as<core::call_result_record>,
-                                        read_mark,
-                                        read_body_as<core::digest_record>,
-                                        read_body_as<core::snapshot_record>};
+constexpr body_reader body_readers[] = {
+    read_body_as<core::ticket_record>,      read_body_as<core::claim_record>,
+    read_body_as<core::workers_record>,     read_body_as<core::submit_record>,
+    read_body_as<core::cancel_record>,      read_body_as<core::place_record>,
+    read_body_as<core::job_record>,         read_body_as<core::call_record>,
+    read_body_as<core::call_result_record>, read_mark,
+    read_body_as<core::digest_record>,      read_body_as<core::snapshot_record>,
+    read_body_as<core::evacuate_record>};
 
 core::record read_body(std::string const& kind, json const& j)
 {
--- a/tests/support/cluster_simulation.cpp
+++ b/tests/support/cluster_simulation.cpp
@@ -25,6 +25,10 @@
         w.name = name;
         w.region = settings_.region;
         w.rack = "rack" + std::to_string(i / settings_.workers_per_rack);
+        if (settings_.racks_per_data_center > 0)
+            w.data_center =
+                "dc" + std::to_string(i / (settings_.workers_per_rack *
+                                           settings_.racks_per_data_center));
         w.address = name;
         w.accelerators = settings_.accelerators;
         w.millicores = 64'000;
--- a/tests/support/cluster_simulation.hpp
+++ b/tests/support/cluster_simulation.hpp
@@ -24,6 +24,7 @@
     int nodes = 3;
     int workers = 8;
     int workers_per_rack = 4;
+    int racks_per_data_center = 0; ///< 0: no data centers are listed
     int accelerators = 8;
     std::string region = "bern";
     core::timing_settings timing;
