--- a/tests/process/cluster.cpp
+++ b/tests/process/cluster.cpp
@@ -184,6 +184,10 @@
              {"millicores", 64000},
              {"memory_mb", 256000},
              {"state", state == states_.end() ? "live" : state->second}});
+        if (int const size = settings_.workers_per_data_center; size > 0)
+            vms.back()["data_center"] =
+                workers_[i].region + "-dc" +
+                std::to_string(static_cast<int>(i) / size);
     }
     return json{{"vms", vms}}.dump();
 }
@@ -370,6 +374,31 @@
     return runs;
 }
 
+std::vector<int> cluster::call_counts()
+{
+    std::vector<int> counts;
+    for (auto const& w : workers_)
+        counts.push_back(static_cast<int>(records_of(w)["calls"].size()));
+    return counts;
+}
+
+std::pair<int, std::string>
+cluster::run_command(std::vector<std::string> const& arguments)
+{
+    std::vector<std::string> command{binary_path("packages/cli/jasminetrack")};
+    for (auto const& e : entries_)
+    {
+        command.emplace_back("--entry");
+        command.push_back(e.listen);
+    }
+    command.insert(command.end(), arguments.begin(), arguments.end());
+    auto const path = folder_ + "/command.out";
+    std::filesystem::remove(path);
+    int const code = child_process(command, path, true).wait();
+    std::ifstream file(path);
+    return {code, {std::istreambuf_iterator<char>(file), {}}};
+}
+
 std::vector<json> cluster::task_events()
 {
     std::vector<json> all;
--- a/tests/process/cluster.hpp
+++ b/tests/process/cluster.hpp
@@ -27,7 +27,8 @@
 struct cluster_settings
 {
     int entries = 3;
-    int workers = 4; ///< in each region, four to a rack
+    int workers = 4;                 ///< in each region, four to a rack
+    int workers_per_data_center = 0; ///< 0: no data centers are listed
     std::vector<std::string> regions{"bern"};
     int retention = 0;          ///< records that the log keeps; 0: all
     std::string entry_settings; ///< lines added to each settings file
@@ -115,6 +116,12 @@
                            int wait_ms = 0);
     /// \returns how many calls with this key the targets accepted.
     [[nodiscard]] int call_count(std::string const& key);
+    /// \returns how many calls each worker accepted.
+    [[nodiscard]] std::vector<int> call_counts();
+    /// Runs the command-line program against all entry VMs.
+    /// \returns its exit code and its output, errors included.
+    [[nodiscard]] std::pair<int, std::string>
+    run_command(std::vector<std::string> const& arguments);
     /// \returns the task events of all workers, oldest first.
     [[nodiscard]] std::vector<json> task_events();
 
--- a/tests/unit/test_evacuated_regions.cpp
+++ b/tests/unit/test_evacuated_regions.cpp
@@ -361,7 +361,7 @@
                                    std::string::npos,
                            r.unmet());
                 });
-        section("a guarantee in service isn't broken for it",
+        section("a guarantee in service is not broken for it",
                 [&]
                 {
                     expect(broken_guarantees(r.state).size() == 1,
