--- a/tests/unit/test_evacuated_regions.cpp
+++ b/tests/unit/test_evacuated_regions.cpp
@@ -530,6 +530,18 @@
                                                      r.state.evacuations);
             expect(may_remain || !touches_evacuated(r.state, s.places),
                    "seat " + name + " has left the evacuated data center");
+            bool const is_open = !s.places.empty() &&
+                                 !r.state.ledger.is_in_use(name) &&
+                                 !touches_evacuated(r.state, s.places);
+            job probe;
+            probe.team = s.team;
+            probe.region = s.region;
+            probe.gang = s.wanted;
+            probe.draws_on = capacity_source::guarantee;
+            probe.submitted = UINT64_MAX;
+            expect(!is_open ||
+                       placement_round(r.state, {}, "bern", {}).decide(probe),
+                   "seat " + name + " can be reclaimed");
         }
         for (auto const& [id, j] : r.state.jobs)
             expect(j.state != job_state::placed ||
