Evacuation: seats are planned again only when a record frees one

Cause: each record of an evacuation looked at all places of all seats. Change: the check runs when the number of seats in use has dropped. The demo's list of VMs names data centers.

--- a/demo/make_vms.sh
+++ b/demo/make_vms.sh
@@ -11,8 +11,8 @@
 workers() { # region, prefix, first port
   for i in 0 1 2 3 4 5 6 7; do
     printf ',{"name":"%s%s","role":"worker","region":"%s",' "$2" "$i" "$1"
-    printf '"rack":"%s-rack%s","address":"127.0.0.1:%s",' \
-      "$1" $((i / 4)) $(($3 + i))
+    printf '"rack":"%s-rack%s","data_center":"%s-1",' "$1" $((i / 4)) "$1"
+    printf '"address":"127.0.0.1:%s",' $(($3 + i))
     printf '"accelerators":8,"millicores":128000,"memory_mb":512000,'
     printf '"state":"live"}'
   done
--- a/packages/core/src/state.cpp
+++ b/packages/core/src/state.cpp
@@ -35,6 +35,12 @@
                   [&](auto const& entry) { return entry.second.time < limit; });
 }
 
+/// \returns the number of seats in use; 0 if no data center is evacuated.
+std::size_t count_used_seats(cluster_state const& s)
+{
+    return s.evacuations.empty() ? 0 : seats_in_use(s).size();
+}
+
 constexpr milliseconds expiry_interval_ms = 600 * 1000;
 
 void advance_time(cluster_state& s, milliseconds time)
@@ -56,10 +62,11 @@
     advance_time(state, entry.time);
     if (is_repeat(state, entry))
         return detail::refused("repeat");
+    auto const used_seats = count_used_seats(state);
     auto result = std::visit([&](auto const& body)
                              { return detail::apply_body(state, entry, body); },
                              entry.body);
-    if (result.accepted && !state.evacuations.empty())
+    if (count_used_seats(state) < used_seats)
         detail::replan_vacated_seats(state, result);
     return result;
 }
