--- a/tests/unit/test_evacuated_regions.cpp
+++ b/tests/unit/test_evacuated_regions.cpp
@@ -142,6 +142,7 @@
     CPPUNIT_TEST(seats_move_where_they_may);
     CPPUNIT_TEST(a_seat_in_use_moves_after_its_job);
     CPPUNIT_TEST(seats_that_may_not_move_stay);
+    CPPUNIT_TEST(no_seat_moves_into_an_evacuated_data_center);
     CPPUNIT_TEST(unmet_guarantees_are_named);
     CPPUNIT_TEST(calls_avoid_evacuated_targets);
     CPPUNIT_TEST(snapshots_and_records_carry_evacuations);
@@ -341,6 +342,33 @@
                 });
     }
 
+    /// Guards against a seat that moves there in part, for a gang that is
+    /// smaller than the seat.
+    void no_seat_moves_into_an_evacuated_data_center()
+    {
+        region r;
+        auto t = simple_ticket(1, "canvas", "bern", 1,
+                               {2, 8, 0, 0, adjacency::none});
+        t.objects.push_back(job_class{"canvas-small",
+                                      "canvas",
+                                      "bern",
+                                      {1, 8, 0, 0, adjacency::none},
+                                      capacity_source::guarantee,
+                                      true});
+        expect(r.write(ticket_record{t}).accepted, "the ticket");
+        (void)r.evacuate("a");
+        (void)r.write(submit_record{"canvas", "1", "canvas-small", "", 0});
+        auto decided = r.decide();
+        expect(decided.size() == 1, "decided");
+        auto moved = decided.front();
+        moved.seat_places = {moved.places.front(), {"w0", 0, 8}};
+        auto const v = r.write(moved);
+        expect(!v.accepted &&
+                   v.reason.find("evacuated data center") != std::string::npos,
+               v.reason);
+        expect(r.write(decided.front()).accepted, "its own places");
+    }
+
     void unmet_guarantees_are_named()
     {
         region r(4);
