Worker speeds: test with a fuller service

With gangs of 16, urgent work needs more workers than half of the usual ones, so that the place of lower priorities matters: the test fails if these do not take slower workers first.

--- a/tests/unit/test_worker_speeds.cpp
+++ b/tests/unit/test_worker_speeds.cpp
@@ -168,9 +168,9 @@
     std::size_t violations = 0;
 };
 
-/// Batch work takes up half of a service, a third of whose workers are slower;
-/// urgent tasks and gangs come every second. Renewals wait at the workers, so
-/// that percents are reported as rarely as on the platform.
+/// Batch work takes up two thirds of a service, a third of whose workers are
+/// slower; an urgent task and a gang come every second. Renewals wait at the
+/// workers, so that percents are reported as rarely as on the platform.
 class urgent_load
 {
 public:
@@ -206,10 +206,10 @@
     {
         for (int second = 0; second < duration_s; ++second)
         {
-            submit("batch" + std::to_string(second), "batch", 14, 8'000, false);
+            submit("batch" + std::to_string(second), "batch", 15, 8'000, false);
             auto const name = std::to_string(second);
             submit("task" + name, "urgent", 1, 3'000, false);
-            submit("gang" + name, "urgent", 4, 3'000, true);
+            submit("gang" + name, "urgent", 16, 3'000, true);
             run_second();
         }
     }
