--- a/packages/tasks/src/dispatcher_monitor.cpp
+++ b/packages/tasks/src/dispatcher_monitor.cpp
@@ -84,8 +84,7 @@
         return;
     changed_ = true;
     log_decision("worker.pace", ref.job,
-                 "worker=" + w.info.id +
-                     " speed=" + to_text(speed_of(now, w)) +
+                 "worker=" + w.info.id + " speed=" + to_text(speed_of(now, w)) +
                      " factor=" + std::to_string(w.pace.factor()) +
                      " task_ms=" + std::to_string(*took));
 }
--- a/packages/tasks/src/worker_speeds.cpp
+++ b/packages/tasks/src/worker_speeds.cpp
@@ -44,11 +44,12 @@
     return x * x;
 }
 
-/// \returns whether the effect may give the worker a speed; otherwise that of
-/// before stays.
-bool is_evident(worker_effect const& e) noexcept
+/// \returns whether the effect may replace what is known. Without samples that
+/// can be compared, the speed that earlier samples showed stays.
+bool is_evident(worker_effect const& e, speed_estimate const& known) noexcept
 {
-    return e.samples >= min_samples || e.has_kind_prior;
+    return e.samples >= min_samples ||
+           (e.has_kind_prior && known.samples < min_samples);
 }
 
 speed_estimate to_estimate(worker_effect const& e, worker_speed before)
@@ -174,7 +175,7 @@
     for (auto& [id, e] : workers_)
     {
         auto const& now_known = *effect++;
-        if (!is_evident(now_known))
+        if (!is_evident(now_known, e.estimate))
             continue;
         auto const before = e.estimate.speed;
         e.estimate = to_estimate(now_known, before);
--- a/tests/unit/test_worker_speeds.cpp
+++ b/tests/unit/test_worker_speeds.cpp
@@ -3,6 +3,7 @@
 /// urgent work gain by it.
 
 #include "dispatch_simulation.hpp"
+#include "entry_cluster.hpp"
 #include "section.hpp"
 #include "speed_load.hpp"
 
@@ -296,6 +297,7 @@
     CPPUNIT_TEST(a_speed_lasts_as_long_as_the_incarnation);
     CPPUNIT_TEST(a_successor_knows_the_slower_workers);
     CPPUNIT_TEST(a_dispatcher_hands_the_slower_workers_on);
+    CPPUNIT_TEST(a_node_reads_the_record_before_its_take_over);
     CPPUNIT_TEST(the_record_is_written_on_change_only);
     CPPUNIT_TEST(preferences_depend_on_the_slack);
     CPPUNIT_TEST(speeds_order_candidates_and_exclude_none);
@@ -392,6 +394,24 @@
         }
     }
 
+    void a_node_reads_the_record_before_its_take_over()
+    {
+        dispatch_limits limits;
+        limits.learn_speeds = true;
+        entry_cluster cluster(0, cluster_run_ms, limits);
+        std::vector<slower_worker> const slower{{"w1", 0, 1'300},
+                                                {"w2", 5, 1'300}};
+        cluster.log.put(entry::topic::work, speed_record_key, encode(slower));
+        cluster.add_node("node");
+        auto const has_one = [&]
+        {
+            return cluster.nodes[0]->metrics().find(
+                       "jasminetrack_worker_speeds{service=\"service\","
+                       "speed=\"slower\"} 1") != std::string::npos;
+        };
+        expect(cluster.wait_until(has_one), "the worker of this incarnation");
+    }
+
     void the_record_is_written_on_change_only()
     {
         speed_record_writer w;
