--- a/tests/unit/test_worker_speeds.cpp
+++ b/tests/unit/test_worker_speeds.cpp
@@ -3,6 +3,7 @@
 /// urgent work gain by it.
 
 #include "dispatch_simulation.hpp"
+#include "entry_cluster.hpp"
 #include "section.hpp"
 #include "speed_load.hpp"
 
@@ -168,9 +169,9 @@
     std::size_t violations = 0;
 };
 
-/// Batch work takes up half of a service, a third of whose workers are slower;
-/// urgent tasks and gangs come every second. Renewals wait at the workers, so
-/// that percents are reported as rarely as on the platform.
+/// Batch work takes up two thirds of a service, a third of whose workers are
+/// slower; an urgent task and a gang come every second. Renewals wait at the
+/// workers, so that percents are reported as rarely as on the platform.
 class urgent_load
 {
 public:
@@ -206,10 +207,10 @@
     {
         for (int second = 0; second < duration_s; ++second)
         {
-            submit("batch" + std::to_string(second), "batch", 14, 8'000, false);
+            submit("batch" + std::to_string(second), "batch", 15, 8'000, false);
             auto const name = std::to_string(second);
             submit("task" + name, "urgent", 1, 3'000, false);
-            submit("gang" + name, "urgent", 4, 3'000, true);
+            submit("gang" + name, "urgent", 16, 3'000, true);
             run_second();
         }
     }
@@ -296,6 +297,7 @@
     CPPUNIT_TEST(a_speed_lasts_as_long_as_the_incarnation);
     CPPUNIT_TEST(a_successor_knows_the_slower_workers);
     CPPUNIT_TEST(a_dispatcher_hands_the_slower_workers_on);
+    CPPUNIT_TEST(a_node_reads_the_record_before_its_take_over);
     CPPUNIT_TEST(the_record_is_written_on_change_only);
     CPPUNIT_TEST(preferences_depend_on_the_slack);
     CPPUNIT_TEST(speeds_order_candidates_and_exclude_none);
@@ -392,6 +394,24 @@
         }
     }
 
+    void a_node_reads_the_record_before_its_take_over()
+    {
+        dispatch_limits limits;
+        limits.learn_speeds = true;
+        entry_cluster cluster(0, cluster_run_ms, limits);
+        std::vector<slower_worker> const slower{{"w1", 0, 1'300},
+                                                {"w2", 5, 1'300}};
+        cluster.log.put(entry::topic::work, speed_record_key, encode(slower));
+        cluster.add_node("node");
+        auto const has_one = [&]
+        {
+            return cluster.nodes[0]->metrics().find(
+                       "jasminetrack_worker_speeds{service=\"service\","
+                       "speed=\"slower\"} 1") != std::string::npos;
+        };
+        expect(cluster.wait_until(has_one), "the worker of this incarnation");
+    }
+
     void the_record_is_written_on_change_only()
     {
         speed_record_writer w;
