--- a/packages/tasks/include/jasminetrack/tasks/headroom_lending.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/headroom_lending.hpp
@@ -87,12 +87,12 @@
     checkpoints,      ///< a stop costs only a restart
     ends_before_peak, ///< even if it takes twice its estimate
                       // refused
-    urgent,        ///< urgent work needs no lending
-    not_stoppable, ///< lasting work is never stopped
-    reserve,       ///< too little would stay free
-    lent_already,  ///< earlier work holds what can be lent
-    no_history,    ///< no checkpoints, and the next peak is not known
-    too_long,      ///< no checkpoints, and it may last into the next peak
+    urgent,           ///< urgent work needs no lending
+    not_stoppable,    ///< lasting work is never stopped
+    reserve,          ///< too little would stay free
+    lent_already,     ///< earlier work holds what can be lent
+    no_history,       ///< no checkpoints, and the next peak is not known
+    too_long,         ///< no checkpoints, and it may last into the next peak
 };
 
 [[nodiscard]] char const* to_text(lending_reason reason) noexcept;
--- a/tests/unit/test_headroom_lending.cpp
+++ b/tests/unit/test_headroom_lending.cpp
@@ -6,6 +6,8 @@
 #include "section.hpp"
 #include "small_jobs.hpp"
 
+#include <jasminetrack/entry/settings.hpp>
+
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <cmath>
@@ -233,6 +235,7 @@
 class test_headroom_lending : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(test_headroom_lending);
+    CPPUNIT_TEST(setting_is_off_by_default);
     CPPUNIT_TEST(history_predicts_regular_peaks_only);
     CPPUNIT_TEST(reserve_stays_free);
     CPPUNIT_TEST(only_work_that_is_cheap_to_stop_is_lent_to);
@@ -242,6 +245,19 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    void setting_is_off_by_default()
+    {
+        std::string const text = "node: n\nregion: r\ndata_center: d\n"
+                                 "listen: 10.0.0.1:1\nready: 10.0.0.1:2\n"
+                                 "mesh: 10.0.0.1:3\nlog: 10.0.0.2:1\n"
+                                 "jobs:\n  stop: 400ms\n";
+        auto const parse = [](std::string const& t)
+        { return jasminetrack::entry::parse_entry_settings(t, "f"); };
+        expect(!parse(text).value.limits.lend_headroom, "off");
+        auto const on = parse(text + "  lend_headroom: true\n");
+        expect(on.diagnostics.empty() && on.value.limits.lend_headroom, "on");
+    }
+
     void history_predicts_regular_peaks_only()
     {
         expect(!after_waves(22'000).next_peak(22'000), "two peaks are too few");
