--- a/packages/entry/src/entry_node.cpp
+++ b/packages/entry/src/entry_node.cpp
@@ -205,8 +205,8 @@
     auto const now = monotonic_ms();
     std::string newest;
     for (auto const& e : page.entries)
-        if (auto const role = e.key == role_key ? tasks::decode_role(e.value)
-                                                : std::nullopt;
+        if (auto const role =
+                e.key == role_key ? tasks::decode_role(e.value) : std::nullopt;
             role && !role->load.empty())
             newest = role->load;
     auto const before = std::min(work_end_read_ms_, work_records_ms_);
