--- a/tests/unit/test_load_shedding.cpp
+++ b/tests/unit/test_load_shedding.cpp
@@ -9,6 +9,7 @@
 
 #include <jasminetrack/entry/load_admission.hpp>
 #include <jasminetrack/entry/retry_advice.hpp>
+#include <jasminetrack/platform/adapter.hpp>
 #include <jasminetrack/tasks/cost_of_delay.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -118,6 +119,18 @@
     return spec;
 }
 
+jasminetrack::runtime::http_response
+submit_http(jasminetrack::entry::entry_node& node, std::string const& id)
+{
+    jasminetrack::runtime::http_request r;
+    r.method = "POST";
+    r.path = "/b/" + id;
+    r.headers = {{"host", "h"}, {"x-api-key", "key"}};
+    r.body = R"({"steps": [{"count": 2000, "cpu": 1000, "mem_mb": 1000,
+                            "gpu": 1, "est_runtime_ms": 60000}]})";
+    return jasminetrack::platform::handle_request(node, r);
+}
+
 class test_load_shedding : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(test_load_shedding);
@@ -128,6 +141,7 @@
     CPPUNIT_TEST(an_entry_vm_counts_what_it_has_accepted);
     CPPUNIT_TEST(a_reading_stays_small);
     CPPUNIT_TEST(callers_are_asked_back_when_there_is_capacity);
+    CPPUNIT_TEST(the_setting_is_off_by_default);
     CPPUNIT_TEST(a_known_job_is_not_refused);
     CPPUNIT_TEST(callers_get_more_in_an_overload);
     CPPUNIT_TEST(refused_jobs_would_have_expired);
@@ -277,6 +291,21 @@
                "not before there is capacity, and spread");
     }
 
+    void the_setting_is_off_by_default()
+    {
+        using jasminetrack::entry::parse_entry_settings;
+        auto const limits = [](std::string const& jobs) {
+            return parse_entry_settings("jobs: {" + jobs + "}", "f")
+                .value.limits;
+        };
+        expect(!limits("").shed_load, "off");
+        expect(limits("shed_load: true").shed_load, "on");
+        role_record const role{7, "node", false, {}};
+        expect(decode_role(encode(role)) == role, "a role without a load");
+        role_record const with_load{7, "node", false, std::string("a\0b", 3)};
+        expect(decode_role(encode(with_load)) == with_load, "with a load");
+    }
+
     /// The first job is accepted, as the service has room. It fills the service
     /// for hours, so that the next one of its kind would expire.
     void a_known_job_is_not_refused()
@@ -307,9 +336,18 @@
                    "jasminetrack_refused_jobs_total{queue=\"batch\"}") !=
                    std::string::npos,
                "counted");
-        expect(requests.find_status("b").result ==
-                   jasminetrack::entry::status_result::no_such_job,
-               "nothing is stored");
+        section("its caller is asked back",
+                [&]
+                {
+                    auto const id = std::string(16, 'b');
+                    auto const r = submit_http(*cluster.nodes[1], id);
+                    expect(r.status == 503, "503");
+                    auto const wait = std::stoi(r.headers.at("Retry-After"));
+                    expect(wait >= 8 && wait <= 10, "the longest wait");
+                    expect(requests.find_status(id).result ==
+                               jasminetrack::entry::status_result::no_such_job,
+                           "nothing is stored");
+                });
     }
 
     void callers_get_more_in_an_overload()
