--- a/tests/support/entry_cluster.hpp
+++ b/tests/support/entry_cluster.hpp
@@ -55,6 +55,11 @@
                            tasks::dispatch_limits const& limits = {})
         : workers(run_ms), decoder(single_queue_configuration()),
           limits_(limits)
+    explicit entry_cluster(
+        int count, tasks::milliseconds run_ms = cluster_run_ms,
+        tasks::configuration const& config = single_queue_configuration(),
+        tasks::dispatch_limits const& limits = {})
+        : workers(run_ms), decoder(config), limits_(limits)
     {
         log.put(entry::topic::configuration, "config", "1");
         for (int i = 0; i < 3; ++i)
