Plan for workers that leave at short notice (setting jobs.expect_departures)

Of the work that is lost when workers drain, most is that of wide gangs, which are ended as soon as one worker announces that it leaves and are placed on workers that leave next. The modules departures, drain_plan and departure_wait decide when a leaving run ends, which workers come first, and whether a gang waits until a wave of departures is over. The setting is off by default.

--- a/packages/entry/src/gauges.cpp
+++ b/packages/entry/src/gauges.cpp
@@ -95,6 +95,19 @@
                                 "Waiting steps that no worker has capacity for",
                                 &priority_utilization::no_room}};
 
+constexpr std::array departure_gauges{
+    gauge<service_utilization>{"jasminetrack_departures_per_minute",
+                               "Workers that leave",
+                               &service_utilization::departures_per_minute},
+    gauge<service_utilization>{
+        "jasminetrack_departed_runs",
+        "Runs ended because their worker leaves or has left, since the "
+        "dispatcher took over",
+        &service_utilization::departed_runs},
+    gauge<service_utilization>{"jasminetrack_departed_core_seconds",
+                               "Work lost by these runs",
+                               &service_utilization::departed_core_seconds}};
+
 void add(prometheus::Registry& registry, char const* name, char const* help,
          prometheus::Labels const& labels, std::int64_t value)
 {
@@ -125,6 +138,8 @@
     add(registry, "jasminetrack_evacuated_runs",
         "Runs that are left in evacuated data centers", {{"service", service}},
         u.evacuated_runs);
+    for (auto const& g : departure_gauges)
+        add(registry, g.name, g.help, {{"service", service}}, u.*(g.value));
     for (auto const& [priority, p] : u.priorities)
         for (auto const& g : priority_gauges)
             add(registry, g.name, g.help,
--- a/packages/entry/src/settings.cpp
+++ b/packages/entry/src/settings.cpp
@@ -18,6 +18,7 @@
     b.heartbeat_ms = in.duration("heartbeat", b.heartbeat_ms);
     b.unseen_change_ms = in.duration("unseen_change", b.unseen_change_ms);
     b.evacuation_bound_ms = in.duration("evacuate", b.evacuation_bound_ms);
+    b.expect_departures = in.boolean("expect_departures", b.expect_departures);
     in.check_unknown_keys();
 }
 
--- a/packages/tasks/include/jasminetrack/tasks/detail/dispatcher_state.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/detail/dispatcher_state.hpp
@@ -63,6 +63,7 @@
     milliseconds reported_at = -1;       ///< when it was last listed as running
     milliseconds first_reported_at = -1; ///< when it was first
     std::int64_t percent = 0;            ///< done, as the worker reports it
+    std::int64_t first_percent = 0;      ///< at `first_reported_at`
     milliseconds progress_at = 0;        ///< when `percent` last rose
     run_progress progress;
 };
--- a/packages/tasks/include/jasminetrack/tasks/dispatch_limits.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatch_limits.hpp
@@ -27,6 +27,8 @@
     /// Nothing is started in a data center later than this after its evacuation
     /// was recorded; 0: no limit.
     milliseconds evacuation_bound_ms = 0;
+    /// Plans for workers that leave at short notice.
+    bool expect_departures = false;
 
     friend bool operator==(dispatch_limits const&,
                            dispatch_limits const&) = default;
--- a/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -5,6 +5,7 @@
 /// carry a lower fencing token than the highest one they have seen, which
 /// shuts out earlier dispatchers.
 
+#include <jasminetrack/tasks/detail/departure_state.hpp>
 #include <jasminetrack/tasks/detail/dispatcher_state.hpp>
 #include <jasminetrack/tasks/detail/hold_state.hpp>
 #include <jasminetrack/tasks/dispatch_limits.hpp>
@@ -485,6 +486,50 @@
     /// Logs an evacuation that begins or ends, and what is left there.
     void log_evacuation(milliseconds now, std::string const& data_center,
                         milliseconds as_of) const;
+    // dispatcher_departures.cpp
+    /// Counts a departure if the entry shows that the worker begins to drain.
+    void note_drain(milliseconds now, worker_view const& w,
+                    worker_info const& info);
+    /// Counts a departure unless the worker was draining.
+    void note_lost_worker(milliseconds now, worker_view const& w);
+    /// Counts a run that ends as its worker has left.
+    void note_lost_run(milliseconds now, worker_view const& w,
+                       unit_ref const& ref);
+    /// Ends the runs with workers that leave, each at the time for it.
+    void plan_drains(milliseconds now);
+    /// \returns nothing if no worker of the run leaves.
+    [[nodiscard]] std::optional<leaving_run>
+    leaving_run_of(milliseconds now, unit_ref const& ref,
+                   active_run const& a) const;
+    /// \returns whether other waiting work can use what the run holds on
+    /// workers that stay.
+    [[nodiscard]] bool is_place_wanted(unit_ref const& ref,
+                                       active_run const& a) const;
+    void log_drain_plan(unit_ref const& ref, std::int64_t run,
+                        leaving_run const& r, drain_verdict const& v) const;
+    void end_for_departure(milliseconds now, unit_ref const& ref,
+                           drain_reason why);
+    /// Notes the needs of waiting steps, at the begin of a pass.
+    void note_waiting(std::vector<waiting_units> const& list);
+    /// The step got no place in this pass.
+    void note_without_place(waiting_units const& w);
+    [[nodiscard]] detail::waiting_need
+    waiting_need_of(waiting_units const& w) const;
+    /// \returns how many of the workers may leave before others of the service
+    /// have been replaced.
+    [[nodiscard]] std::int64_t
+    count_exposed(milliseconds now,
+                  std::vector<std::string> const& places) const;
+    [[nodiscard]] departure_wait_terms
+    wait_terms_of(milliseconds now, job_entry const& e, unit_ref const& ref,
+                  unit_need const& need, std::int64_t exposed) const;
+    /// \returns whether the unit waits until workers have left.
+    [[nodiscard]] bool
+    awaits_departures(milliseconds now, job_entry const& e, unit_ref const& ref,
+                      unit_need const& need,
+                      std::vector<std::string> const& places);
+    /// \returns " moved=NUMBER" for a log line; empty if the setting is off.
+    [[nodiscard]] std::string moved_text(std::int64_t moves) const;
     // dispatcher_waits.cpp
     /// \returns whether something must end before the unit may run.
     [[nodiscard]] bool awaits_earlier_run(milliseconds now, job_entry const& e,
@@ -555,6 +600,8 @@
                       service_utilization& c) const;
     [[nodiscard]] std::optional<std::string>
     service_of_spread_gang(unit_ref const& ref, active_run const& a) const;
+    void count_departures(milliseconds now, std::string const& service,
+                          service_utilization& c) const;
     void count_waiting_step(job_entry const& e,
                             std::int64_t priority_utilization::*as);
     // dispatcher_holds.cpp
@@ -689,6 +736,7 @@
     /// started there yet.
     std::set<std::pair<unit_ref, std::size_t>> deferred_resends_;
     placement_advice advice_;
+    detail::departure_state departures_;
     std::map<std::string, urgent_headroom> headroom_; ///< by service
     /// State of the current scheduling pass, by service.
     std::map<std::string, accelerator_count> counts_;
--- a/packages/tasks/include/jasminetrack/tasks/hold_reason.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/hold_reason.hpp
@@ -31,8 +31,9 @@
     unclear_losses,
     verified_worker,
     reservation,
-    headroom, ///< it has places beside which the headroom would not stay free
-    rack,     ///< it has places, in several racks
+    headroom,   ///< it has places beside which the headroom would not stay free
+    rack,       ///< it has places, in several racks
+    departures, ///< it has places, and would probably lose one of the workers
     advice,
     evacuated,     ///< it has places only in evacuated data centers
     workers_unfit, ///< it would have places if all listed workers took starts
@@ -56,7 +57,8 @@
 /// ones or to leave them to other work.
 [[nodiscard]] constexpr bool is_chosen(hold_reason r) noexcept
 {
-    return r == hold_reason::headroom || r == hold_reason::rack;
+    return r == hold_reason::headroom || r == hold_reason::rack ||
+           r == hold_reason::departures;
 }
 
 /// Why the free accelerators of a listed worker take no starts.
--- a/packages/tasks/include/jasminetrack/tasks/orders.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/orders.hpp
@@ -27,6 +27,7 @@
     /// Start time of its process, milliseconds; distinguishes successive
     /// processes under one id.
     std::int64_t incarnation = 0;
+    std::string version; ///< of its software; empty: not reported
 
     friend bool operator==(worker_info const&, worker_info const&) = default;
 };
--- a/packages/tasks/include/jasminetrack/tasks/placement.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/placement.hpp
@@ -36,6 +36,8 @@
     /// A run completed there recently and none has failed since.
     bool verified = false;
     bool slower = false; ///< too slow for urgent work only
+    /// How likely it is to leave; workers with a lower rank are preferred.
+    std::int64_t departure_rank = 0;
     /// Runs are being started there; only known where a unit is isolated.
     bool starting = false;
     std::int64_t same_step = 0;    ///< tasks of the unit's step on this worker
--- a/packages/tasks/include/jasminetrack/tasks/queue_order.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/queue_order.hpp
@@ -33,6 +33,10 @@
 
 [[nodiscard]] timeliness timeliness_of(ordering_key const& c) noexcept;
 
+/// \returns for how long the unit can wait and its job end before it expires;
+/// negative if it cannot.
+[[nodiscard]] milliseconds time_to_spare(ordering_key const& c) noexcept;
+
 /// \returns whether `a` is placed before `b`.
 [[nodiscard]] bool precedes(ordering_key const& a,
                             ordering_key const& b) noexcept;
--- a/packages/tasks/include/jasminetrack/tasks/service_utilization.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/service_utilization.hpp
@@ -33,8 +33,11 @@
         0; ///< held by gangs that want one rack but span several
     std::map<std::int64_t, priority_utilization> priorities;
     std::int64_t evacuated_runs = 0; ///< in evacuated data centers
-    unfit_counts unfit_by;           ///< `unfit` by its cause
-    hold_counts held_units;          ///< units of ready steps without a run
+    std::int64_t departures_per_minute = 0;
+    std::int64_t departed_runs = 0;         ///< ended by departures, in total
+    std::int64_t departed_core_seconds = 0; ///< lost by them, in total
+    unfit_counts unfit_by;                  ///< `unfit` by its cause
+    hold_counts held_units; ///< units of ready steps without a run
 
     friend bool operator==(service_utilization const&,
                            service_utilization const&) = default;
--- a/packages/tasks/src/dispatcher.cpp
+++ b/packages/tasks/src/dispatcher.cpp
@@ -231,6 +231,7 @@
             continue;
         }
         advice_.erase_job(at->first);
+        departures_.erase_job(at->first);
         std::erase_if(stale_units_, [&](unit_ref const& ref)
                       { return ref.job == at->first; });
         jobs_.erase(at->first);
--- a/packages/tasks/src/dispatcher_candidates.cpp
+++ b/packages/tasks/src/dispatcher_candidates.cpp
@@ -217,6 +217,8 @@
                          now - w.last_success_at <= max_verified_age_ms;
     candidate.slower =
         priority == 0 && (speed == worker_speed::slower || w.is_cold(now));
+    candidate.departure_rank =
+        departures_.seen.rank(now, now + wall_offset_ms_, w.info);
     candidate.same_step = 0;
     candidate.vulnerable = w.hosts_vulnerable_run();
     candidate.suspects = 0;
--- a/packages/tasks/src/dispatcher_holds.cpp
+++ b/packages/tasks/src/dispatcher_holds.cpp
@@ -187,6 +187,8 @@
     }
     if (!may_use(now, e, q.service, need))
         return hold_reason::headroom;
+    if (departures_.waits.is_waiting(ref))
+        return hold_reason::departures;
     // A unit that has advised places and lacks no rack is placed in the next
     // pass.
     if (!need.may_wait || !lacks_rack(room, need))
--- a/packages/tasks/src/dispatcher_losses.cpp
+++ b/packages/tasks/src/dispatcher_losses.cpp
@@ -111,6 +111,7 @@
         w.remove(run);
         if (!index)
             continue;
+        note_lost_run(now, w, ref);
         end_run(now, ref, "its worker was lost");
         if (active_.count(ref) != 0)
             release_member(now, ref, *index);
--- a/packages/tasks/src/dispatcher_monitor.cpp
+++ b/packages/tasks/src/dispatcher_monitor.cpp
@@ -91,6 +91,11 @@
 
 void dispatcher::check_draining(milliseconds now)
 {
+    if (limits_.expect_departures)
+    {
+        plan_drains(now);
+        return;
+    }
     std::vector<unit_ref> to_move;
     for (auto const& [id, w] : workers_)
     {
--- a/packages/tasks/src/dispatcher_replies.cpp
+++ b/packages/tasks/src/dispatcher_replies.cpp
@@ -21,16 +21,17 @@
             continue;
         any = true;
         w.processed_end = end.number;
+        auto const ref = ref_of(end.run);
         log_decision("run.ended", end.run.task.job,
                      "worker=" + w.info.id +
                          " step=" + std::to_string(end.run.task.step) +
                          " index=" + std::to_string(end.run.task.index) +
                          " run=" + std::to_string(end.run.run) +
                          " how=" + to_text(end.how) +
-                         " number=" + std::to_string(end.number));
+                         " number=" + std::to_string(end.number) +
+                         (ref ? moved_text(departures_.moves_of(*ref)) : ""));
         w.remove(end.run);
         changed_ = true;
-        auto const ref = ref_of(end.run);
         if (!ref)
             continue;
         auto const at = active_.find(*ref);
@@ -85,6 +86,8 @@
         if (!index)
             continue;
         auto& m = a.members[*index];
+        if (m.first_reported_at < 0)
+            m.first_percent = t.percent;
         m.reported_at = now;
         m.first_reported_at =
             m.first_reported_at < 0 ? now : m.first_reported_at;
--- a/packages/tasks/src/dispatcher_runs.cpp
+++ b/packages/tasks/src/dispatcher_runs.cpp
@@ -165,7 +165,8 @@
                      std::to_string(static_cast<std::int64_t>(
                          u.phase == unit_phase::done
                              ? 0
-                             : lost_work(now, a, step_of(e, ref)))));
+                             : lost_work(now, a, step_of(e, ref)))) +
+                     moved_text(departures_.moves_of(ref)));
     std::vector<std::size_t> unsent;
     for (std::size_t i = 0; i < a.members.size(); ++i)
     {
@@ -326,7 +327,8 @@
                      std::string("phase=") + to_text(phase) +
                          " queue=" + e.job.queue +
                          " known_ms=" + std::to_string(now - e.known_at) +
-                         " objective_ms=" + std::to_string(e.objective_ms));
+                         " objective_ms=" + std::to_string(e.objective_ms) +
+                         moved_text(departures_.moves_of_job(id)));
     std::vector<unit_ref> runs;
     for (auto at = active_.lower_bound({id, {}});
          at != active_.end() && at->first.job == id; ++at)
--- a/packages/tasks/src/dispatcher_schedule.cpp
+++ b/packages/tasks/src/dispatcher_schedule.cpp
@@ -47,7 +47,9 @@
     pending_utilization_.clear();
     crowded_.clear();
     suspects_in_pass_.clear();
-    for (auto const& w : collect_waiting(now, wall))
+    auto const waiting = collect_waiting(now, wall);
+    note_waiting(waiting);
+    for (auto const& w : waiting)
     {
         count_waiting_step(*w.entry, &priority_utilization::waiting);
         for (auto const index : w.indices)
@@ -99,7 +101,10 @@
     note_idleness(now, w, need);
     limit_wait(now, e, ref, need);
     if (is_kept_out(now, e, q->service, need))
+    {
+        note_without_place(w);
         return false;
+    }
     need.same_rack = wants_rack(now, q->service, need);
     if (q->advised)
         exclude_unadvised(now, ref, q->service, need);
@@ -126,8 +131,11 @@
         if (!need.isolated)
             crowded_.insert(q->service);
         count_waiting_step(e, &priority_utilization::no_room);
+        note_without_place(w);
         return false;
     }
+    if (awaits_departures(now, e, ref, need, choice->places))
+        return false;
     place_or_reclaim(now, e, ref, q->service, need, *choice);
     return true;
 }
--- a/packages/tasks/src/dispatcher_utilization.cpp
+++ b/packages/tasks/src/dispatcher_utilization.cpp
@@ -1,5 +1,6 @@
 #include <jasminetrack/tasks/dispatcher.hpp>
 
+#include <cmath>
 #include <utility>
 
 namespace jasminetrack::tasks
@@ -32,6 +33,7 @@
         c.headroom = headroom_[service].required(now);
         c.least_share = counts_[service].least_share;
         c.held_units = held_units_[service];
+        count_departures(now, service, c);
         if (utilization_[service] != c)
             log_decision("service.room", "",
                          "service=" + service + " " + to_text(c));
@@ -56,6 +58,19 @@
             c.priorities[job->second.priority].held += o.held.accelerators;
 }
 
+void dispatcher::count_departures(milliseconds now, std::string const& service,
+                                  service_utilization& c) const
+{
+    c.departures_per_minute = static_cast<std::int64_t>(
+        std::llround(departures_.seen.per_minute(now, service)));
+    auto const at = departures_.losses.find(service);
+    if (at == departures_.losses.end())
+        return;
+    c.departed_runs = at->second.runs;
+    c.departed_core_seconds =
+        static_cast<std::int64_t>(at->second.core_seconds);
+}
+
 /// \returns the service of a gang that wants one rack but spans several, or
 /// nothing for any other run.
 std::optional<std::string>
--- a/packages/tasks/src/dispatcher_workers.cpp
+++ b/packages/tasks/src/dispatcher_workers.cpp
@@ -49,6 +49,7 @@
                          " rack=" + info.rack +
                          " born=" + std::to_string(incarnation));
     log_capacity(w, info);
+    note_drain(now, w, info);
     confirm_losses(now, info.id, incarnation);
     record_remaining_time(now, w, info);
     w.evacuated = evacuations_.contains(info.zone);
@@ -122,6 +123,7 @@
     auto const at = workers_.find(id);
     if (at == workers_.end() || !at->second.listed)
         return;
+    note_lost_worker(now, at->second);
     at->second.listed = false;
     at->second.unlisted_since = now;
     changed_ = true;
@@ -135,6 +137,7 @@
                                    std::int64_t incarnation,
                                    std::string const& why)
 {
+    note_lost_worker(now, w);
     w.replaced = true;
     auto const kept = unconfirmed_starts(w);
     for (auto const& [run, o] : kept)
--- a/packages/tasks/src/hold_reason.cpp
+++ b/packages/tasks/src/hold_reason.cpp
@@ -30,6 +30,7 @@
         {"reservation", "the stops that make room", 1'200},
         {"headroom", "free capacity beyond that of urgent work", by_load},
         {"rack", "room in one rack", by_load},
+        {"departures", "the end of a wave of departures", 4'500},
         {"advice", "the advice service", by_load},
         {"evacuated", "the end of an evacuation, or of another run", by_load},
         {"workers_unfit", "a worker with room that takes starts", by_load},
--- a/packages/tasks/src/placement.cpp
+++ b/packages/tasks/src/placement.cpp
@@ -17,7 +17,8 @@
 
 /// \returns the key by which workers are filled: lowest penalty first, then
 /// those without vulnerable runs, verified workers, the preferred rack, fast
-/// workers, and the least free capacity, or the most if the unit is isolated.
+/// workers, those least likely to leave, and the least free capacity, or the
+/// most if the unit is isolated.
 auto fill_order(worker_candidate const& w, unit_need const& need)
 {
     bool const wants_empty = need.isolated || need.vulnerable;
@@ -25,7 +26,7 @@
     return std::tuple(need.failed_on.count(w.id), w.penalty, w.vulnerable,
                       wants_empty && w.starting, is_unverified(w, need),
                       !need.rack.empty() && w.rack != need.rack, w.slower,
-                      w.suspects, sign * w.free.accelerators,
+                      w.departure_rank, w.suspects, sign * w.free.accelerators,
                       sign * w.free.memory_mb, std::string_view(w.id));
 }
 
@@ -64,15 +65,17 @@
     return std::nullopt;
 }
 
-/// \returns the worst penalty, and whether any is slower: a gang goes on at the
-/// speed of its slowest member.
-std::tuple<int, bool, bool> worst_of(std::vector<std::string> const& places,
-                                     candidate_pointers const& candidates,
-                                     unit_need const& need)
+/// \returns the worst penalty, whether any is slower, and the worst rank by
+/// departures: a gang goes on at the speed of its slowest member, and ends with
+/// the first that leaves.
+std::tuple<int, bool, bool, std::int64_t>
+worst_of(std::vector<std::string> const& places,
+         candidate_pointers const& candidates, unit_need const& need)
 {
     int penalty = 0;
     bool unverified = false;
     bool slower = false;
+    std::int64_t departure_rank = 0;
     for (auto const* w : candidates)
     {
         if (std::find(places.begin(), places.end(), w->id) == places.end())
@@ -80,8 +83,9 @@
         penalty = std::max(penalty, w->penalty);
         unverified = unverified || is_unverified(*w, need);
         slower = slower || w->slower;
+        departure_rank = std::max(departure_rank, w->departure_rank);
     }
-    return {penalty, unverified, slower};
+    return {penalty, unverified, slower, departure_rank};
 }
 
 /// Chooses the rack with the fewest free accelerators in which the unit fits.
@@ -89,7 +93,7 @@
 fill_one_rack(candidate_pointers const& candidates, unit_need const& need)
 {
     std::optional<std::vector<std::string>> best;
-    std::tuple<int, bool, bool, std::int64_t> best_rank{};
+    std::tuple<int, bool, bool, std::int64_t, std::int64_t> best_rank{};
     for (auto const& [rack, members] : by_rack(candidates))
     {
         auto places = fill(members, need);
@@ -98,9 +102,8 @@
         std::int64_t free = 0;
         for (auto const* w : members)
             free += w->free.accelerators;
-        auto const [penalty, unverified, slower] =
-            worst_of(*places, members, need);
-        std::tuple const rank{penalty, unverified, slower, free};
+        auto const rank =
+            std::tuple_cat(worst_of(*places, members, need), std::tuple(free));
         if (best && best_rank <= rank)
             continue;
         best = std::move(places);
--- a/packages/tasks/src/queue_order.cpp
+++ b/packages/tasks/src/queue_order.cpp
@@ -55,6 +55,11 @@
                                                      : timeliness::expired;
 }
 
+milliseconds time_to_spare(ordering_key const& c) noexcept
+{
+    return expiry_objectives * c.objective_ms - c.age_ms - c.remaining_ms;
+}
+
 bool precedes(ordering_key const& a, ordering_key const& b) noexcept
 {
     return order_of(a) < order_of(b);
--- a/packages/tasks/src/service_utilization.cpp
+++ b/packages/tasks/src/service_utilization.cpp
@@ -15,6 +15,15 @@
     return text;
 }
 
+std::string departures_of(service_utilization const& c)
+{
+    if (c.departures_per_minute == 0 && c.departed_runs == 0)
+        return "";
+    return " departures_per_minute=" + std::to_string(c.departures_per_minute) +
+           " departed_runs=" + std::to_string(c.departed_runs) +
+           " departed_core_s=" + std::to_string(c.departed_core_seconds);
+}
+
 } // namespace
 
 std::string to_text(service_utilization const& c)
@@ -32,7 +41,7 @@
            " kept_out=" + by_priority(c, &priority_utilization::kept_out) +
            " no_room=" + by_priority(c, &priority_utilization::no_room) +
            " unfit_by=" + to_text(c.unfit_by) +
-           " held_units=" + to_text(c.held_units);
+           " held_units=" + to_text(c.held_units) + departures_of(c);
 }
 
 } // namespace jasminetrack::tasks
