--- a/tests/support/dispatch_simulation.cpp
+++ b/tests/support/dispatch_simulation.cpp
@@ -247,6 +247,8 @@
 {
     auto& w = workers_.at(id);
     w.up = false;
+    for (auto const& [run, s] : w.runs)
+        count_lost_work(s);
     w.runs.clear();
     write_entry(id, std::nullopt);
 }
--- a/tests/support/dispatch_simulation.hpp
+++ b/tests/support/dispatch_simulation.hpp
@@ -56,6 +56,7 @@
     /// Bound of evacuations, for the dispatchers and for the check of starts;
     /// 0: evacuations have no bound.
     milliseconds evacuation_bound_ms = 0;
+    bool expect_departures = false; ///< the setting of the dispatchers
     /// Workers cap longer leases, and the dispatchers know it.
     milliseconds max_lease_ms = dispatch_limits{}.max_lease_ms;
 };
@@ -219,6 +220,18 @@
     /// \returns the worker as it is.
     [[nodiscard]] worker_info const& info(std::string const& worker) const;
 
+    // dispatch_simulation_departures.cpp
+    /// The worker announces that it leaves, and does so after this time.
+    void depart_worker(std::string const& id, milliseconds notice_ms);
+    /// Changes the version of the worker's software.
+    void set_version(std::string const& id, std::string version);
+    /// \returns the core seconds of all runs that ended without completing,
+    /// less what their checkpoints keep.
+    [[nodiscard]] double lost_core_seconds() const noexcept
+    {
+        return lost_core_seconds_;
+    }
+
     // dispatch_simulation_evacuations.cpp
     /// Evacuates a data center, which is the rack of its workers, or restores
     /// it.
@@ -420,6 +433,9 @@
                  std::function<void(call_result)> no_answer);
     [[nodiscard]] bool chance(double share);
 
+    // dispatch_simulation_departures.cpp
+    void count_lost_work(sim_run const& s);
+
     // dispatch_simulation_evacuations.cpp
     /// The dispatchers read the operators' records.
     void read_evacuations();
@@ -485,6 +501,7 @@
     std::map<std::string, std::ptrdiff_t> claimed_after_;
     configuration config_;
     std::map<run_end, int> ended_;
+    double lost_core_seconds_ = 0;
     std::set<std::string> forbidden_;
     comeback comeback_ = comeback::new_id;
     std::set<task_run>
--- a/tests/support/dispatch_simulation_nodes.cpp
+++ b/tests/support/dispatch_simulation_nodes.cpp
@@ -62,6 +62,7 @@
     dispatch_limits limits;
     limits.max_lease_ms = faults_.max_lease_ms;
     limits.evacuation_bound_ms = faults_.evacuation_bound_ms;
+    limits.expect_departures = faults_.expect_departures;
     auto const node = std::make_shared<dispatcher>(
         epoch_, limits, now_,
         [this, number = leader_](decision const& d)
--- a/tests/support/dispatch_simulation_workers.cpp
+++ b/tests/support/dispatch_simulation_workers.cpp
@@ -254,6 +254,8 @@
     auto& highest = w.highest[run.task];
     highest = std::max(highest, run.run);
     ++ended_[how];
+    if (how != run_end::done)
+        count_lost_work(s);
     trace("end " + run.task.job + "." + std::to_string(run.task.index) +
           " run=" + std::to_string(run.run) + " on " + w.info.id + " " +
           to_text(how));
