Prefer stable workers for endangered units only, and count all free room as use of a place

In the play of a rolling replacement, small tasks took the replaced workers first, so that gangs got workers that left next. A waiting gang that needs the released place and other free room was not counted as work that can use it.

--- a/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -523,6 +523,10 @@
     [[nodiscard]] departure_wait_terms
     wait_terms_of(milliseconds now, job_entry const& e, unit_ref const& ref,
                   unit_need const& need, std::int64_t exposed) const;
+    /// \returns whether departures endanger the unit on workers of its service
+    /// that are chosen at random.
+    [[nodiscard]] bool avoids_departures(milliseconds now, job_entry const& e,
+                                         unit_need const& need) const;
     /// \returns whether the unit waits until workers have left.
     [[nodiscard]] bool
     awaits_departures(milliseconds now, job_entry const& e, unit_ref const& ref,
--- a/packages/tasks/include/jasminetrack/tasks/drain_plan.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/drain_plan.hpp
@@ -47,6 +47,9 @@
     friend bool operator==(leaving_run const&, leaving_run const&) = default;
 };
 
+/// \returns whether it completes in time if all errors are in its favour.
+[[nodiscard]] bool may_complete(leaving_run const& r) noexcept;
+
 enum class drain_action : std::uint8_t
 {
     go_on,
--- a/packages/tasks/include/jasminetrack/tasks/placement.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/placement.hpp
@@ -81,6 +81,9 @@
     bool may_isolate = true;
     /// Takes no workers with vulnerable runs.
     bool spares_vulnerable = false;
+    /// Prefers workers that are unlikely to leave. Units that complete anywhere
+    /// leave these to others.
+    bool avoids_departures = false;
     milliseconds waited_ms = 0;   ///< since its job was accepted or due
     bool may_wait = true;         ///< by choice, rather than run at once
     milliseconds estimate_ms = 1; ///< duration of one task
--- a/packages/tasks/src/dispatcher_departures.cpp
+++ b/packages/tasks/src/dispatcher_departures.cpp
@@ -13,6 +13,8 @@
 {
 
 constexpr std::int64_t per_thousand = 1'000;
+/// Units with a higher chance to complete take any worker.
+constexpr double safe_chance = 0.9;
 constexpr milliseconds never = std::numeric_limits<milliseconds>::max();
 
 std::string thousandths(double share)
@@ -148,10 +150,13 @@
     r.max_stop_ms = limits_.max_stop_ms;
     r.remaining = project(report_of(now, a, *slowest, step));
     r.checkpoints = step.checkpoints;
-    r.place_is_wanted = !r.checkpoints && is_place_wanted(ref, a);
+    bool const is_hopeless = !r.checkpoints && !may_complete(r);
+    r.place_is_wanted = is_hopeless && is_place_wanted(ref, a);
     return r;
 }
 
+/// The work got no place without what the run holds, so it uses that if it fits
+/// with it.
 bool dispatcher::is_place_wanted(unit_ref const& ref, active_run const& a) const
 {
     auto const& e = jobs_.at(ref.job);
@@ -161,13 +166,21 @@
     std::map<std::string, resources> held;
     for (auto const& m : a.members)
         held[m.worker] += held_by(step_of(e, ref));
+    bool any_stays = false;
     std::vector<detail::free_place> places;
-    for (auto const& [id, released] : held)
-        if (auto const w = workers_.find(id);
-            w != workers_.end() && w->second.takes_new_work())
-            places.push_back(
-                {&w->second.info, w->second.free_capacity() + released});
-    return std::any_of(waiting->second.begin(), waiting->second.end(),
+    for (auto const& [id, w] : workers_)
+    {
+        if (w.info.service != e.service || !w.takes_new_work())
+            continue;
+        auto const released = held.find(id);
+        bool const is_released = released != held.end();
+        any_stays = any_stays || is_released;
+        places.push_back({&w.info, is_released
+                                       ? w.free_capacity() + released->second
+                                       : w.free_capacity()});
+    }
+    return any_stays &&
+           std::any_of(waiting->second.begin(), waiting->second.end(),
                        [&](detail::waiting_need const& need) {
                            return need.job != ref.job &&
                                   detail::fits_on(need, places);
@@ -241,6 +254,17 @@
     return t;
 }
 
+bool dispatcher::avoids_departures(milliseconds now, job_entry const& e,
+                                   unit_need const& need) const
+{
+    auto const count = counts_.find(e.service);
+    if (!limits_.expect_departures || count == counts_.end())
+        return false;
+    auto const chance = departures_.seen.chance_to_complete(
+        now, e.service, count->second.workers, need.count, need.estimate_ms);
+    return chance < safe_chance;
+}
+
 bool dispatcher::awaits_departures(milliseconds now, job_entry const& e,
                                    unit_ref const& ref, unit_need const& need,
                                    std::vector<std::string> const& places)
--- a/packages/tasks/src/dispatcher_schedule.cpp
+++ b/packages/tasks/src/dispatcher_schedule.cpp
@@ -253,6 +253,7 @@
         std::max(age_of(now, e, ref.unit.occurrence), now - e.known_at);
     need.lasting = step.lasting;
     need.estimate_ms = std::max<milliseconds>(step.estimate_ms, 1);
+    need.avoids_departures = avoids_departures(now, e, need);
     return need;
 }
 
--- a/packages/tasks/src/drain_plan.cpp
+++ b/packages/tasks/src/drain_plan.cpp
@@ -65,6 +65,11 @@
     return t;
 }
 
+bool may_complete(leaving_run const& r) noexcept
+{
+    return r.remaining.least_ms <= r.notice_ms;
+}
+
 /// A run with checkpoints loses little by a stop in time and all of its
 /// progress since the newest checkpoint by a stop that comes too late, so it
 /// goes on past the last moment only if it completes with a margin. A run
@@ -81,7 +86,7 @@
         return {drain_action::end_now, drain_reason::last_moment, 0};
     if (r.checkpoints)
         return {drain_action::end_later, drain_reason::keeps_progress, stop_in};
-    if (r.remaining.least_ms <= r.notice_ms)
+    if (may_complete(r))
         return {drain_action::end_later, drain_reason::may_complete, stop_in};
     if (r.place_is_wanted)
         return {drain_action::end_now, drain_reason::place_is_wanted, 0};
--- a/packages/tasks/src/placement.cpp
+++ b/packages/tasks/src/placement.cpp
@@ -26,8 +26,9 @@
     return std::tuple(need.failed_on.count(w.id), w.penalty, w.vulnerable,
                       wants_empty && w.starting, is_unverified(w, need),
                       !need.rack.empty() && w.rack != need.rack, w.slower,
-                      w.departure_rank, w.suspects, sign * w.free.accelerators,
-                      sign * w.free.memory_mb, std::string_view(w.id));
+                      need.avoids_departures ? w.departure_rank : 0, w.suspects,
+                      sign * w.free.accelerators, sign * w.free.memory_mb,
+                      std::string_view(w.id));
 }
 
 std::optional<std::vector<std::string>>
@@ -83,7 +84,8 @@
         penalty = std::max(penalty, w->penalty);
         unverified = unverified || is_unverified(*w, need);
         slower = slower || w->slower;
-        departure_rank = std::max(departure_rank, w->departure_rank);
+        if (need.avoids_departures)
+            departure_rank = std::max(departure_rank, w->departure_rank);
     }
     return {penalty, unverified, slower, departure_rank};
 }
