--- a/packages/tasks/src/dispatcher_departures.cpp
+++ b/packages/tasks/src/dispatcher_departures.cpp
@@ -205,9 +205,11 @@
         departures_.waiting[w.entry->service].push_back(waiting_need_of(w));
 }
 
+/// A gang that waits for departures has places.
 void dispatcher::note_without_place(waiting_units const& w)
 {
-    if (limits_.expect_departures)
+    unit_ref const gang{w.entry->job.id, {w.occurrence, w.step, 0}};
+    if (limits_.expect_departures && !departures_.waits.is_waiting(gang))
         departures_.without_place[w.entry->service].push_back(
             waiting_need_of(w));
 }
--- a/packages/tasks/src/dispatcher_schedule.cpp
+++ b/packages/tasks/src/dispatcher_schedule.cpp
@@ -53,8 +53,13 @@
     {
         count_waiting_step(*w.entry, &priority_utilization::waiting);
         for (auto const index : w.indices)
-            if (!start_unit(now, w, index) && !may_need_other_workers(w, index))
+        {
+            if (start_unit(now, w, index))
+                continue;
+            note_without_place(w);
+            if (!may_need_other_workers(w, index))
                 break; // the step's other units have the same needs
+        }
     }
     update_crowding(now);
     suspects_ = suspects_in_pass_;
@@ -101,10 +106,7 @@
     note_idleness(now, w, need);
     limit_wait(now, e, ref, need);
     if (is_kept_out(now, e, q->service, need))
-    {
-        note_without_place(w);
         return false;
-    }
     need.same_rack = wants_rack(now, q->service, need);
     if (q->advised)
         exclude_unadvised(now, ref, q->service, need);
@@ -131,7 +133,6 @@
         if (!need.isolated)
             crowded_.insert(q->service);
         count_waiting_step(e, &priority_utilization::no_room);
-        note_without_place(w);
         return false;
     }
     if (awaits_departures(now, e, ref, need, choice->places))
--- a/tests/unit/test_departures.cpp
+++ b/tests/unit/test_departures.cpp
@@ -6,6 +6,7 @@
 #include "manual_dispatcher.hpp"
 #include "section.hpp"
 
+#include <jasminetrack/entry/settings.hpp>
 #include <jasminetrack/tasks/departures.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -42,6 +43,7 @@
 class test_departures : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(test_departures);
+    CPPUNIT_TEST(the_setting_is_off_by_default);
     CPPUNIT_TEST(departures_are_forgotten);
     CPPUNIT_TEST(replaced_workers_come_first);
     CPPUNIT_TEST(progress_is_projected);
@@ -51,6 +53,17 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    void the_setting_is_off_by_default()
+    {
+        using jasminetrack::entry::parse_entry_settings;
+        expect(!parse_entry_settings("jobs: {}", "f")
+                    .value.limits.expect_departures,
+               "off");
+        expect(parse_entry_settings("jobs: {expect_departures: true}", "f")
+                   .value.limits.expect_departures,
+               "on");
+    }
+
     void departures_are_forgotten()
     {
         departures d;
