--- a/packages/entry/src/settings.cpp
+++ b/packages/entry/src/settings.cpp
@@ -23,6 +23,7 @@
     b.learn_speeds = in.boolean("learn_speeds", b.learn_speeds);
     b.lend_headroom = in.boolean("lend_headroom", b.lend_headroom);
     b.shed_load = in.boolean("shed_load", b.shed_load);
+    b.expect_departures = in.boolean("expect_departures", b.expect_departures);
     in.check_unknown_keys();
 }
 
--- a/packages/tasks/include/jasminetrack/tasks/dispatch_limits.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatch_limits.hpp
@@ -39,6 +39,8 @@
     /// Waiting work is ordered by its cost of delay, and new jobs that would
     /// expire before they end are refused.
     bool shed_load = false;
+    /// Plans for workers that leave at short notice.
+    bool expect_departures = false;
 
     friend bool operator==(dispatch_limits const&,
                            dispatch_limits const&) = default;
--- a/packages/tasks/include/jasminetrack/tasks/placement.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/placement.hpp
@@ -39,6 +39,8 @@
     bool slower = false; ///< too slow for urgent work only
     /// Its machine is slower than the usual one of its service.
     bool slow_machine = false;
+    /// How likely it is to leave; workers with a lower rank are preferred.
+    std::int64_t departure_rank = 0;
     /// Runs are being started there; only known where a unit is isolated.
     bool starting = false;
     std::int64_t same_step = 0;    ///< tasks of the unit's step on this worker
@@ -82,12 +84,15 @@
     bool may_isolate = true;
     /// Takes no workers with vulnerable runs.
     bool spares_vulnerable = false;
+    /// Prefers workers that are unlikely to leave. Units that complete anywhere
+    /// leave these to others.
+    bool avoids_departures = false;
     milliseconds waited_ms = 0;   ///< since its job was accepted or due
     bool may_wait = true;         ///< by choice, rather than run at once
     milliseconds estimate_ms = 1; ///< duration of one task
     speed_preference speeds = speed_preference::none;
-    bool checkpoints = false;     ///< a stop keeps its progress
-    bool lent = false; ///< starts within the headroom for urgent work
+    bool checkpoints = false; ///< a stop keeps its progress
+    bool lent = false;        ///< starts within the headroom for urgent work
 
     /// \returns the accelerators of all its tasks.
     [[nodiscard]] std::int64_t accelerators() const noexcept
--- a/packages/tasks/src/dispatcher_candidates.cpp
+++ b/packages/tasks/src/dispatcher_candidates.cpp
@@ -223,6 +223,8 @@
         priority == 0 && (speed == worker_speed::slower || w.is_cold(now));
     candidate.slow_machine =
         limits_.learn_speeds && speed == worker_speed::slower;
+    candidate.departure_rank =
+        departures_.seen.rank(now, now + wall_offset_ms_, w.info);
     candidate.same_step = 0;
     candidate.vulnerable = w.hosts_vulnerable_run();
     candidate.suspects = 0;
--- a/packages/tasks/src/dispatcher_schedule.cpp
+++ b/packages/tasks/src/dispatcher_schedule.cpp
@@ -49,12 +49,19 @@
     pending_utilization_.clear();
     crowded_.clear();
     suspects_in_pass_.clear();
-    for (auto const& w : collect_waiting(now, wall))
+    auto const waiting = collect_waiting(now, wall);
+    note_waiting(waiting);
+    for (auto const& w : waiting)
     {
         count_waiting_step(*w.entry, &priority_utilization::waiting);
         for (auto const index : w.indices)
-            if (!start_unit(now, w, index) && !may_need_other_workers(w, index))
+        {
+            if (start_unit(now, w, index))
+                continue;
+            note_without_place(w);
+            if (!may_need_other_workers(w, index))
                 break; // the step's other units have the same needs
+        }
     }
     update_crowding(now);
     suspects_ = suspects_in_pass_;
@@ -130,6 +137,8 @@
         count_waiting_step(e, &priority_utilization::no_room);
         return false;
     }
+    if (awaits_departures(now, e, ref, need, choice->places))
+        return false;
     place_or_reclaim(now, e, ref, q->service, need, *choice);
     return true;
 }
@@ -255,6 +264,7 @@
     need.estimate_ms = std::max<milliseconds>(step.estimate_ms, 1);
     need.speeds = preferred_speeds(now, e, ref);
     need.checkpoints = step.checkpoints;
+    need.avoids_departures = avoids_departures(now, e, need);
     return need;
 }
 
--- a/packages/tasks/src/placement.cpp
+++ b/packages/tasks/src/placement.cpp
@@ -33,8 +33,8 @@
 
 /// \returns the key by which workers are filled: lowest penalty first, then
 /// those without vulnerable runs, verified workers, the preferred rack, the
-/// preferred speed, and the least free capacity, or the most if the unit is
-/// isolated.
+/// preferred speed, those least likely to leave, and the least free capacity,
+/// or the most if the unit is isolated.
 auto fill_order(worker_candidate const& w, unit_need const& need)
 {
     bool const wants_empty = need.isolated || need.vulnerable;
@@ -42,7 +42,8 @@
     return std::tuple(need.failed_on.count(w.id), w.penalty, w.vulnerable,
                       wants_empty && w.starting, is_unverified(w, need),
                       !need.rack.empty() && w.rack != need.rack,
-                      is_of_other_speed(w, need), w.suspects,
+                      is_of_other_speed(w, need),
+                      need.avoids_departures ? w.departure_rank : 0, w.suspects,
                       sign * w.free.accelerators, sign * w.free.memory_mb,
                       std::string_view(w.id));
 }
@@ -106,6 +107,8 @@
 {
     worst_place worst;
     speed_mix speeds = speed_mix::preferred;
+    /// The gang ends with the first member that leaves.
+    std::int64_t departure_rank = 0;
 };
 
 places_quality quality_of(std::vector<std::string> const& places,
@@ -124,6 +127,8 @@
         worst.penalty = std::max(worst.penalty, w->penalty);
         worst.vulnerable = worst.vulnerable || w->vulnerable;
         worst.unverified = worst.unverified || is_unverified(*w, need);
+        if (need.avoids_departures)
+            q.departure_rank = std::max(q.departure_rank, w->departure_rank);
         (is_of_other_speed(*w, need) ? any_other : any_preferred) = true;
     }
     if (any_other)
@@ -167,7 +172,7 @@
 fill_one_rack(candidate_pointers const& candidates, unit_need const& need)
 {
     std::optional<std::vector<std::string>> best;
-    std::tuple<int, bool, speed_mix, std::int64_t> best_rank{};
+    std::tuple<int, bool, speed_mix, std::int64_t, std::int64_t> best_rank{};
     for (auto const& [rack, members] : by_rack(candidates))
     {
         auto places = fill(members, need);
@@ -183,7 +188,7 @@
                                 ? speed_mix::other
                                 : q.speeds;
         std::tuple const rank{q.worst.penalty, q.worst.unverified, speeds,
-                              free};
+                              q.departure_rank, free};
         if (best && best_rank <= rank)
             continue;
         best = std::move(places);
--- a/tests/support/dispatch_simulation_nodes.cpp
+++ b/tests/support/dispatch_simulation_nodes.cpp
@@ -66,6 +66,7 @@
     limits.learn_speeds = faults_.learn_speeds;
     limits.lend_headroom = faults_.lend_headroom;
     limits.shed_load = faults_.shed_load;
+    limits.expect_departures = faults_.expect_departures;
     auto const node = std::make_shared<dispatcher>(
         epoch_, limits, now_,
         [this, number = leader_](decision const& d)
--- a/tests/support/entry_cluster.hpp
+++ b/tests/support/entry_cluster.hpp
@@ -50,11 +50,6 @@
 class entry_cluster
 {
 public:
-    explicit entry_cluster(int count,
-                           tasks::milliseconds run_ms = cluster_run_ms,
-                           tasks::dispatch_limits const& limits = {})
-        : workers(run_ms), decoder(single_queue_configuration()),
-          limits_(limits)
     explicit entry_cluster(
         int count, tasks::milliseconds run_ms = cluster_run_ms,
         tasks::configuration const& config = single_queue_configuration(),
