--- a/tests/support/dispatch_simulation.hpp
+++ b/tests/support/dispatch_simulation.hpp
@@ -60,9 +60,9 @@
     bool expect_departures = false; ///< the setting of the dispatchers
     /// Workers cap longer leases, and the dispatchers know it.
     milliseconds max_lease_ms = dispatch_limits{}.max_lease_ms;
-    bool learn_speeds = false; ///< see dispatch_limits
+    bool learn_speeds = false;  ///< see dispatch_limits
     bool lend_headroom = false; ///< setting of the dispatchers
-    bool shed_load = false; ///< setting of the dispatchers
+    bool shed_load = false;     ///< setting of the dispatchers
 };
 
 /// Kinds of invariants.
--- a/tests/unit/test_worker_speeds.cpp
+++ b/tests/unit/test_worker_speeds.cpp
@@ -398,7 +398,8 @@
     {
         dispatch_limits limits;
         limits.learn_speeds = true;
-        entry_cluster cluster(0, cluster_run_ms, limits);
+        entry_cluster cluster(0, cluster_run_ms, single_queue_configuration(),
+                              limits);
         std::vector<slower_worker> const slower{{"w1", 0, 1'300},
                                                 {"w2", 5, 1'300}};
         cluster.log.put(entry::topic::work, speed_record_key, encode(slower));
