--- a/packages/tasks/src/dispatcher_load.cpp
+++ b/packages/tasks/src/dispatcher_load.cpp
@@ -16,7 +16,7 @@
 /// A run that exceeds its estimate is expected to take this part of it longer.
 constexpr milliseconds overrun_divisor = 10;
 
-milliseconds remaining_time(milliseconds ran, milliseconds estimate,
+milliseconds expected_rest(milliseconds ran, milliseconds estimate,
                             std::int64_t percent)
 {
     if (percent >= min_percent)
@@ -174,7 +174,7 @@
     auto const ran = now - (a.first_sent > 0 ? a.first_sent : a.placed_at);
     auto const time =
         a.over ? limits_.max_stop_ms
-               : remaining_time(ran, estimate_of(step), slowest->percent);
+               : expected_rest(ran, estimate_of(step), slowest->percent);
     auto const held = std::ssize(a.members) * held_by(step);
     load.cores.priorities[e.priority].running_core_s += core_work(held, time);
     load.cores.freed_cores_per_s += core_work(held, second_ms);
