--- a/packages/tasks/src/dispatcher_load.cpp
+++ b/packages/tasks/src/dispatcher_load.cpp
@@ -17,7 +17,7 @@
 constexpr milliseconds overrun_divisor = 10;
 
 milliseconds expected_rest(milliseconds ran, milliseconds estimate,
-                            std::int64_t percent)
+                           std::int64_t percent)
 {
     if (percent >= min_percent)
         return ran * std::max<std::int64_t>(0, hundred - percent) / percent;
