Findings of the read-through: limits of waits, loads, placement, names

Cause: a reader of the diff found that a lasting run, a released member or a silent worker decided whether a job stands still; that a gang could leave the rack of its data for equal speed; that the published load counted runs on workers that leave, and the speed of resumed runs; that the age of a reading began when it was read; that an earlier rolling replacement hid the versions of the next; that a bound of evacuations below 4 s could not be kept. Change: each is mended; names and comments that were unclear.

--- a/packages/entry/include/jasminetrack/entry/load_admission.hpp
+++ b/packages/entry/include/jasminetrack/entry/load_admission.hpp
@@ -42,7 +42,7 @@
     [[nodiscard]] tasks::admission_verdict
     judge(milliseconds now, std::string const& queue,
           tasks::job_spec const& spec) const;
-    /// The job was stored.
+    /// The job was stored, or may have been.
     void on_accepted(std::string const& queue, tasks::job_spec const& spec);
     /// The job is refused; logs the decision and its inputs.
     void on_refused(milliseconds now, std::string const& queue,
@@ -61,7 +61,7 @@
     mutable std::mutex mutex_;
     std::shared_ptr<tasks::configuration const> config_;
     std::optional<tasks::load_reading> reading_;
-    milliseconds read_at_ = 0;
+    milliseconds taken_at_ = 0; ///< at the earliest
     /// Since the newest reading, by service.
     std::map<std::string, tasks::accepted_by_priority> accepted_;
     std::map<std::string, std::int64_t> refused_; ///< by queue
--- a/packages/entry/src/entry_node.cpp
+++ b/packages/entry/src/entry_node.cpp
@@ -141,8 +141,8 @@
     }
 }
 
-/// The topic was read to its end, or the dispatcher learns of the set with a
-/// later page.
+/// Notifies the dispatcher only after a read to the end of the topic, so that
+/// it never acts on a part of the records.
 void entry_node::apply_evacuations(topic_page const& page)
 {
     auto const before = evacuated_;
--- a/packages/entry/src/load_admission.cpp
+++ b/packages/entry/src/load_admission.cpp
@@ -70,7 +70,7 @@
     }
     std::lock_guard<std::mutex> const lock(mutex_);
     reading_ = std::move(reading);
-    read_at_ = now;
+    taken_at_ = now - gap_ms;
     accepted_.clear();
 }
 
@@ -90,7 +90,7 @@
 
 milliseconds load_admission::age(milliseconds now) const
 {
-    return reading_ ? now - read_at_ : no_reading_age_ms;
+    return reading_ ? now - taken_at_ : no_reading_age_ms;
 }
 
 tasks::admission_verdict
--- a/packages/entry/src/settings.cpp
+++ b/packages/entry/src/settings.cpp
@@ -7,6 +7,9 @@
 
 constexpr double min_processor_share = 0.01;
 constexpr double max_processor_share = 1'024;
+/// Half of it is the time of a start; with less for the age of a view, no start
+/// could rely on one.
+constexpr milliseconds min_evacuation_bound_ms = 4'000;
 
 void read_limits(protocol::yaml_reader in, tasks::dispatch_limits& b)
 {
@@ -20,6 +23,10 @@
     b.wait_beside_running =
         in.boolean("wait_beside_running", b.wait_beside_running);
     b.evacuation_bound_ms = in.duration("evacuate", b.evacuation_bound_ms);
+    if (b.evacuation_bound_ms != 0 &&
+        b.evacuation_bound_ms < min_evacuation_bound_ms)
+        in.add_diagnostic("evacuate", "the bound is below 4 s",
+                          "set 4s or more, or leave it out");
     b.learn_speeds = in.boolean("learn_speeds", b.learn_speeds);
     b.lend_headroom = in.boolean("lend_headroom", b.lend_headroom);
     b.shed_load = in.boolean("shed_load", b.shed_load);
--- a/packages/tasks/include/jasminetrack/tasks/detail/departure_state.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/detail/departure_state.hpp
@@ -47,12 +47,12 @@
 
 struct departure_state
 {
-    departures seen;
+    departures history;
     departure_waits waits;
     /// Steps that waited at the begin of the newest pass, and those of them
     /// that got no place in it, by service.
     std::map<std::string, std::vector<waiting_need>> waiting;
-    std::map<std::string, std::vector<waiting_need>> without_place;
+    std::map<std::string, std::vector<waiting_need>> unplaced;
     /// Newest verdict by unit, with the number of its run.
     std::map<unit_ref, std::pair<std::int64_t, drain_reason>> verdicts;
     /// How often departures ended a run of the unit.
--- a/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -537,7 +537,7 @@
     /// Notes the needs of waiting steps, at the begin of a pass.
     void note_waiting(std::vector<waiting_units> const& list);
     /// The step got no place in this pass.
-    void note_without_place(waiting_units const& w);
+    void note_unplaced(waiting_units const& w);
     [[nodiscard]] detail::waiting_need
     waiting_need_of(waiting_units const& w) const;
     /// \returns how many of the workers may leave before others of the service
--- a/packages/tasks/include/jasminetrack/tasks/worker_speeds.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/worker_speeds.hpp
@@ -119,7 +119,7 @@
     void update_slow_factor();
 
     std::map<std::string, evidence> workers_;
-    bool has_news_ = false;
+    bool has_new_samples_ = false;
     milliseconds updated_at_ = 0;
     double slow_factor_ = 1;
 };
--- a/packages/tasks/src/admission.cpp
+++ b/packages/tasks/src/admission.cpp
@@ -16,11 +16,11 @@
 /// A job is refused if its estimated time to the end exceeds this multiple of
 /// the time until it expires.
 constexpr double refusal_factor = 1.5;
-/// A service with less in use has room for every job.
-constexpr double used_with_room = 0.5;
+/// Below this utilization, jobs are accepted without an estimate.
+constexpr double max_use_without_estimate = 0.5;
 /// Longest burst of urgent work that is expected.
 constexpr double max_burst_s = 8;
-/// Waits beyond this are alike.
+/// Upper bound of estimated waits.
 constexpr double max_wait_s = 3'600;
 
 /// The parts of the job and of the accepted work that need one resource.
@@ -34,7 +34,7 @@
 
 bool has_room(resource_load const& load) noexcept
 {
-    return load.used_cores < used_with_room * load.capacity_cores;
+    return load.used_cores < max_use_without_estimate * load.capacity_cores;
 }
 
 /// \returns the core-seconds of one priority's waiting jobs that are placed
@@ -162,9 +162,9 @@
 }
 
 /// \returns why the job is accepted without an estimate of its end.
-std::optional<admission_reason> accepted_unseen(admission_need const& need,
-                                                service_reading const* load,
-                                                milliseconds age_ms)
+std::optional<admission_reason>
+reason_without_estimate(admission_need const& need, service_reading const* load,
+                        milliseconds age_ms)
 {
     if (need.priority == 0)
         return admission_reason::urgent;
@@ -213,7 +213,7 @@
 {
     admission_verdict v;
     v.expiry_ms = expiry_objectives * need.objective_ms;
-    if (auto const reason = accepted_unseen(need, load, age_ms))
+    if (auto const reason = reason_without_estimate(need, load, age_ms))
     {
         v.reason = *reason;
         return v;
--- a/packages/tasks/src/departures.cpp
+++ b/packages/tasks/src/departures.cpp
@@ -32,6 +32,8 @@
 void departures::record(milliseconds now, worker_info const& w)
 {
     auto& s = services_[w.service];
+    if (weight(now, w.service) <= 0)
+        s = {}; // what left long ago tells nothing about these departures
     bool const is_first = s.weight <= 0;
     if (!is_first && s.version != w.version)
         s.mixed_at = now;
--- a/packages/tasks/src/dispatcher_candidates.cpp
+++ b/packages/tasks/src/dispatcher_candidates.cpp
@@ -224,7 +224,7 @@
     candidate.slow_machine =
         limits_.learn_speeds && speed == worker_speed::slower;
     candidate.departure_rank =
-        departures_.seen.rank(now, now + wall_offset_ms_, w.info);
+        departures_.history.rank(now, now + wall_offset_ms_, w.info);
     candidate.same_step = 0;
     candidate.vulnerable = w.hosts_vulnerable_run();
     candidate.suspects = 0;
--- a/packages/tasks/src/dispatcher_departures.cpp
+++ b/packages/tasks/src/dispatcher_departures.cpp
@@ -40,21 +40,20 @@
 
 } // namespace
 
-/// Entries that a new dispatcher reads first tell nothing about when the worker
-/// began to drain.
+/// The first list entry of a worker does not show when its drain began.
 void dispatcher::note_drain(milliseconds now, worker_view const& w,
                             worker_info const& info)
 {
     bool const begins =
         info.draining && !w.info.draining && !w.info.address.empty();
     if (limits_.expect_departures && begins)
-        departures_.seen.record(now, info);
+        departures_.history.record(now, info);
 }
 
 void dispatcher::note_lost_worker(milliseconds now, worker_view const& w)
 {
     if (limits_.expect_departures && w.listed && !w.info.draining)
-        departures_.seen.record(now, w.info);
+        departures_.history.record(now, w.info);
 }
 
 void dispatcher::note_lost_run(milliseconds now, worker_view const& w,
@@ -160,8 +159,8 @@
 bool dispatcher::is_place_wanted(unit_ref const& ref, active_run const& a) const
 {
     auto const& e = jobs_.at(ref.job);
-    auto const waiting = departures_.without_place.find(e.service);
-    if (waiting == departures_.without_place.end())
+    auto const waiting = departures_.unplaced.find(e.service);
+    if (waiting == departures_.unplaced.end())
         return false;
     std::map<std::string, resources> held;
     for (auto const& m : a.members)
@@ -198,7 +197,7 @@
 void dispatcher::note_waiting(std::vector<waiting_units> const& list)
 {
     departures_.waiting.clear();
-    departures_.without_place.clear();
+    departures_.unplaced.clear();
     if (!limits_.expect_departures)
         return;
     for (auto const& w : list)
@@ -206,12 +205,11 @@
 }
 
 /// A gang that waits for departures has places.
-void dispatcher::note_without_place(waiting_units const& w)
+void dispatcher::note_unplaced(waiting_units const& w)
 {
     unit_ref const gang{w.entry->job.id, {w.occurrence, w.step, 0}};
     if (limits_.expect_departures && !departures_.waits.is_waiting(gang))
-        departures_.without_place[w.entry->service].push_back(
-            waiting_need_of(w));
+        departures_.unplaced[w.entry->service].push_back(waiting_need_of(w));
 }
 
 std::int64_t
@@ -221,7 +219,7 @@
     std::set<std::string> const workers(places.begin(), places.end());
     return std::count_if(workers.begin(), workers.end(),
                          [&](std::string const& id) {
-                             return !departures_.seen.is_replacement(
+                             return !departures_.history.is_replacement(
                                  now, workers_.at(id).info);
                          });
 }
@@ -243,9 +241,9 @@
     };
     auto const waiting = departures_.waiting.find(e.service);
     departure_wait_terms t;
-    t.chance = departures_.seen.chance_to_complete(
+    t.chance = departures_.history.chance_to_complete(
         now, e.service, count.workers, exposed, step.estimate_ms);
-    t.going_on = departures_.seen.are_going_on(now, e.service);
+    t.going_on = departures_.history.are_going_on(now, e.service);
     t.urgent = e.priority == 0;
     t.checkpoints = step.checkpoints;
     t.service_in_use = idleness_for(count.load, need) == idleness::none;
@@ -262,7 +260,7 @@
     auto const count = counts_.find(e.service);
     if (!limits_.expect_departures || count == counts_.end())
         return false;
-    auto const chance = departures_.seen.chance_to_complete(
+    auto const chance = departures_.history.chance_to_complete(
         now, e.service, count->second.workers, need.count, need.estimate_ms);
     return chance < safe_chance;
 }
--- a/packages/tasks/src/dispatcher_lending.cpp
+++ b/packages/tasks/src/dispatcher_lending.cpp
@@ -34,7 +34,8 @@
                             unit_need const& need) const
 {
     // A service without workers has no history.
-    return urgent_history_.count(service) != 0 && counts_.count(service) != 0 &&
+    return !need.isolated && urgent_history_.count(service) != 0 &&
+           counts_.count(service) != 0 &&
            decide_lending(headroom_of(now, service), lending_unit_of(e, need))
                .allowed;
 }
--- a/packages/tasks/src/dispatcher_load.cpp
+++ b/packages/tasks/src/dispatcher_load.cpp
@@ -14,7 +14,7 @@
 constexpr std::int64_t min_percent = 10;
 constexpr std::int64_t hundred = 100;
 /// A run that exceeds its estimate is expected to take this part of it longer.
-constexpr milliseconds overrun_divisor = 10;
+constexpr std::int64_t overrun_divisor = 10;
 
 milliseconds expected_rest(milliseconds ran, milliseconds estimate,
                            std::int64_t percent)
@@ -168,14 +168,26 @@
     auto const& step = step_of(e, ref);
     if ((step.lasting && !a.over) || a.members.empty())
         return;
+    // What leaves with its worker frees no capacity.
+    auto const staying = std::count_if(
+        a.members.begin(), a.members.end(),
+        [&](member const& m)
+        {
+            auto const w = workers_.find(m.worker);
+            return w != workers_.end() && w->second.takes_new_work();
+        });
     auto const slowest = std::min_element(a.members.begin(), a.members.end(),
                                           [](member const& x, member const& y)
                                           { return x.percent < y.percent; });
     auto const ran = now - (a.first_sent > 0 ? a.first_sent : a.placed_at);
-    auto const time =
-        a.over ? limits_.max_stop_ms
-               : expected_rest(ran, estimate_of(step), slowest->percent);
-    auto const held = std::ssize(a.members) * held_by(step);
+    // The time before a take-over or a resumption is not known, so that the
+    // progress of such a run does not show its speed.
+    bool const is_whole = slowest->sent_before < 0 &&
+                          e.progress.units.at(ref.unit).checkpoint.empty();
+    auto const percent = is_whole ? slowest->percent : 0;
+    auto const time = a.over ? limits_.max_stop_ms
+                             : expected_rest(ran, estimate_of(step), percent);
+    auto const held = staying * held_by(step);
     load.cores.priorities[e.priority].running_core_s += core_work(held, time);
     load.cores.freed_cores_per_s += core_work(held, second_ms);
     load.accelerators.priorities[e.priority].running_core_s +=
--- a/packages/tasks/src/dispatcher_schedule.cpp
+++ b/packages/tasks/src/dispatcher_schedule.cpp
@@ -58,7 +58,7 @@
         {
             if (start_unit(now, w, index))
                 continue;
-            note_without_place(w);
+            note_unplaced(w);
             if (!may_need_other_workers(w, index))
                 break; // the step's other units have the same needs
         }
--- a/packages/tasks/src/dispatcher_utilization.cpp
+++ b/packages/tasks/src/dispatcher_utilization.cpp
@@ -67,7 +67,7 @@
                                   service_utilization& c) const
 {
     c.departures_per_minute = static_cast<std::int64_t>(
-        std::llround(departures_.seen.per_minute(now, service)));
+        std::llround(departures_.history.per_minute(now, service)));
     auto const at = departures_.losses.find(service);
     if (at == departures_.losses.end())
         return;
--- a/packages/tasks/src/dispatcher_waits.cpp
+++ b/packages/tasks/src/dispatcher_waits.cpp
@@ -20,29 +20,35 @@
 bool is_under_way(milliseconds now, detail::active_run const& a,
                   std::map<std::string, worker_view> const& workers)
 {
-    if (a.over)
-        return false;
-    if (now - a.placed_at <= max_starting_ms)
-        return true;
-    return std::all_of(a.members.begin(), a.members.end(),
-                       [&](detail::member const& m)
-                       {
-                           auto const w = workers.find(m.worker);
-                           return m.phase == detail::member_phase::running &&
-                                  w != workers.end() &&
-                                  w->second.unresponsive_since < 0;
-                       });
+    bool const is_new = now - a.placed_at <= max_starting_ms;
+    bool has_member = false;
+    for (auto const& m : a.members)
+    {
+        if (m.phase == detail::member_phase::released)
+            continue;
+        auto const w = workers.find(m.worker);
+        bool const answers =
+            w != workers.end() && w->second.unresponsive_since < 0;
+        if (!answers || (m.phase != detail::member_phase::running && !is_new))
+            return false;
+        has_member = true;
+    }
+    return has_member && !a.over;
 }
 
-/// \returns whether any run of the job is under way.
-bool is_under_way(milliseconds now, std::string const& job,
-                  std::map<unit_ref, detail::active_run> const& active,
-                  std::map<std::string, worker_view> const& workers)
+/// \returns whether a run of the job that ends by itself is under way.
+bool has_running_task(milliseconds now, accepted_job const& job,
+                      std::map<unit_ref, detail::active_run> const& active,
+                      std::map<std::string, worker_view> const& workers)
 {
-    auto at = active.lower_bound({job, {}});
-    for (; at != active.end() && at->first.job == job; ++at)
-        if (is_under_way(now, at->second, workers))
+    auto at = active.lower_bound({job.id, {}});
+    for (; at != active.end() && at->first.job == job.id; ++at)
+    {
+        auto const step = static_cast<std::size_t>(at->first.unit.step);
+        if (!job.spec.steps[step].lasting &&
+            is_under_way(now, at->second, workers))
             return true;
+    }
     return false;
 }
 
@@ -72,7 +78,7 @@
 {
     if (may_use(now, e, service, need))
         return false;
-    need.lent = !need.isolated && may_borrow(now, e, service, need);
+    need.lent = may_borrow(now, e, service, need);
     if (need.lent)
         return false;
     bool const is_free = counts_[service].free >= need.accelerators();
@@ -102,10 +108,10 @@
         times == e.idle_times.end() || times->second.may_wait(now);
     // Only a job that stands still may not wait in an idle service; the other
     // tasks of one that runs leave the headroom to urgent work.
-    bool const stands_still = need.lasting || !limits_.wait_beside_running ||
-                              !is_under_way(now, e.job.id, active_, workers_);
+    bool const is_limited = need.lasting || !limits_.wait_beside_running ||
+                            !has_running_task(now, e.job, active_, workers_);
     need.may_wait =
-        !is_idle || !stands_still || (may_wait && !is_older && !need.lasting);
+        !is_idle || !is_limited || (may_wait && !is_older && !need.lasting);
 }
 
 bool dispatcher::wants_rack(milliseconds now, std::string const& service,
--- a/packages/tasks/src/drain_plan.cpp
+++ b/packages/tasks/src/drain_plan.cpp
@@ -16,9 +16,9 @@
 constexpr std::int64_t error_percent = 15;
 /// Without progress only the estimate is known. It is up to this many times
 /// the actual duration.
-constexpr milliseconds estimate_excess = 10;
+constexpr std::int64_t estimate_excess = 10;
 /// Between the decision and the begin of the stop at the worker: an interval of
-/// the monitor and the way of the order.
+/// the monitor and the delivery of the order.
 constexpr milliseconds stop_margin_ms = 300;
 
 milliseconds at_speed(run_report const& r, std::int64_t done) noexcept
--- a/packages/tasks/src/evacuations.cpp
+++ b/packages/tasks/src/evacuations.cpp
@@ -11,8 +11,6 @@
 /// Workers refuse a start that arrives 1.5 s after it was sent; the rest is for
 /// the reading of the records and differences between clocks.
 constexpr milliseconds start_reserve_ms = 2'000;
-/// Part of a short bound that is left for the age of the view.
-constexpr milliseconds short_bound_divisor = 2;
 
 } // namespace
 
@@ -33,9 +31,7 @@
 {
     if (bound_ms_ == 0)
         return true;
-    auto const max_age =
-        std::max(bound_ms_ - start_reserve_ms, bound_ms_ / short_bound_divisor);
-    return as_of_ >= 0 && now - as_of_ <= max_age;
+    return as_of_ >= 0 && now - as_of_ <= bound_ms_ - start_reserve_ms;
 }
 
 } // namespace jasminetrack::tasks
--- a/packages/tasks/src/headroom_lending.cpp
+++ b/packages/tasks/src/headroom_lending.cpp
@@ -9,21 +9,22 @@
 
 /// Resolution of the history.
 constexpr milliseconds interval_ms = 100;
-/// Covers two periods of the waves, so that their range is known.
+/// Covers two periods of urgent load (about 12 s each), so that its range is
+/// known.
 constexpr milliseconds range_window_ms = 30'000;
-/// Covers one period of the waves, so that their last rise counts.
+/// Covers one period of urgent load, so that its last rise counts.
 constexpr milliseconds rise_window_ms = 15'000;
 /// Between peaks, urgent work arrives as it did within the time for which its
 /// last peak is kept as headroom.
-constexpr milliseconds lull_window_ms = 3'000;
+constexpr milliseconds between_peaks_window_ms = 3'000;
 /// Peaks that began earlier do not count.
 constexpr milliseconds peaks_window_ms = 60'000;
 /// Urgent jobs that follow each other leave gaps that separate no peaks.
 constexpr milliseconds max_gap_ms = 1'000;
-/// Two intervals between peaks are the least that shows a rhythm.
+/// A period needs at least two intervals between peaks.
 constexpr std::size_t min_peaks = 3;
 /// Estimates are off by up to this factor.
-constexpr milliseconds estimate_error = 2;
+constexpr std::int64_t estimate_error = 2;
 /// A shorter estimate is one that the caller did not give.
 constexpr milliseconds min_estimate_ms = 10;
 /// A quarter of the headroom stays free in any case.
@@ -87,8 +88,9 @@
 
 std::int64_t urgent_history::growth(milliseconds now) const noexcept
 {
-    auto const window =
-        next_peak(now).value_or(0) > stop_ms_ ? lull_window_ms : rise_window_ms;
+    auto const window = next_peak(now).value_or(0) > stop_ms_
+                            ? between_peaks_window_ms
+                            : rise_window_ms;
     std::int64_t largest = 0;
     for (auto const& i : intervals_)
         if (now - i.begin <= window)
--- a/packages/tasks/src/placement.cpp
+++ b/packages/tasks/src/placement.cpp
@@ -93,19 +93,22 @@
 };
 
 /// The worst properties of places, the most important one first.
-struct worst_place
+struct placement_drawbacks
 {
     bool failed_on = false;
     int penalty = 0;
     bool vulnerable = false;
+    bool starting = false;
     bool unverified = false;
+    bool off_rack = false;
 
-    friend auto operator<=>(worst_place const&, worst_place const&) = default;
+    friend auto operator<=>(placement_drawbacks const&,
+                            placement_drawbacks const&) = default;
 };
 
 struct places_quality
 {
-    worst_place worst;
+    placement_drawbacks worst;
     speed_mix speeds = speed_mix::preferred;
     /// The gang ends with the first member that leaves.
     std::int64_t departure_rank = 0;
@@ -126,7 +129,11 @@
         worst.failed_on = worst.failed_on || need.failed_on.count(w->id) != 0;
         worst.penalty = std::max(worst.penalty, w->penalty);
         worst.vulnerable = worst.vulnerable || w->vulnerable;
+        worst.starting = worst.starting ||
+                         ((need.isolated || need.vulnerable) && w->starting);
         worst.unverified = worst.unverified || is_unverified(*w, need);
+        worst.off_rack =
+            worst.off_rack || (!need.rack.empty() && w->rack != need.rack);
         if (need.avoids_departures)
             q.departure_rank = std::max(q.departure_rank, w->departure_rank);
         (is_of_other_speed(*w, need) ? any_other : any_preferred) = true;
@@ -139,7 +146,7 @@
 /// Fills workers of one speed only, if these are otherwise no worse.
 std::optional<std::vector<std::string>>
 fill_one_speed(candidate_pointers const& candidates, unit_need const& need,
-               worst_place const& limit)
+               placement_drawbacks const& limit)
 {
     for (bool const other : {false, true})
     {
--- a/packages/tasks/src/speed_model.cpp
+++ b/packages/tasks/src/speed_model.cpp
@@ -9,9 +9,9 @@
 namespace
 {
 
-/// Turns of estimating groups and workers; the estimates change by less than
-/// their errors after that.
-constexpr int turns = 4;
+/// Iterations of estimating groups and workers; the estimates change by less
+/// than their errors after that.
+constexpr int iterations = 4;
 /// Standard deviation of the logarithm of the duration of alike tasks, as far
 /// as the samples do not show it, and its least value.
 constexpr double assumed_task_spread = 0.12;
@@ -274,7 +274,7 @@
         effects[i].log_factor = workers[i].assumed.value_or(0);
     auto const members = durations_by_group(workers, groups);
     double task_variance = assumed_task_spread * assumed_task_spread;
-    for (int turn = 0; turn < turns; ++turn)
+    for (int turn = 0; turn < iterations; ++turn)
     {
         auto const kinds = kind_factors(workers, effects);
         auto const refs = references_of(members, effects, task_variance);
--- a/packages/tasks/src/worker_speeds.cpp
+++ b/packages/tasks/src/worker_speeds.cpp
@@ -113,7 +113,7 @@
     s->newest_ms = r.clock_ms;
     s->newest_percent = r.percent;
     s->updated_at = now;
-    has_news_ = true;
+    has_new_samples_ = true;
 }
 
 void worker_speeds::assume(milliseconds now,
@@ -143,9 +143,9 @@
 
 std::vector<speed_change> worker_speeds::update(milliseconds now)
 {
-    if (!has_news_ || now - updated_at_ < update_interval_ms)
+    if (!has_new_samples_ || now - updated_at_ < update_interval_ms)
         return {};
-    has_news_ = false;
+    has_new_samples_ = false;
     updated_at_ = now;
     forget_old(now);
     std::map<speed_group, std::size_t> groups;
--- a/tests/unit/test_departures.cpp
+++ b/tests/unit/test_departures.cpp
@@ -98,6 +98,14 @@
         expect(d.rank(100'000, 100'000, old_worker) <
                    d.rank(100'000, 100'000, worker(99'000, "v10")),
                "workers of all versions leave: longer up comes first");
+        section("an earlier rolling replacement does not count",
+                [&]
+                {
+                    constexpr milliseconds hour_ms = 3'600'000;
+                    d.record(hour_ms, worker(90'000, "v10"));
+                    expect(d.is_replacement(hour_ms, worker(hour_ms, "v11")),
+                           "the versions of this one");
+                });
     }
 
     void progress_is_projected()
--- a/tests/unit/test_evacuations.cpp
+++ b/tests/unit/test_evacuations.cpp
@@ -5,6 +5,7 @@
 #include "manual_dispatcher.hpp"
 #include "section.hpp"
 
+#include <jasminetrack/entry/settings.hpp>
 #include <jasminetrack/tasks/evacuations.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -121,6 +122,24 @@
                     expect(evacuations(0).is_current(0),
                            "without a bound it does");
                 });
+        section("a bound that leaves no time for a view is refused",
+                []
+                {
+                    auto const reasons = [](std::string const& bound)
+                    {
+                        auto const r =
+                            jasminetrack::entry::parse_entry_settings(
+                                "jobs: {evacuate: " + bound + "}", "f");
+                        std::string text;
+                        for (auto const& d : r.diagnostics)
+                            text += to_line(d);
+                        return text;
+                    };
+                    expect(reasons("3s").find("evacuate") != std::string::npos,
+                           "3 s");
+                    expect(reasons("4s").find("evacuate") == std::string::npos,
+                           "4 s");
+                });
     }
 
     /// Guards against a start of work that was placed, or reserved its place,
