The bound of evacuations comes from the environment of the process

Cause: a section of the settings' template is filled in by the users' platform alone; the stand-ins of the soak and of review/ know plain values only, so that their processes did not start.

--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -151,9 +151,10 @@
 
 /// Runs as an entry process on a platform with general jobs.
 int start_entry(std::string const& text, std::string const& path,
-                bool check_only)
+                std::int64_t evacuation_bound_ms, bool check_only)
 {
-    auto const parsed = jasminetrack::entry::parse_entry_settings(text, path);
+    auto const parsed = jasminetrack::entry::parse_entry_settings(
+        text, path, evacuation_bound_ms);
     if (!print_mistakes(parsed))
         return exit_settings;
     if (check_only)
@@ -174,9 +175,13 @@
                  "were answered or all regions handed over"};
     std::string path;
     bool check_only = false;
+    std::int64_t evacuation_bound_ms = 0;
     app.add_option("--settings", path, "settings file (YAML)")
         ->envname("JASMINETRACK_NODE_FILE")
         ->required();
+    app.add_option("--evacuation-bound-ms", evacuation_bound_ms,
+                   "default of the setting jobs.evacuate, in milliseconds")
+        ->envname("JASMINETRACK_EVACUATION_BOUND_MS");
     app.add_flag("--check", check_only, "check the settings file and exit");
     CLI11_PARSE(app, argc, argv);
 
@@ -189,6 +194,6 @@
         return exit_settings;
     }
     if (jasminetrack::entry::is_entry_settings(text.str()))
-        return start_entry(text.str(), path, check_only);
+        return start_entry(text.str(), path, evacuation_bound_ms, check_only);
     return start_standalone(text.str(), path, check_only);
 }
--- a/packages/daemon/src/run_entry.cpp
+++ b/packages/daemon/src/run_entry.cpp
@@ -75,7 +75,15 @@
                {"log", settings.log}});
     wait_for_stop(
         [&]
-        { log_settings_check(settings, path, entry::parse_entry_settings); });
+        {
+            auto const parse =
+                [&](std::string const& text, std::string const& file)
+            {
+                return entry::parse_entry_settings(
+                    text, file, settings.limits.evacuation_bound_ms);
+            };
+            log_settings_check(settings, path, parse);
+        });
     write_log(log_level::info, "stop.drain", {});
     node.drain();
     std::this_thread::sleep_for(std::chrono::milliseconds(balancer_removal_ms));
--- a/packages/daemon/src/settings_check.hpp
+++ b/packages/daemon/src/settings_check.hpp
@@ -12,15 +12,12 @@
 namespace jasminetrack::daemon
 {
 
-template <typename Settings>
-using settings_parser = protocol::parse_result<Settings> (*)(
-    std::string const& text, std::string const& file);
-
 /// Logs whether the settings file is valid and differs from the settings in
 /// force.
-template <typename Settings>
+/// \param parse  returns the settings of a text, given the name of its file
+template <typename Settings, typename Parser>
 void log_settings_check(Settings const& in_force, std::string const& path,
-                        settings_parser<Settings> parse)
+                        Parser const& parse)
 {
     std::ifstream file(path);
     std::stringstream text;
--- a/packages/entry/include/jasminetrack/entry/settings.hpp
+++ b/packages/entry/include/jasminetrack/entry/settings.hpp
@@ -36,7 +36,9 @@
 
 /// \param text  YAML
 /// \param file  name of the file, for messages
+/// \param evacuation_bound_ms  default of jobs.evacuate; 0: none
 [[nodiscard]] protocol::parse_result<entry_settings>
-parse_entry_settings(std::string const& text, std::string const& file);
+parse_entry_settings(std::string const& text, std::string const& file,
+                     milliseconds evacuation_bound_ms = 0);
 
 } // namespace jasminetrack::entry
--- a/packages/entry/src/settings.cpp
+++ b/packages/entry/src/settings.cpp
@@ -43,9 +43,11 @@
 }
 
 protocol::parse_result<entry_settings>
-parse_entry_settings(std::string const& text, std::string const& file)
+parse_entry_settings(std::string const& text, std::string const& file,
+                     milliseconds evacuation_bound_ms)
 {
     protocol::parse_result<entry_settings> result;
+    result.value.limits.evacuation_bound_ms = evacuation_bound_ms;
     protocol::yaml_reader in(text, file, result.diagnostics);
     if (!result.diagnostics.empty())
         return result;
