--- a/packages/daemon/src/run_entry.cpp
+++ b/packages/daemon/src/run_entry.cpp
@@ -34,6 +34,17 @@
 constexpr std::int64_t max_header_bytes = 16 * 1024;
 constexpr std::int64_t max_open_requests = 512;
 
+/// The default of the bound of evacuations is not in the file.
+void log_reload(entry::entry_settings const& in_force, std::string const& path)
+{
+    auto const parse = [&](std::string const& text, std::string const& file)
+    {
+        return entry::parse_entry_settings(text, file,
+                                           in_force.limits.evacuation_bound_ms);
+    };
+    log_settings_check(in_force, path, parse);
+}
+
 } // namespace
 
 int run_entry(entry::entry_settings const& settings, std::string const& path)
@@ -73,17 +84,7 @@
               {{"listen", settings.listen},
                {"ready", settings.ready},
                {"log", settings.log}});
-    wait_for_stop(
-        [&]
-        {
-            auto const parse =
-                [&](std::string const& text, std::string const& file)
-            {
-                return entry::parse_entry_settings(
-                    text, file, settings.limits.evacuation_bound_ms);
-            };
-            log_settings_check(settings, path, parse);
-        });
+    wait_for_stop([&] { log_reload(settings, path); });
     write_log(log_level::info, "stop.drain", {});
     node.drain();
     std::this_thread::sleep_for(std::chrono::milliseconds(balancer_removal_ms));
