review/6: two runs of a task while regions lose each other

A region with two of seven entry VMs and the platform's store is cut off from the two others for 20 s. The dispatcher outside renews its leases, as most VMs say that the log is away; a VM inside takes the role and starts the tasks again.

Command: review/6/run.sh (after the build of the deploy file and review/build-2.sh).

--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,22 @@
+#!/usr/bin/env bash
+# Builds the programs of the cases review/6 and above, each from its case.cpp,
+# with the project's own stand-ins. Needs the packages of the deploy file only.
+set -eu
+cd "$(dirname "$0")/.."
+out=target/review-2
+mkdir -p "$out"
+flags=(-std=c++20 -O1 -Wall -Wextra -I. -Iplatform/tests -Ireview/cases-2)
+objects=()
+for source in platform/tests/standins/{cluster,gangs,http_session,rated_link,workers}.cpp \
+  review/standins/{http,proxy,store}.cpp; do
+  object=$out/$(echo "$source" | tr '/' '_' | sed 's/cpp$/o/')
+  g++ "${flags[@]}" -c "$source" -o "$object" &
+  objects+=("$object")
+done
+for job in $(jobs -p); do
+  wait "$job"
+done
+for source in review/*/case.cpp; do
+  number=$(basename "$(dirname "$source")")
+  g++ "${flags[@]}" "$source" "${objects[@]}" -o "$out/case_$number" -pthread
+done
