--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,14 +6,19 @@
 out=target/review-2
 mkdir -p "$out"
 flags=(-std=c++20 -O1 -Wall -Wextra -I. -Iplatform/tests -Ireview/cases-2)
+standins=platform/tests/standins
+sources=("$standins"/{cluster,gangs,http_session,rated_link,workers}.cpp
+  review/standins/{http,proxy,store}.cpp)
 objects=()
-  review/standins/{http,proxy,store}.cpp; do
+builds=()
+for source in "${sources[@]}"; do
   object=$out/$(echo "$source" | tr '/' '_' | sed 's/cpp$/o/')
   g++ "${flags[@]}" -c "$source" -o "$object" &
+  builds+=($!)
   objects+=("$object")
 done
-for job in $(jobs -p); do
-  wait "$job"
+for build in "${builds[@]}"; do
+  wait "$build"
 done
 for source in review/*/case.cpp; do
   number=$(basename "$(dirname "$source")")
