--- a/review/cases-2/case_support.hpp
+++ b/review/cases-2/case_support.hpp
@@ -34,7 +34,8 @@
     return text == nullptr || std::string(text) != "0";
 }
 
-/// A folder that is removed at the end.
+/// A folder, in that of the environment for temporary files, which is removed
+/// at the end unless the logs are to be kept.
 class temporary_folder
 {
 public:
