An order to an earlier process of a worker is refused by the next one

Cause: the fencing token was the epoch alone. A worker's new process has seen no token, and the orders to the earlier process carried the same one as those to it, so that nothing could tell them apart. The dispatcher either forgot the order (the worker had left the list; the task was done) or waited until it could not arrive any more.

The first renewal to a new process goes out at once, also beside one to the earlier process that has not failed yet; replies carry the token of their order, those to an earlier process are dropped, and a refusal of an own lower token deposes nobody. Nothing starts on the process before it has accepted the token. Then no earlier order is carried out there, and late_start and late_orders end. A third process has not seen it: until no order can arrive, the task goes only to the worker that it may still arrive at (keep_places), whose further restart ends that run as well; a gang keeps its places. If the worker leaves the list, the task goes elsewhere, as work must not wait for its return.

Removed: starts_blocked_until, renewal_binds, renewal_incarnation, last_unanswered_at, renew_reply::repeated.

--- a/packages/entry/src/dispatch_loop_log.cpp
+++ b/packages/entry/src/dispatch_loop_log.cpp
@@ -3,6 +3,7 @@
 #include "log_keys.hpp"
 
 #include <jasminetrack/runtime/logging.hpp>
+#include <jasminetrack/tasks/fencing.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -31,7 +32,7 @@
 {
     auto const now = monotonic_ms();
     tasks::role_record const role{
-        leadership_.newest().epoch + 1, incarnation_, false, {}};
+        tasks::next_epoch(leadership_.newest().epoch), incarnation_, false, {}};
     write_log(
         log_level::info, "role.claim",
         {{"epoch", std::to_string(role.epoch)},
--- a/packages/entry/src/dispatch_loop_orders.cpp
+++ b/packages/entry/src/dispatch_loop_orders.cpp
@@ -22,17 +22,18 @@
 {
     count(&dispatch_metrics::lease_renewals);
     auto const epoch = epoch_;
-    ports_.workers.renew_lease(o,
-                               [this, epoch](tasks::renew_reply const& r)
-                               {
-                                   post(
-                                       [this, epoch, r]
-                                       {
-                                           if (dispatcher_ && epoch == epoch_)
-                                               dispatcher_->on_renew(
-                                                   monotonic_ms(), r);
-                                       });
-                               });
+    ports_.workers.renew_lease(
+        o,
+        [this, epoch, token = o.token](tasks::renew_reply r)
+        {
+            r.token = token;
+            post(
+                [this, epoch, r = std::move(r)]
+                {
+                    if (dispatcher_ && epoch == epoch_)
+                        dispatcher_->on_renew(monotonic_ms(), r);
+                });
+        });
 }
 
 void dispatch_loop::perform(tasks::start_order const& o)
@@ -41,11 +42,13 @@
     auto const epoch = epoch_;
     ports_.workers.start(
         o,
-        [this, epoch, sent = monotonic_ms()](tasks::start_reply const& r)
+        [this, epoch, token = o.token,
+         sent = monotonic_ms()](tasks::start_reply r)
         {
+            r.token = token;
             latencies_.record(latency::start, monotonic_ms() - sent);
             post(
-                [this, epoch, r]
+                [this, epoch, r = std::move(r)]
                 {
                     if (dispatcher_ && epoch == epoch_)
                         dispatcher_->on_start(monotonic_ms(), r);
@@ -66,8 +69,8 @@
                 [this, epoch, o, result]
                 {
                     if (dispatcher_ && epoch == epoch_)
-                        dispatcher_->on_stop(monotonic_ms(),
-                                             {o.worker, o.run, result});
+                        dispatcher_->on_stop(
+                            monotonic_ms(), {o.worker, o.run, result, o.token});
                 });
         });
 }
--- a/packages/tasks/include/jasminetrack/tasks/detail/dispatcher_state.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/detail/dispatcher_state.hpp
@@ -77,6 +77,13 @@
     return sent_at < 0 ? 0 : sent_at + late_order_ms;
 }
 
+/// No send of the start can be carried out any more.
+inline void drop_unanswered(member& m) noexcept
+{
+    m.unanswered_at = -1;
+    m.sent_before = -1;
+}
+
 /// A run that its worker still reports this long after its start has not
 /// crashed the worker by being started.
 inline constexpr milliseconds established_ms = 1'000;
@@ -111,6 +118,16 @@
     std::size_t number = 0;      ///< identifies it in reclaim plans
 };
 
+/// Starts of a unit that the newest process of their worker refuses, but that a
+/// later one may carry out before it is reached. The unit runs in the same
+/// places meanwhile: a further restart then ends that run as well.
+struct late_sends
+{
+    std::vector<std::string> places; ///< workers by member
+    /// When the start of a member can no longer arrive.
+    std::map<std::size_t, milliseconds> until;
+};
+
 /// A job that is not finished, or whose end is not stored yet.
 struct job_entry
 {
@@ -126,7 +143,8 @@
     std::int64_t unfinished = 0; ///< number of units that are not done
     std::map<unit_ref, std::set<std::string>> failed_on; ///< workers
     std::map<unit_ref, milliseconds> failed_at;          ///< latest failure
-    std::map<unit_ref, milliseconds> lost_at; ///< latest loss of a worker
+    std::map<unit_ref, milliseconds> lost_at;   ///< latest loss of a worker
+    std::map<unit_ref, late_sends> late_starts; ///< of units that run again
     std::map<std::int64_t, step_durations> durations; ///< by step
     /// For how long the service has been idle for units that wait, by
     /// occurrence and step.
--- a/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -58,8 +58,9 @@
 public:
     using listener = std::function<void(decision const&)>;
 
-    /// \param token   fencing token, higher than that of every earlier
-    ///                dispatcher
+    /// \param token   first of its fencing tokens, which are higher than those
+    ///                of every earlier dispatcher; the next dispatcher's first
+    ///                one is that of next_epoch()
     /// \param listen  called for each decision; may be empty
     dispatcher(std::int64_t token, dispatch_limits limits, milliseconds now,
                listener listen);
@@ -198,6 +199,44 @@
                           std::string text) const;
     void mark_dirty(std::string const& job);
 
+    // dispatcher_fencing.cpp
+    /// \returns the view of the worker; a new one has a token of its own.
+    [[nodiscard]] worker_view& find_or_add_worker(std::string const& id);
+    /// Orders to the worker carry a higher token from now on. Its next renewal
+    /// is sent at once.
+    void raise_token(milliseconds now, worker_view& w);
+    /// The worker's process has accepted the newest token, so that no start
+    /// with a lower one can be carried out there.
+    void accept_token(milliseconds now, worker_view& w);
+    /// The start of the member may be carried out by a later process.
+    void note_late_start(unit_ref const& ref, std::size_t index,
+                         milliseconds until);
+    /// \returns until when a start of the member's task may be carried out by a
+    /// later process of its worker; 0 if none may.
+    [[nodiscard]] milliseconds late_start_end(unit_ref const& ref,
+                                              std::size_t index,
+                                              member const& m) const;
+    /// \returns nullptr if no start of the waiting unit can come late, so that
+    /// it may be placed anywhere.
+    [[nodiscard]] detail::late_sends const*
+    open_late_starts(milliseconds now, job_entry const& e,
+                     unit_ref const& ref) const;
+    /// Excludes all other places of a unit with starts that may come late.
+    void keep_places(milliseconds now, job_entry const& e, unit_ref const& ref,
+                     unit_need& need) const;
+    /// Gives each member whose start may come late its earlier worker.
+    /// \returns whether that is possible.
+    [[nodiscard]] bool arrange_members(milliseconds now, job_entry const& e,
+                                       unit_ref const& ref,
+                                       std::vector<std::string>& places) const;
+    /// Before the view is erased: tokens of it are not used again.
+    void drop_worker(worker_view const& w);
+    /// \returns whether the refusal of an order with this token shows that
+    /// another dispatcher has the role. Else this one has sent the worker a
+    /// higher token itself.
+    [[nodiscard]] bool is_deposing(std::string const& worker,
+                                   std::int64_t token) const;
+
     // dispatcher_workers.cpp, dispatcher_renewals.cpp, dispatcher_replies.cpp
     /// Handles a restart of the worker: ends the runs of its earlier
     /// incarnation and delays starts there while late orders may arrive.
@@ -206,6 +245,7 @@
     /// \returns the run as it counts at the worker's next incarnation, which
     /// may carry out its start.
     [[nodiscard]] hosted_run stray_run(milliseconds now, hosted_run const& o,
+                                       std::size_t index,
                                        member const& m) const;
     /// \returns whether a queue uses the service.
     [[nodiscard]] bool is_used(std::string const& service) const;
@@ -740,7 +780,8 @@
     /// Drops what the job can do without, or the job, if it does not fit.
     void bound_record(milliseconds now, job_entry& e);
 
-    std::int64_t token_;
+    std::int64_t token_;           ///< its first one
+    std::int64_t next_view_token_; ///< first one of workers that are new
     dispatch_limits limits_;
     milliseconds created_at_;
     role_proof role_;
--- a/packages/tasks/include/jasminetrack/tasks/orders.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/orders.hpp
@@ -163,8 +163,7 @@
     milliseconds clock_ms = 0; ///< the worker's clock when it answered
     std::vector<running_task> running;
     std::vector<ended_task> ended;
-    /// An earlier send of the order got no answer and may be carried out late.
-    bool repeated = false;
+    std::int64_t token = 0; ///< of the order
 };
 
 struct stop_reply
@@ -172,6 +171,7 @@
     std::string worker;
     task_run run;
     call_result result = call_result::no_answer;
+    std::int64_t token = 0; ///< of the order
 };
 
 /// Answer to an advice_order.
@@ -189,6 +189,7 @@
     task_run run;
     call_result result = call_result::no_answer;
     milliseconds clock_ms = 0;
+    std::int64_t token = 0; ///< of the order
 };
 
 } // namespace jasminetrack::tasks
--- a/packages/tasks/include/jasminetrack/tasks/worker_view.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/worker_view.hpp
@@ -8,6 +8,7 @@
 #include <jasminetrack/tasks/progress.hpp>
 #include <jasminetrack/tasks/worker_pace.hpp>
 
+#include <algorithm>
 #include <map>
 #include <set>
 
@@ -113,6 +114,18 @@
     {
         return listed && !info.draining && !evacuated;
     }
+    /// \returns whether its process has accepted the newest token, so that it
+    /// refuses the orders of earlier dispatchers and those to earlier
+    /// processes.
+    [[nodiscard]] bool token_known() const noexcept
+    {
+        return accepted_token == token;
+    }
+    /// \returns whether orders to an earlier process may still be carried out.
+    [[nodiscard]] bool may_get_late_orders() const noexcept
+    {
+        return has_restarted() && !token_known();
+    }
     /// \returns whether it reported that it is slow after its start.
     [[nodiscard]] bool is_cold(milliseconds now) const noexcept
     {
@@ -129,6 +142,12 @@
     {
         return !refusal(now);
     }
+    /// \returns whether an order that may be carried out until then may follow
+    /// the newest renewal with an answer.
+    [[nodiscard]] bool may_follow_answer(milliseconds until) const noexcept
+    {
+        return until > std::max<milliseconds>(0, answered_renewal_at);
+    }
     /// \returns the time until the next late start can no longer arrive, from
     /// when on a renewal shows whether it was carried out.
     [[nodiscard]] milliseconds late_start_wait(milliseconds now) const noexcept;
@@ -168,7 +187,9 @@
     milliseconds leaves_at = -1;
     bool evacuated = false;      ///< its data center is
     milliseconds cold_until = 0; ///< it is slow until then
-    bool token_known = false;    ///< it has accepted this dispatcher's token
+    std::int64_t token = 0;      ///< of all orders to its newest process
+    /// Highest token that this process has accepted; 0: none.
+    std::int64_t accepted_token = 0;
     /// It runs a task of an unknown job, so its free capacity is not known.
     bool runs_unknown_task = false;
     milliseconds answered_at = -1; ///< latest answer to a renewal
@@ -186,11 +207,7 @@
 
     bool renewal_sent = false;   ///< a renewal awaits its answer
     milliseconds renewal_at = 0; ///< when the latest one was sent
-    /// It grants a lease or acknowledges ends, so that it does harm if a later
-    /// incarnation carries it out.
-    bool renewal_binds = false;
-    std::string renewal_address;          ///< where it was sent
-    std::int64_t renewal_incarnation = 0; ///< to which it was sent
+    std::string renewal_address; ///< where it was sent
     /// Pause before the next renewal, while the worker hosts no run.
     milliseconds idle_pause_ms = 0;
     std::int64_t last_seen = 0;     ///< newest end whose effects are in the log
@@ -209,9 +226,6 @@
     /// Time of the latest completed run; -1 if none, or if a run failed since.
     milliseconds last_success_at = -1;
     worker_pace pace;
-    milliseconds last_unanswered_at = -1; ///< latest order without an answer
-    /// End of the wait for late orders after the worker restarted.
-    milliseconds starts_blocked_until = 0;
     /// Late starts may run at an incarnation that has not answered until then.
     milliseconds late_runs_until = 0;
 
--- /dev/null
+++ b/packages/tasks/src/dispatcher_fencing.cpp
@@ -0,0 +1,157 @@
+#include <jasminetrack/tasks/dispatcher.hpp>
+#include <jasminetrack/tasks/fencing.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace jasminetrack::tasks
+{
+
+worker_view& dispatcher::find_or_add_worker(std::string const& id)
+{
+    auto const [at, is_new] = workers_.try_emplace(id);
+    if (is_new)
+        at->second.token = next_view_token_;
+    return at->second;
+}
+
+/// The renewal to the earlier process may take seconds to fail, and that to the
+/// new one ends the time in which late orders are carried out there.
+void dispatcher::raise_token(milliseconds now, worker_view& w)
+{
+    ++w.token;
+    if (w.token >= next_epoch(token_))
+    {
+        deposed_ = true;
+        log_decision("dispatcher.tokens_used_up", "", "worker=" + w.info.id);
+    }
+    w.renewal_sent = false;
+    renewals_.set(w.info.id, now);
+}
+
+void dispatcher::accept_token(milliseconds now, worker_view& w)
+{
+    w.accepted_token = w.token;
+    changed_ = true;
+    std::int64_t refused = 0;
+    for (auto& [run, o] : w.hosted_runs)
+    {
+        auto const until = std::exchange(o.late_start_until, 0);
+        if (until == 0)
+            continue;
+        ++refused;
+        auto const at = active_.find(o.unit);
+        auto const index = at == active_.end()
+                               ? std::nullopt
+                               : member_index(o.unit, at->second, run);
+        if (!index)
+            continue;
+        detail::drop_unanswered(at->second.members[*index]);
+        if (until > now && is_placed_again(o.unit))
+            note_late_start(o.unit, *index, until);
+    }
+    if (w.has_restarted())
+        log_decision("worker.fenced", "",
+                     "worker=" + w.info.id +
+                         " token=" + std::to_string(w.token) +
+                         " incarnation=" + std::to_string(w.info.incarnation) +
+                         " late_starts=" + std::to_string(refused));
+}
+
+void dispatcher::note_late_start(unit_ref const& ref, std::size_t index,
+                                 milliseconds until)
+{
+    auto& late = find_job(ref.job)->late_starts[ref];
+    late.places.clear();
+    for (auto const& m : active_.at(ref).members)
+        late.places.push_back(m.worker);
+    auto& end = late.until[index];
+    end = std::max(end, until);
+}
+
+milliseconds dispatcher::late_start_end(unit_ref const& ref, std::size_t index,
+                                        member const& m) const
+{
+    auto const end = detail::late_start_end(m);
+    auto const& all = jobs_.at(ref.job).late_starts;
+    auto const at = all.find(ref);
+    if (at == all.end() || at->second.places[index] != m.worker)
+        return end;
+    auto const until = at->second.until.find(index);
+    return until == at->second.until.end() ? end : std::max(end, until->second);
+}
+
+/// A worker that has left the list may be gone for good, and work must not wait
+/// for its return.
+detail::late_sends const*
+dispatcher::open_late_starts(milliseconds now, job_entry const& e,
+                             unit_ref const& ref) const
+{
+    auto const at = e.late_starts.find(ref);
+    if (at == e.late_starts.end())
+        return nullptr;
+    auto const& late = at->second;
+    bool const any = std::any_of(
+        late.until.begin(), late.until.end(),
+        [&](auto const& entry)
+        {
+            auto const w = workers_.find(late.places[entry.first]);
+            return entry.second > now && w != workers_.end() &&
+                   (w->second.listed || !list_currency_.is_current(now));
+        });
+    return any ? &late : nullptr;
+}
+
+void dispatcher::keep_places(milliseconds now, job_entry const& e,
+                             unit_ref const& ref, unit_need& need) const
+{
+    auto const* const late = open_late_starts(now, e, ref);
+    if (!late)
+        return;
+    std::set<std::string> const kept(late->places.begin(), late->places.end());
+    for (auto const& [id, w] : workers_)
+        if (w.info.service == e.service && kept.count(id) == 0)
+            need.avoid.insert(id);
+}
+
+bool dispatcher::arrange_members(milliseconds now, job_entry const& e,
+                                 unit_ref const& ref,
+                                 std::vector<std::string>& places) const
+{
+    auto const* const late = open_late_starts(now, e, ref);
+    if (!late)
+        return true;
+    for (auto const& [index, until] : late->until)
+    {
+        auto const& worker = late->places[index];
+        auto const at = std::find_if(
+            places.begin(), places.end(),
+            [&](std::string const& place)
+            {
+                auto const other =
+                    static_cast<std::size_t>(&place - places.data());
+                return place == worker &&
+                       (other == index || late->until.count(other) == 0);
+            });
+        if (at == places.end())
+            return false;
+        std::swap(*at, places[index]);
+    }
+    return true;
+}
+
+void dispatcher::drop_worker(worker_view const& w)
+{
+    forget_address(w);
+    renewals_.erase(w.info.id);
+    next_view_token_ = std::max(next_view_token_, w.token + 1);
+}
+
+bool dispatcher::is_deposing(std::string const& worker,
+                             std::int64_t token) const
+{
+    auto const at = workers_.find(worker);
+    return at == workers_.end() || token >= at->second.token;
+}
+
+} // namespace jasminetrack::tasks
--- a/packages/tasks/src/dispatcher_holds.cpp
+++ b/packages/tasks/src/dispatcher_holds.cpp
@@ -101,7 +101,7 @@
                                                member const& m) const
 {
     auto const at = workers_.find(m.worker);
-    bool const is_reached = at != workers_.end() && at->second.token_known;
+    bool const is_reached = at != workers_.end() && at->second.token_known();
     bool const is_silent =
         at != workers_.end() && at->second.unresponsive_since >= 0;
     switch (m.phase)
@@ -151,6 +151,8 @@
         return hold_reason::evacuations_not_current;
     if (!role_.is_proven(now))
         return hold_reason::role_unproven;
+    if (open_late_starts(now, e, ref))
+        return hold_reason::late_start;
     auto need = need_of(now, e, ref);
     limit_wait(now, e, ref, need);
     if (need.isolated)
--- a/packages/tasks/src/dispatcher_losses.cpp
+++ b/packages/tasks/src/dispatcher_losses.cpp
@@ -22,17 +22,14 @@
         auto const runs_until =
             std::max(role_.earlier_leases_end(), w.late_runs_until);
         bool const never_reached =
-            !w.token_known && w.clock_at_ < 0 && now > runs_until;
+            !w.token_known() && w.clock_at_ < 0 && now > runs_until;
         if (!w.hosted_runs.empty() &&
             (never_reached || w.is_lease_expired(now)))
             end_expired_runs(now, w);
         bool const gone = !w.listed && w.hosted_runs.empty() &&
                           now - w.unlisted_since > unlisted_keep_ms;
         if (gone)
-        {
-            forget_address(w);
-            renewals_.erase(at->first);
-        }
+            drop_worker(w);
         at = gone ? workers_.erase(at) : std::next(at);
     }
     confirm_gone_workers(now);
@@ -78,9 +75,10 @@
     auto m = at->second.members[*index];
     note_earlier_sends(m);
     bool const has_left = !w.listed && list_currency_.is_current(now);
-    if (has_left || !may_start_late(w, m))
+    auto const late_until = late_start_end(ref, *index, m);
+    if (has_left || !w.may_follow_answer(late_until))
         return 0;
-    return detail::late_start_end(m) + longest_lease();
+    return late_until + longest_lease();
 }
 
 milliseconds dispatcher::longest_lease() const noexcept
--- a/packages/tasks/src/dispatcher_reclaim.cpp
+++ b/packages/tasks/src/dispatcher_reclaim.cpp
@@ -128,8 +128,8 @@
 {
     auto const at = workers_.find(worker);
     return at != workers_.end() && at->second.takes_new_work() &&
-           !at->second.runs_unknown_task &&
-           now >= at->second.starts_blocked_until && is_eligible(ref, worker);
+           !at->second.runs_unknown_task && !at->second.may_get_late_orders() &&
+           is_eligible(ref, worker);
 }
 
 void dispatcher::process_reservations(milliseconds now)
--- a/packages/tasks/src/dispatcher_renewals.cpp
+++ b/packages/tasks/src/dispatcher_renewals.cpp
@@ -42,13 +42,6 @@
     return (share / wait_step_ms + 1) * wait_step_ms;
 }
 
-/// \returns whether the worker has restarted since it gave the answer.
-bool is_from_earlier_incarnation(worker_view const& w, renew_reply const& r)
-{
-    return r.incarnation != 0 && r.incarnation == w.renewal_incarnation &&
-           r.incarnation != w.info.incarnation;
-}
-
 } // namespace
 
 void dispatcher::send_due_renewals(milliseconds now)
@@ -60,7 +53,7 @@
             continue;
         auto& w = at->second;
         if (w.clock_at_ < 0 && w.unresponsive_since < 0 &&
-            w.hosted_runs.empty())
+            w.hosted_runs.empty() && !w.has_restarted())
         {
             if (first_contacts_.size() >= max_first_contacts)
             {
@@ -72,7 +65,7 @@
         bool const has_unstored_ends =
             w.processed_end > w.last_seen && w.processed_batch > stored_batch_;
         send_renewal(now, w,
-                     jobs_read_ && w.token_known && !has_unstored_ends &&
+                     jobs_read_ && w.token_known() && !has_unstored_ends &&
                          w.unresponsive_since < 0 && idle_pause(w) == 0);
     }
 }
@@ -86,7 +79,7 @@
 
 milliseconds dispatcher::idle_pause(worker_view const& w) const
 {
-    if (!w.hosted_runs.empty() || w.runs_unknown_task || !w.token_known ||
+    if (!w.hosted_runs.empty() || w.runs_unknown_task || !w.token_known() ||
         w.processed_end > w.last_seen)
         return 0;
     auto const pause =
@@ -97,6 +90,8 @@
 milliseconds dispatcher::next_renewal(milliseconds now,
                                       worker_view const& w) const
 {
+    if (!w.token_known())
+        return now;
     if (w.processed_batch > stored_batch_)
         return now + unacknowledged_renewal_ms; // or once stored
     return now + w.idle_pause_ms;
@@ -106,7 +101,7 @@
 {
     if (w.processed_batch <= stored_batch_)
         w.last_seen = w.processed_end;
-    renew_order order{w.info.id, w.info.address, token_,
+    renew_order order{w.info.id, w.info.address, w.token,
                       0,         w.last_seen,    wait ? renewal_wait_ms : 0};
     // The lease of an unresponsive worker is not extended: it may still carry
     // out the renewal, which would delay the time after which its runs are
@@ -128,9 +123,7 @@
         order.wait_ms = std::min(order.wait_ms, awaited_renewal_wait_ms);
     w.renewal_sent = true;
     w.renewal_at = now;
-    w.renewal_binds = order.until_ms > 0 || order.last_seen > 0;
     w.renewal_address = w.info.address;
-    w.renewal_incarnation = w.info.incarnation;
     out_.push_back(order);
 }
 
@@ -141,6 +134,8 @@
     if (at == workers_.end())
         return;
     auto& w = at->second;
+    if (r.token < w.token)
+        return; // sent to an earlier process; another one is under way
     w.renewal_sent = false;
     if (r.result == call_result::fenced)
     {
@@ -153,11 +148,6 @@
         record_unresponsive(now, w, r.result);
         return;
     }
-    if (is_from_earlier_incarnation(w, r))
-    {
-        schedule_renewal(at->first, w, now);
-        return;
-    }
     bool const is_first_answer = w.clock_at_ < 0;
     record_answer(now, w, r);
     if (!jobs_read_)
@@ -180,7 +170,7 @@
     w.runs_unknown_task = !r.running.empty() || !r.ended.empty();
     w.idle_pause_ms = idle_pause(w);
     schedule_renewal(w.info.id, w,
-                     is_first_answer
+                     is_first_answer || !w.token_known()
                          ? now
                          : now + std::max(w.idle_pause_ms, renewal_wait_ms));
 }
@@ -219,15 +209,13 @@
         if (!w.hosted_runs.empty())
             end_lost_runs(now, w, "another process answers at its address");
     }
-    schedule_renewal(w.info.id, w, now + unresponsive_retry_ms);
-    bool const may_come_late =
-        result == call_result::no_answer && w.renewal_binds;
-    if (may_come_late)
-        w.last_unanswered_at = now;
-    if (may_come_late && w.renewal_incarnation != w.info.incarnation)
-        w.starts_blocked_until = std::max(w.starts_blocked_until,
-                                          w.renewal_at + detail::late_order_ms);
-    if (w.unresponsive_since >= 0)
+    // A process that has just ended may have been followed by another one.
+    bool const is_first = w.unresponsive_since < 0;
+    bool const is_retried_at_once =
+        is_first && result == call_result::no_answer;
+    schedule_renewal(w.info.id, w,
+                     is_retried_at_once ? now : now + unresponsive_retry_ms);
+    if (!is_first)
         return;
     w.unresponsive_since = now;
     log_decision("worker.silent", "",
@@ -275,20 +263,18 @@
         log_decision("worker.answers", "",
                      "worker=" + r.worker + " silent_ms=" +
                          std::to_string(now - w.unresponsive_since));
+    bool const is_new_token = r.token == w.token && !w.token_known();
     bool const first = w.clock_at_ < 0;
     w.update_clock(now, r.clock_ms);
-    if (first)
+    if (first || is_new_token)
         w.extend_lease(earlier_lease_end(now, w, r.clock_ms));
-    if (!w.token_known)
-        changed_ = true;
-    w.token_known = true;
+    if (is_new_token)
+        accept_token(now, w);
     if (w.unresponsive_since >= 0)
         w.answers_since = now;
     w.unresponsive_since = -1;
     w.replaced = false;
     dismiss_losses(r.worker, w.info.incarnation);
-    if (r.repeated && w.renewal_binds)
-        w.last_unanswered_at = now;
     w.answered_at = now;
     w.answered_renewal_at = w.renewal_at;
     w.answered_address = w.renewal_address;
--- a/packages/tasks/src/dispatcher_runs.cpp
+++ b/packages/tasks/src/dispatcher_runs.cpp
@@ -121,8 +121,7 @@
 /// worker than the one whose answer is the latest.
 bool dispatcher::may_start_late(worker_view const& w, member const& m)
 {
-    return detail::late_start_end(m) >
-           std::max<milliseconds>(0, w.answered_renewal_at);
+    return w.may_follow_answer(detail::late_start_end(m));
 }
 
 void dispatcher::note_unanswered(member& m) noexcept
@@ -356,7 +355,7 @@
 void dispatcher::adopt_worker(milliseconds now, std::string const& id,
                               std::int64_t incarnation)
 {
-    auto& w = workers_[id];
+    auto& w = find_or_add_worker(id);
     if (w.info.id.empty())
     {
         w.info.id = id;
--- a/packages/tasks/src/dispatcher_schedule.cpp
+++ b/packages/tasks/src/dispatcher_schedule.cpp
@@ -88,8 +88,10 @@
 bool dispatcher::may_need_other_workers(waiting_units const& w,
                                         std::int64_t index)
 {
-    auto const& u = w.entry->progress.units.at({w.occurrence, w.step, index});
-    return u.failures > 0 || !u.losses.empty();
+    unit_id const id{w.occurrence, w.step, index};
+    auto const& u = w.entry->progress.units.at(id);
+    return u.failures > 0 || !u.losses.empty() ||
+           w.entry->late_starts.count({w.entry->job.id, id}) != 0;
 }
 
 bool dispatcher::start_unit(milliseconds now, waiting_units const& w,
@@ -112,6 +114,7 @@
     need.same_rack = wants_rack(now, q->service, need);
     if (q->advised)
         exclude_unadvised(now, ref, q->service, need);
+    keep_places(now, e, ref, need);
     auto& candidates = candidates_of(now, q->service, e.priority);
     limit_companions(now, q->service, e.priority, need);
     if (clearances_.count(ref) != 0)
@@ -123,6 +126,8 @@
     auto choice = choose_places(candidates, need, terms_of(now, e, ref, need));
     if (choice && need.isolated && !may_isolate_on(q->service, choice->places))
         choice.reset();
+    if (choice && !arrange_members(now, e, ref, choice->places))
+        choice.reset();
     if (!choice && q->advised)
         request_advice(now, ref, *q, need);
     if (!choice && e.priority == 0)
--- a/packages/tasks/src/dispatcher_starts.cpp
+++ b/packages/tasks/src/dispatcher_starts.cpp
@@ -163,7 +163,7 @@
     start_order order;
     order.worker = w.info.id;
     order.address = w.info.address;
-    order.token = token_;
+    order.token = w.token;
     order.run = run_of(ref, a.run, index, step_of(e, ref).gang);
     order.payload = e.job.spec.payload;
     order.until_ms = m.until_ms;
@@ -236,16 +236,13 @@
 
 void dispatcher::on_start(milliseconds now, start_reply const& r)
 {
-    if (r.result == call_result::fenced)
+    if (r.result == call_result::fenced && is_deposing(r.worker, r.token))
     {
         deposed_ = true;
         log_decision("dispatcher.deposed", r.run.task.job,
                      "worker=" + r.worker);
         return;
     }
-    auto const worker = workers_.find(r.worker);
-    if (r.result == call_result::no_answer && worker != workers_.end())
-        worker->second.last_unanswered_at = now;
     auto const ref = ref_of(r.run);
     auto const at = ref ? active_.find(*ref) : active_.end();
     if (at == active_.end())
@@ -305,6 +302,9 @@
                     });
     if (!all_answered)
         return;
+    // A successor does not know of starts of earlier runs.
+    if (open_late_starts(now, e, ref))
+        return;
     e.progress.units.at(ref.unit).answered_run = a.run;
     unrecorded_answers_.emplace(ref.job, now);
 }
--- a/packages/tasks/src/dispatcher_waits.cpp
+++ b/packages/tasks/src/dispatcher_waits.cpp
@@ -140,7 +140,7 @@
                        [&](auto const& entry)
                        {
                            auto const& w = entry.second;
-                           return w.listed && !w.token_known &&
+                           return w.listed && !w.token_known() &&
                                   w.info.service == service;
                        });
 }
--- a/packages/tasks/src/dispatcher_workers.cpp
+++ b/packages/tasks/src/dispatcher_workers.cpp
@@ -18,7 +18,7 @@
 
 void dispatcher::put_worker(milliseconds now, worker_info const& info)
 {
-    auto& w = workers_[info.id];
+    auto& w = find_or_add_worker(info.id);
     bool const changes_service =
         !is_used(info.service) && is_used(w.info.service);
     bool const lacks_incarnation =
@@ -130,9 +130,9 @@
     log_decision("worker.unlisted", "", "worker=" + id);
 }
 
-/// A late renewal that was sent to the earlier incarnation could acknowledge
-/// ends of the new one, as their numbers start again. So nothing is started
-/// there until no late order can arrive.
+/// Orders to the earlier incarnation may still be carried out by the new one: a
+/// late renewal could acknowledge its ends, as their numbers start again. So
+/// nothing is started there before it has accepted a higher token.
 void dispatcher::start_incarnation(milliseconds now, worker_view& w,
                                    std::int64_t incarnation,
                                    std::string const& why)
@@ -149,12 +149,7 @@
     }
     end_lost_runs(now, w, why, kept);
     w.reset_for_incarnation(incarnation);
-    if (w.last_unanswered_at >= 0)
-        w.starts_blocked_until =
-            std::max(w.starts_blocked_until,
-                     w.last_unanswered_at + detail::late_order_ms);
-    for (auto const& [run, late] : w.late_starts)
-        w.starts_blocked_until = std::max(w.starts_blocked_until, late.until);
+    raise_token(now, w);
     for (auto const& [run, o] : kept)
     {
         auto const at = active_.find(o.unit);
@@ -165,10 +160,7 @@
             continue;
         auto& m = at->second.members[*index];
         note_earlier_sends(m);
-        auto stray = stray_run(now, o, m);
-        // It would set the longest lease, and so prolong that of other runs.
-        w.starts_blocked_until =
-            std::max(w.starts_blocked_until, stray.late_start_until);
+        auto stray = stray_run(now, o, *index, m);
         w.late_runs_until =
             std::max(w.late_runs_until,
                      std::max(now, stray.late_start_until) + longest_lease());
@@ -181,11 +173,11 @@
 }
 
 hosted_run dispatcher::stray_run(milliseconds now, hosted_run const& o,
-                                 member const& m) const
+                                 std::size_t index, member const& m) const
 {
     auto const& step = step_of(jobs_.at(o.unit.job), o.unit);
     hosted_run stray{o.unit, held_by(step), true, 0, now};
-    stray.late_start_until = late_start_end(m);
+    stray.late_start_until = late_start_end(o.unit, index, m);
     return stray;
 }
 
@@ -211,7 +203,8 @@
         // has answered may have been answered by the new one. Earlier
         // dispatchers record which of theirs were answered.
         bool const is_own = m.last_sent_at > 0;
-        if (is_unconfirmed(m.phase) || may_start_late(w, m) ||
+        if (is_unconfirmed(m.phase) ||
+            w.may_follow_answer(late_start_end(o.unit, *index, m)) ||
             was_sent_before ||
             (is_own && m.phase != member_phase::recorded &&
              m.last_sent_at >= w.answered_renewal_at))
@@ -257,9 +250,11 @@
 
 void dispatcher::on_stop(milliseconds now, stop_reply const& r)
 {
-    if (r.result == call_result::fenced)
+    if (r.result == call_result::fenced && is_deposing(r.worker, r.token))
     {
         deposed_ = true;
+        log_decision("dispatcher.deposed", r.run.task.job,
+                     "worker=" + r.worker);
         return;
     }
     auto const at = workers_.find(r.worker);
@@ -284,7 +279,7 @@
     if (at != w.hosted_runs.end())
         at->second.stop_sent = now;
     if (!w.info.address.empty())
-        out_.push_back(stop_order{w.info.id, w.info.address, token_, run});
+        out_.push_back(stop_order{w.info.id, w.info.address, w.token, run});
 }
 
 } // namespace jasminetrack::tasks
--- a/packages/tasks/src/worker_view.cpp
+++ b/packages/tasks/src/worker_view.cpp
@@ -68,7 +68,7 @@
 
 bool worker_view::answered_recently(milliseconds now) const noexcept
 {
-    return token_known &&
+    return token_known() &&
            now - answered_at <= max_answer_age_ms + idle_pause_ms;
 }
 
@@ -83,7 +83,7 @@
         return unfit_reason::evacuated;
     if (has_outdated_entry())
         return unfit_reason::outdated_entry;
-    if (now < starts_blocked_until)
+    if (may_get_late_orders())
         return unfit_reason::late_orders;
     if (unresponsive_since >= 0)
         return unfit_reason::silent;
@@ -170,7 +170,7 @@
     quarantined_until = 0;
     last_success_at = -1;
     pace = {};
-    token_known = false;
+    accepted_token = 0;
     answered_address.clear();
     answered_renewal_at = -1;
     runs_unknown_task = false;
--- a/tests/unit/test_large_fleet.cpp
+++ b/tests/unit/test_large_fleet.cpp
@@ -163,6 +163,7 @@
                 contacted.insert(o.worker);
                 renew_reply r;
                 r.worker = o.worker;
+                r.token = o.token;
                 r.result = call_result::done;
                 r.clock_ms = now;
                 d.on_renew(now, r);
--- a/tests/unit/test_late_configuration.cpp
+++ b/tests/unit/test_late_configuration.cpp
@@ -36,6 +36,7 @@
         (void)d.take_actions();
         renew_reply answer;
         answer.worker = "w1";
+        answer.token = 1;
         answer.result = call_result::done;
         answer.incarnation = 1;
         answer.clock_ms = 1;
