--- a/packages/tasks/src/dispatcher_fencing.cpp
+++ b/packages/tasks/src/dispatcher_fencing.cpp
@@ -95,7 +95,8 @@
     auto const end = detail::late_start_end(m);
     auto const& all = jobs_.at(ref.job).late_starts;
     auto const at = all.find(ref);
-    if (at == all.end() || at->second.places[index] != m.worker)
+    if (at == all.end() || index >= at->second.places.size() ||
+        at->second.places[index] != m.worker)
         return end;
     auto const until = at->second.until.find(index);
     return until == at->second.until.end() ? end : std::max(end, until->second);
@@ -152,21 +153,20 @@
     auto const* const late = open_late_starts(now, e, ref);
     if (!late)
         return true;
-    for (auto const& [index, until] : late->until)
+    if (late->places.size() != places.size())
+        return true; // the record is not of this step
+    auto const is_kept = [&](std::size_t index)
+    { return late->until.count(index) != 0; };
+    for (auto const& entry : late->until)
     {
-        auto const& worker = late->places[index];
-        auto const at = std::find_if(
-            places.begin(), places.end(),
-            [&](std::string const& place)
-            {
-                auto const other =
-                    static_cast<std::size_t>(&place - places.data());
-                return place == worker &&
-                       (other == index || late->until.count(other) == 0);
-            });
-        if (at == places.end())
+        auto const index = entry.first;
+        auto from = index;
+        for (std::size_t i = 0; i < places.size(); ++i)
+            if (places[from] != late->places[index] && !is_kept(i))
+                from = i;
+        if (places[from] != late->places[index])
             return false;
-        std::swap(*at, places[index]);
+        std::swap(places[from], places[index]);
     }
     return true;
 }
--- a/tests/soak/fault_player.cpp
+++ b/tests/soak/fault_player.cpp
@@ -26,6 +26,8 @@
 constexpr std::size_t lapsing_share = 4; ///< one entry of so many lapses
 /// A worker that leaves as planned says so this long before.
 constexpr milliseconds notice_ms = 2'500;
+/// For so long a worker leaves starts unanswered before it loses power.
+constexpr milliseconds unanswered_ms = 1'000;
 /// The entry of a lost worker lapses this long after its end.
 constexpr milliseconds entry_lapse_ms = 4'500;
 /// A flapping worker is up for this long between its crashes.
@@ -74,6 +76,7 @@
     &fault_player::cut_vms,
     &fault_player::refuse_some_vms,
     &fault_player::slow_store,
+    &fault_player::return_with_orders,
 };
 
 /// \returns a share of the elements, at least one, from that of the pick on.
@@ -597,6 +600,22 @@
     end(index);
 }
 
+void fault_player::return_with_orders(fault const& f)
+{
+    auto& w = worker_of(f);
+    auto const index = begin(f, "");
+    log_.write("it is worker " + w.id());
+    w.act_on_starts(standins::worker_action::delay);
+    sleep_ms(unanswered_ms);
+    w.crash();
+    w.act_on_calls(standins::worker_action::mute);
+    sleep_ms(f.for_ms);
+    w.crash(); // the next process begins
+    w.act_on_calls(standins::worker_action::serve);
+    cluster_.list(w);
+    end(index);
+}
+
 void fault_player::lapse_entries(fault const& f)
 {
     auto const& workers = cluster_.workers();
--- a/tests/soak/fault_player.hpp
+++ b/tests/soak/fault_player.hpp
@@ -54,6 +54,7 @@
     void restart_worker(fault const& f);
     void replace_worker(fault const& f);
     void delay_starts(fault const& f);
+    void return_with_orders(fault const& f);
     void lapse_entries(fault const& f);
     void refuse_store_after_takeover(fault const& f);
     void lose_worker(fault const& f);
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -99,7 +99,8 @@
 std::map<std::string, fault_schedule (*)(std::uint32_t, milliseconds)> const
     drawn_schedules{{"random", draw_schedule},
                     {"losses", draw_losses},
-                    {"shares", draw_shares}};
+                    {"shares", draw_shares},
+                    {"returns", draw_returns}};
 
 /// \throws std::runtime_error if the site file cannot be read, or has no
 /// trouble that can be played
--- a/tests/soak/schedule.cpp
+++ b/tests/soak/schedule.cpp
@@ -32,6 +32,11 @@
     fault_kind::store_refuses_some, fault_kind::store_slow,
     fault_kind::store_refuses,      fault_kind::dispatcher_killed,
 };
+constexpr std::array return_kinds{
+    fault_kind::worker_back_with_orders, fault_kind::worker_back_with_orders,
+    fault_kind::worker_restarted,        fault_kind::worker_silent,
+    fault_kind::dispatcher_killed,
+};
 constexpr int max_series = 4; ///< faults in a series
 constexpr milliseconds min_length_ms = 500;
 constexpr milliseconds max_length_ms = 4'000;
@@ -72,7 +77,8 @@
              "vms_frozen",
              "vms_cut_from_store",
              "store_refuses_some",
-             "store_slow"};
+             "store_slow",
+             "worker_back_with_orders"};
 
 /// \returns these kinds, of the usual shares and of any length.
 template <typename Kinds> fault_prototypes prototypes_of(Kinds const& kinds)
@@ -146,6 +152,11 @@
     return draw_from(prototypes_of(share_kinds), seed, traffic_ms);
 }
 
+fault_schedule draw_returns(std::uint32_t seed, milliseconds traffic_ms)
+{
+    return draw_from(prototypes_of(return_kinds), seed, traffic_ms);
+}
+
 fault_schedule placed_run_lost_with_its_sender()
 {
     using enum fault_kind;
--- a/tests/soak/schedule.hpp
+++ b/tests/soak/schedule.hpp
@@ -51,6 +51,8 @@
     vms_cut_from_store,           ///< a share
     store_refuses_some,           ///< it refuses connections of a share of VMs
     store_slow,
+    /// Under its id, while starts to its earlier process are under way.
+    worker_back_with_orders,
     count,
 };
 
@@ -91,6 +93,10 @@
 /// once, and partial and slow stores.
 [[nodiscard]] fault_schedule draw_shares(std::uint32_t seed,
                                          milliseconds traffic_ms);
+/// \returns the same, drawn from workers that are back under their ids, most
+/// with orders to their earlier processes under way.
+[[nodiscard]] fault_schedule draw_returns(std::uint32_t seed,
+                                          milliseconds traffic_ms);
 /// \returns the same, drawn from these.
 /// \param prototypes  at least one
 [[nodiscard]] fault_schedule draw_from(fault_prototypes const& prototypes,
