--- a/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -229,11 +229,12 @@
     /// Takes over what an earlier dispatcher has recorded of the waiting unit.
     void adopt_late_starts(job_entry& e, unit_ref const& ref,
                            unit const& u) const;
-    /// Forgets the late starts of the waiting unit if none can come any more.
-    void drop_late_starts(milliseconds now, job_entry& e, unit_ref const& ref);
-    /// Excludes all other places of a unit with starts that may come late.
-    void keep_places(milliseconds now, job_entry const& e, unit_ref const& ref,
-                     unit_need& need) const;
+    /// None of the waiting unit's starts can come late any more.
+    void drop_late_starts(job_entry& e, unit_ref const& ref);
+    /// Excludes all other places of a unit with starts that may come late, or
+    /// forgets these if none can.
+    void keep_places(milliseconds now, job_entry& e, unit_ref const& ref,
+                     unit_need& need);
     /// Gives each member whose start may come late its earlier worker.
     /// \returns whether that is possible.
     [[nodiscard]] bool arrange_members(milliseconds now, job_entry const& e,
--- a/packages/tasks/src/dispatcher_fencing.cpp
+++ b/packages/tasks/src/dispatcher_fencing.cpp
@@ -79,12 +79,10 @@
         late.until[i] = created_at_ + detail::late_order_ms;
 }
 
-void dispatcher::drop_late_starts(milliseconds now, job_entry& e,
-                                  unit_ref const& ref)
+void dispatcher::drop_late_starts(job_entry& e, unit_ref const& ref)
 {
-    if (e.late_starts.count(ref) == 0 || open_late_starts(now, e, ref))
+    if (e.late_starts.erase(ref) == 0)
         return;
-    e.late_starts.erase(ref);
     e.progress.units.at(ref.unit).places.clear();
     mark_dirty(ref.job);
 }
@@ -134,12 +132,15 @@
     return any ? &late : nullptr;
 }
 
-void dispatcher::keep_places(milliseconds now, job_entry const& e,
-                             unit_ref const& ref, unit_need& need) const
+void dispatcher::keep_places(milliseconds now, job_entry& e,
+                             unit_ref const& ref, unit_need& need)
 {
     auto const* const late = open_late_starts(now, e, ref);
     if (!late)
+    {
+        drop_late_starts(e, ref);
         return;
+    }
     std::set<std::string> const kept(late->places.begin(), late->places.end());
     for (auto const& [id, w] : workers_)
         if (w.info.service == e.service && kept.count(id) == 0)
--- a/packages/tasks/src/dispatcher_schedule.cpp
+++ b/packages/tasks/src/dispatcher_schedule.cpp
@@ -101,7 +101,6 @@
     unit_ref const ref{e.job.id, {w.occurrence, w.step, index}};
     if (awaits_earlier_run(now, e, ref))
         return true;
-    drop_late_starts(now, e, ref);
     auto const* q = queue_of(e);
     if (!q)
         return false;
