worker.fenced and worker.lost tell until when leases are counted on

The logs could not tell a lease that ends too early by its own dispatcher's reckoning from one that a successor never counted on, nor either from a clock that was read of the wrong process.

Change: worker.fenced has the worker's clock (clock_ms) and how long its lease may last beyond it (lease_ms); worker.lost has reached and silent_ms, and its reason names the last lease: its own, those of earlier dispatchers or those by late starts. No decision is changed.

--- a/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -335,6 +335,7 @@
     // dispatcher_losses.cpp
     void check_lost_workers(milliseconds now);
     void end_expired_runs(milliseconds now, worker_view& w);
+    [[nodiscard]] std::string expired_lease(worker_view const& w) const;
     [[nodiscard]] milliseconds late_run_end(milliseconds now,
                                             worker_view const& w,
                                             task_run const& run,
@@ -348,6 +349,8 @@
     /// replaced there.
     void note_address(milliseconds now, worker_view& w);
     void forget_address(worker_view const& w);
+    void log_lost_worker(milliseconds now, worker_view const& w,
+                         std::size_t runs, std::string const& why) const;
     void log_lost_run(milliseconds now, worker_view const& w,
                       task_run const& run, unit_ref const& ref) const;
 
--- a/packages/tasks/src/dispatcher_fencing.cpp
+++ b/packages/tasks/src/dispatcher_fencing.cpp
@@ -51,11 +51,13 @@
             note_late_start(o.unit, *index, until);
     }
     if (w.has_restarted())
-        log_decision("worker.fenced", "",
-                     "worker=" + w.info.id +
-                         " token=" + std::to_string(w.token) +
-                         " incarnation=" + std::to_string(w.info.incarnation) +
-                         " late_starts=" + std::to_string(refused));
+        log_decision(
+            "worker.fenced", "",
+            "worker=" + w.info.id + " token=" + std::to_string(w.token) +
+                " incarnation=" + std::to_string(w.info.incarnation) +
+                " late_starts=" + std::to_string(refused) +
+                " clock_ms=" + std::to_string(w.clock_ms_) +
+                " lease_ms=" + std::to_string(w.lease_until_ - w.clock_ms_));
 }
 
 void dispatcher::note_late_start(unit_ref const& ref, std::size_t index,
--- a/packages/tasks/src/dispatcher_losses.cpp
+++ b/packages/tasks/src/dispatcher_losses.cpp
@@ -35,6 +35,16 @@
     confirm_gone_workers(now);
 }
 
+/// \returns which of its leases was the last one.
+std::string dispatcher::expired_lease(worker_view const& w) const
+{
+    if (w.clock_at_ >= 0)
+        return "its lease expired";
+    return w.late_runs_until > role_.earlier_leases_end()
+               ? "leases by late starts expired"
+               : "leases of earlier dispatchers expired";
+}
+
 /// The runs that the worker's leases covered have ended. A unit with a start
 /// that may be carried out late is not placed again before that run must have
 /// ended as well.
@@ -45,7 +55,7 @@
         if (now < late_run_end(now, w, run, o.unit))
             kept.emplace(run, o);
     if (kept.size() < w.hosted_runs.size())
-        end_lost_runs(now, w, "its lease expired", kept);
+        end_lost_runs(now, w, expired_lease(w), kept);
     for (auto const& [run, o] : kept)
     {
         log_lost_run(now, w, run, o.unit);
@@ -94,10 +104,7 @@
     for (auto const& [run, o] : w.hosted_runs)
         if (kept.count(run) == 0)
             lost.emplace_back(run, o.unit);
-    log_decision(
-        "worker.lost", "",
-        "worker=" + w.info.id + " runs=" + std::to_string(lost.size()) +
-            " replaced=" + (w.replaced ? "1" : "0") + " why=\"" + why + "\"");
+    log_lost_worker(now, w, lost.size(), why);
     for (auto const& [run, ref] : lost)
     {
         log_lost_run(now, w, run, ref);
@@ -117,6 +124,19 @@
     changed_ = true;
 }
 
+void dispatcher::log_lost_worker(milliseconds now, worker_view const& w,
+                                 std::size_t runs, std::string const& why) const
+{
+    auto const silent_ms =
+        w.unresponsive_since < 0 ? 0 : now - w.unresponsive_since;
+    log_decision("worker.lost", "",
+                 "worker=" + w.info.id + " runs=" + std::to_string(runs) +
+                     " replaced=" + (w.replaced ? "1" : "0") +
+                     " reached=" + (w.clock_at_ >= 0 ? "1" : "0") +
+                     " silent_ms=" + std::to_string(silent_ms) + " why=\"" +
+                     why + "\"");
+}
+
 /// Two workers cannot share an address, so the process of the one that started
 /// earlier has ended.
 void dispatcher::note_address(milliseconds now, worker_view& w)
