--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -152,10 +152,10 @@
 {
     standins::record log(dir + "/record.txt");
     auto const schedule = schedule_of(o, seed, o.seconds * ms_per_s);
-    standins::cluster c({o.vms, o.workers, o.workers, has_site_classes(o),
-                         shares_of(o),
-                         std::llround(o.link_mbps * bytes_per_ms_at_1_mbps)},
-                        dir, log);
+    standins::cluster c(
+        {o.vms, o.workers, o.workers, has_site_classes(o), shares_of(o),
+         std::llround(o.link_mbps * bytes_per_ms_at_1_mbps), seed},
+        dir, log);
     dispatcher_watch watch(c, dir);
     fault_player faults(c, watch, log);
     faults.link_peers();
--- a/tests/support/dispatch_simulation.cpp
+++ b/tests/support/dispatch_simulation.cpp
@@ -18,7 +18,7 @@
 
 dispatch_simulation::dispatch_simulation(unsigned seed,
                                          simulation_faults faults)
-    : random_(seed), faults_(faults)
+    : random_(seed), clock_start_(seed), faults_(faults)
 {
     take_over();
 }
@@ -132,8 +132,8 @@
     w.info.labels = {label, rack};
     w.info.capacity = capacity;
     w.info.incarnation = w.incarnation = now_;
-    w.epoch = now_;
     w.clock_rate = chance(0.5) ? 1.0 : 0.98;
+    start_clock(w);
     workers_[id] = w;
     publish(id);
 }
@@ -189,9 +189,8 @@
     w.expired_ends = 0;
     w.earlier_capacities.clear();
     w.token = 0;
-    w.lease = 0;
     w.incarnation = now_;
-    w.epoch = now_;
+    start_clock(w);
     w.info.incarnation = w.incarnation;
     // Its entry stays that of the earlier process until it reports itself.
     schedule(heartbeat_ms,
@@ -311,10 +310,18 @@
 
 milliseconds dispatch_simulation::clock_of(sim_worker const& w) const
 {
-    return static_cast<milliseconds>(static_cast<double>(now_ - w.epoch) *
+    return w.first_clock +
+           static_cast<milliseconds>(static_cast<double>(now_ - w.epoch) *
                                      w.clock_rate);
 }
 
+void dispatch_simulation::start_clock(sim_worker& w)
+{
+    w.first_clock = clock_start_.draw(w.epoch == 0 ? 0 : clock_of(w));
+    w.epoch = now_;
+    w.lease = w.first_clock;
+}
+
 step_spec const* dispatch_simulation::step_of(task_run const& run) const
 {
     auto const at = jobs_.find(run.task.job);
--- a/tests/support/dispatch_simulation.hpp
+++ b/tests/support/dispatch_simulation.hpp
@@ -6,6 +6,8 @@
 
 #include "idle_wait_check.hpp"
 
+#include <review/standins/clock_start.hpp>
+
 #include <jasminetrack/tasks/dispatcher.hpp>
 
 #include <algorithm>
@@ -288,7 +290,8 @@
         worker_info info;
         std::int64_t incarnation = 1;
         double clock_rate = 1;
-        milliseconds epoch = 0; ///< simulated time of its start
+        milliseconds epoch = 0;       ///< simulated time of its start
+        milliseconds first_clock = 0; ///< reading of its clock at that time
         std::int64_t token = 0;
         milliseconds lease = 0;
         bool up = true;
@@ -427,6 +430,8 @@
                                   start_order const& o) const;
     void acknowledge(sim_worker& w, std::int64_t upto);
     [[nodiscard]] milliseconds clock_of(sim_worker const& w) const;
+    /// A new process starts its clock anywhere.
+    void start_clock(sim_worker& w);
     [[nodiscard]] step_spec const* step_of(task_run const& run) const;
     void schedule(milliseconds delay, std::function<void()> work);
     /// Delivers an order, or delays or drops it or its answer by the faults.
@@ -483,6 +488,8 @@
     void report_violation(violation_kind kind, std::string what);
 
     std::mt19937 random_;
+    /// Its own draws, so that the days of a seed stay the same.
+    jasminetrack::review::clock_start clock_start_;
     simulation_faults faults_;
     milliseconds now_ = 100'000;
     std::multimap<milliseconds, std::function<void()>> queue_;
--- a/tests/support/manual_dispatcher.hpp
+++ b/tests/support/manual_dispatcher.hpp
@@ -286,6 +286,8 @@
     }
 
     milliseconds now = 100'000;
+    /// What the clock of the next process shows when it starts.
+    milliseconds first_clock = 1;
     bool answers_starts = true;
     /// Results of the next starts; the worker runs none of them.
     std::deque<call_result> start_results;
@@ -328,7 +330,7 @@
     /// \returns the worker's own clock.
     [[nodiscard]] milliseconds clock_of(std::string const& id) const
     {
-        return now - started_at_.at(id) + 1;
+        return first_clocks_.at(id) + now - started_at_.at(id);
     }
 
     void answer_advice(advice_reply const& r)
@@ -379,6 +381,7 @@
         if (std::exchange(incarnations_[id], incarnation) != incarnation)
             seen_tokens_[id] = 0;
         started_at_[id] = now;
+        first_clocks_[id] = first_clock;
     }
 
     void on_store(store_order const& o)
@@ -394,6 +397,7 @@
     std::map<std::string, std::int64_t> incarnations_;
     std::map<std::string, std::int64_t> seen_tokens_; ///< by newest process
     std::map<std::string, milliseconds> started_at_;
+    std::map<std::string, milliseconds> first_clocks_;
     std::map<std::string, worker_info> infos_;
     std::int64_t unstored_ = 0;
     std::map<std::string, std::string> records_; ///< newest, by job
