Leases by orders to earlier processes last 10.2 s from the first answer

Cause: earlier_lease_end() took min(clock_ms, 13 s) for the age of the process, and so a worker's clock for one that starts at 0. A renewal to the earlier process had set it to hold_max_ms. It also ended its care 13 s after a take-over, while a late order that arrives shortly before may set a lease up to 23 s.

Change: from the first answer of a process the dispatcher counts, on its own clock, on its longest lease (10.2 s with a slow clock), whatever the worker's clock shows and whether or not it knows of an earlier process. After that answer no such order is carried out, so this is the last one.

--- a/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -282,9 +282,8 @@
     /// \param clock_ms  the worker's, in its first answer
     /// \returns until when earlier dispatchers may have granted it leases, on
     /// its clock.
-    [[nodiscard]] milliseconds earlier_lease_end(milliseconds now,
-                                                 worker_view const& w,
-                                                 milliseconds clock_ms) const;
+    void note_earlier_leases(milliseconds now, worker_view& w,
+                             milliseconds clock_ms) const;
     /// Handles an answer that arrives before all jobs are read.
     void keep_lease(milliseconds now, worker_view& w, renew_reply const& r,
                     bool is_first_answer);
@@ -335,6 +334,10 @@
     // dispatcher_losses.cpp
     void check_lost_workers(milliseconds now);
     void end_expired_runs(milliseconds now, worker_view& w);
+    [[nodiscard]] bool have_leases_ended(milliseconds now,
+                                         worker_view const& w) const;
+    [[nodiscard]] milliseconds late_lease_end(worker_view const& w) const;
+    [[nodiscard]] milliseconds unreached_runs_end(worker_view const& w) const;
     [[nodiscard]] std::string expired_lease(worker_view const& w) const;
     [[nodiscard]] milliseconds late_run_end(milliseconds now,
                                             worker_view const& w,
--- a/packages/tasks/include/jasminetrack/tasks/worker_view.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/worker_view.hpp
@@ -228,6 +228,9 @@
     worker_pace pace;
     /// Late starts may run at an incarnation that has not answered until then.
     milliseconds late_runs_until = 0;
+    /// Until when leases of its process may last that orders to earlier
+    /// processes have set; nothing: not known.
+    std::optional<milliseconds> late_lease_until;
 
 private:
     resources used_;
--- a/packages/tasks/src/dispatcher_fencing.cpp
+++ b/packages/tasks/src/dispatcher_fencing.cpp
@@ -56,8 +56,9 @@
             "worker=" + w.info.id + " token=" + std::to_string(w.token) +
                 " incarnation=" + std::to_string(w.info.incarnation) +
                 " late_starts=" + std::to_string(refused) +
-                " clock_ms=" + std::to_string(w.clock_ms_) +
-                " lease_ms=" + std::to_string(w.lease_until_ - w.clock_ms_));
+                " clock_ms=" + std::to_string(w.clock_ms_) + " lease_ms=" +
+                std::to_string(std::max(w.lease_until_ - w.clock_ms_,
+                                        late_lease_end(w) - now)));
 }
 
 void dispatcher::note_late_start(unit_ref const& ref, std::size_t index,
--- a/packages/tasks/src/dispatcher_losses.cpp
+++ b/packages/tasks/src/dispatcher_losses.cpp
@@ -19,12 +19,7 @@
     {
         auto& w = at->second;
         w.drop_late_starts(now);
-        auto const runs_until =
-            std::max(role_.earlier_leases_end(), w.late_runs_until);
-        bool const never_reached =
-            !w.token_known() && w.clock_at_ < 0 && now > runs_until;
-        if (!w.hosted_runs.empty() &&
-            (never_reached || w.is_lease_expired(now)))
+        if (!w.hosted_runs.empty() && have_leases_ended(now, w))
             end_expired_runs(now, w);
         bool const gone = !w.listed && w.hosted_runs.empty() &&
                           now - w.unlisted_since > unlisted_keep_ms;
@@ -35,10 +30,38 @@
     confirm_gone_workers(now);
 }
 
+/// \returns whether the worker has certainly ended all its runs.
+bool dispatcher::have_leases_ended(milliseconds now, worker_view const& w) const
+{
+    if (now <= late_lease_end(w))
+        return false;
+    bool const never_reached = !w.token_known() && w.clock_at_ < 0;
+    return never_reached ? now > unreached_runs_end(w)
+                         : w.is_lease_expired(now);
+}
+
+/// \returns until when a lease may last that an order to an earlier process has
+/// set.
+milliseconds dispatcher::late_lease_end(worker_view const& w) const
+{
+    return w.late_lease_until.value_or(0);
+}
+
+/// \returns when the runs of earlier dispatchers and of late starts have ended
+/// at a worker that this dispatcher has not reached.
+milliseconds dispatcher::unreached_runs_end(worker_view const& w) const
+{
+    return std::max(role_.earlier_leases_end(), w.late_runs_until);
+}
+
 /// \returns which of its leases was the last one.
 std::string dispatcher::expired_lease(worker_view const& w) const
 {
-    if (w.clock_at_ >= 0)
+    bool const reached = w.clock_at_ >= 0;
+    if (reached ? w.clock_floor(late_lease_end(w)) > w.lease_until_
+                : late_lease_end(w) > unreached_runs_end(w))
+        return "leases by orders to earlier processes expired";
+    if (reached)
         return "its lease expired";
     return w.late_runs_until > role_.earlier_leases_end()
                ? "leases by late starts expired"
--- a/packages/tasks/src/dispatcher_renewals.cpp
+++ b/packages/tasks/src/dispatcher_renewals.cpp
@@ -227,24 +227,18 @@
 }
 
 /// Earlier dispatchers may have granted leases, and the worker refuses their
-/// orders from this answer on. A start that was meant for an earlier
-/// incarnation names an end on that one's clock, so that the worker has granted
-/// its longest lease; it can have arrived only while this incarnation was
-/// young.
-milliseconds dispatcher::earlier_lease_end(milliseconds now,
-                                           worker_view const& w,
-                                           milliseconds clock_ms) const
+/// orders from this answer on. It refuses those to earlier processes as well: a
+/// time in such an order is on another clock, so that the worker may have taken
+/// it for its longest lease.
+void dispatcher::note_earlier_leases(milliseconds now, worker_view& w,
+                                     milliseconds clock_ms) const
 {
     // A run that the worker lists goes on at least until the next renewal.
     auto const left =
         std::max(role_.earlier_leases_end() - w.renewal_at, min_lease_ms);
-    auto const granted = clock_ms + left;
-    bool const may_have_late_start =
-        w.has_restarted() || now < created_at_ + detail::late_order_ms;
-    if (!may_have_late_start)
-        return granted;
-    auto const by_late_start = std::min(clock_ms, detail::late_order_ms);
-    return std::max(granted, by_late_start + limits_.max_lease_ms);
+    w.extend_lease(clock_ms + left);
+    if (!w.late_lease_until)
+        w.late_lease_until = now + longest_lease();
 }
 
 void dispatcher::record_answer(milliseconds now, worker_view& w,
@@ -265,7 +259,7 @@
     bool const first = w.clock_at_ < 0;
     w.update_clock(now, r.clock_ms);
     if (first || is_new_token)
-        w.extend_lease(earlier_lease_end(now, w, r.clock_ms));
+        note_earlier_leases(now, w, r.clock_ms);
     if (is_new_token)
         accept_token(now, w);
     if (w.unresponsive_since >= 0)
--- a/packages/tasks/src/worker_view.cpp
+++ b/packages/tasks/src/worker_view.cpp
@@ -163,6 +163,7 @@
     clock_ms_ = 0;
     clock_at_ = -1;
     lease_until_ = 0;
+    late_lease_until.reset();
     last_seen = 0;
     processed_end = 0;
     processed_batch = 0;
