A successor counts on leases that orders to earlier processes have set

Cause: check_lost_workers() ended the runs of a worker that was not reached with the leases that dispatchers grant, 6.12 s after the predecessor's last proof.

Change: the dispatcher records with a placement how long such leases may last on the unit's workers (late_lease_ms, 0 for settled ones, and 0 later on, once they are). The placement is stored before a successor is created, so it counts created_at + late_lease_ms for the process that was recorded, and its longest lease without a record, as of earlier versions. These ignore the new column.

--- a/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -337,6 +337,11 @@
     [[nodiscard]] bool have_leases_ended(milliseconds now,
                                          worker_view const& w) const;
     [[nodiscard]] milliseconds late_lease_end(worker_view const& w) const;
+    [[nodiscard]] milliseconds
+    longest_late_lease(milliseconds now,
+                       std::vector<std::string> const& places) const;
+    void adopt_late_lease(worker_view& w, unit const& u) const;
+    void settle_worker(milliseconds now, worker_view& w);
     [[nodiscard]] milliseconds unreached_runs_end(worker_view const& w) const;
     [[nodiscard]] std::string expired_lease(worker_view const& w) const;
     [[nodiscard]] milliseconds late_run_end(milliseconds now,
--- a/packages/tasks/include/jasminetrack/tasks/progress.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/progress.hpp
@@ -29,6 +29,8 @@
     failed,
 };
 
+inline constexpr milliseconds unknown_late_lease_ms = -1;
+
 /// Progress of one unit.
 struct unit
 {
@@ -46,6 +48,10 @@
     /// Newest run of which all starts were sent once and answered, so that none
     /// can be carried out late; 0: none.
     std::int64_t answered_run = 0;
+    /// How long after the placement leases on these workers may last that
+    /// orders to their earlier processes have set, in milliseconds; -1: not
+    /// known.
+    milliseconds late_lease_ms = unknown_late_lease_ms;
 
     friend bool operator==(unit const&, unit const&) = default;
 };
--- a/packages/tasks/src/dispatcher_losses.cpp
+++ b/packages/tasks/src/dispatcher_losses.cpp
@@ -19,6 +19,7 @@
     {
         auto& w = at->second;
         w.drop_late_starts(now);
+        settle_worker(now, w);
         if (!w.hosted_runs.empty() && have_leases_ended(now, w))
             end_expired_runs(now, w);
         bool const gone = !w.listed && w.hosted_runs.empty() &&
@@ -44,7 +45,51 @@
 /// set.
 milliseconds dispatcher::late_lease_end(worker_view const& w) const
 {
-    return w.late_lease_until.value_or(0);
+    return w.late_lease_until.value_or(created_at_ + longest_lease());
+}
+
+/// \returns how long after `now` such a lease may last on any of the workers.
+milliseconds
+dispatcher::longest_late_lease(milliseconds now,
+                               std::vector<std::string> const& places) const
+{
+    milliseconds longest = 0;
+    for (auto const& id : places)
+    {
+        auto const at = workers_.find(id);
+        if (at != workers_.end())
+            longest = std::max(longest, late_lease_end(at->second) - now);
+    }
+    return longest;
+}
+
+/// The dispatcher that placed the unit had fenced the worker's process, and the
+/// placement was stored before this one was created.
+void dispatcher::adopt_late_lease(worker_view& w, unit const& u) const
+{
+    if (u.late_lease_ms == unknown_late_lease_ms)
+        return;
+    auto const until = u.late_lease_ms == 0 ? 0 : created_at_ + u.late_lease_ms;
+    w.late_lease_until = std::min(late_lease_end(w), until);
+}
+
+/// No order to an earlier process has left a lease on the worker any more. A
+/// successor then counts on none for its runs either.
+void dispatcher::settle_worker(milliseconds now, worker_view& w)
+{
+    if (w.late_lease_until.value_or(0) == 0 || now <= *w.late_lease_until)
+        return;
+    w.late_lease_until = 0;
+    for (auto const& [run, o] : w.hosted_runs)
+    {
+        if (active_.count(o.unit) == 0)
+            continue;
+        auto& u = find_job(o.unit.job)->progress.units.at(o.unit.unit);
+        if (u.late_lease_ms == 0 || longest_late_lease(now, u.places) > 0)
+            continue;
+        u.late_lease_ms = 0;
+        mark_dirty(o.unit.job);
+    }
 }
 
 /// \returns when the runs of earlier dispatchers and of late starts have ended
--- a/packages/tasks/src/dispatcher_runs.cpp
+++ b/packages/tasks/src/dispatcher_runs.cpp
@@ -273,6 +273,7 @@
         u.phase == unit_phase::done ? nullptr : open_late_starts(now, e, ref);
     u.places = late ? late->places : std::vector<std::string>{};
     u.incarnations.clear();
+    u.late_lease_ms = unknown_late_lease_ms;
     if (u.phase == unit_phase::active || u.phase == unit_phase::ending)
         set_unit_phase(e, u, unit_phase::waiting);
     update_job_phase(now, e);
@@ -427,6 +428,8 @@
                   {ref, held_by(step), a.over, 0, a.over ? now : 0, is_isolated,
                    is_vulnerable(u.losses)});
             record_loss_before_adoption(w, ref, i, incarnation_of(u, i));
+            if (incarnation_of(u, i) == w.info.incarnation)
+                adopt_late_lease(w, u);
         }
     }
     std::vector<unit_ref> empty;
--- a/packages/tasks/src/dispatcher_starts.cpp
+++ b/packages/tasks/src/dispatcher_starts.cpp
@@ -61,6 +61,7 @@
         if (w.idle_pause_ms > 0)
             schedule_renewal(places[i], w, now);
     }
+    u.late_lease_ms = longest_late_lease(now, places);
     departures_.waits.erase(ref);
     mark_dirty(ref.job);
     unsent_.push_back(ref);
--- a/packages/tasks/src/progress.cpp
+++ b/packages/tasks/src/progress.cpp
@@ -44,20 +44,24 @@
     return rows;
 }
 
-/// The last three fields are missing if they are empty, and in records of
+/// The last four fields are missing if they are empty, and in records of
 /// earlier builds.
 json row_of(unit_id const& id, unit const& u)
 {
     auto row = json::array({id.occurrence, id.step, id.index,
                             static_cast<int>(u.phase), u.run, u.failures,
                             u.failed_run, u.checkpoint, u.places});
-    bool const is_answered = u.answered_run != 0;
-    if (!u.incarnations.empty() || !u.losses.empty() || is_answered)
+    bool const has_late_lease = u.late_lease_ms != unknown_late_lease_ms;
+    bool const has_answer = u.answered_run != 0 || has_late_lease;
+    bool const has_losses = !u.losses.empty() || has_answer;
+    if (!u.incarnations.empty() || has_losses)
         row.push_back(u.incarnations);
-    if (!u.losses.empty() || is_answered)
+    if (has_losses)
         row.push_back(rows_of(u.losses));
-    if (is_answered)
+    if (has_answer)
         row.push_back(u.answered_run);
+    if (has_late_lease)
+        row.push_back(u.late_lease_ms);
     return row;
 }
 
@@ -90,6 +94,8 @@
         u.losses = read_losses(row.at(10));
     if (row.size() > 11)
         u.answered_run = row.at(11);
+    if (row.size() > 12)
+        u.late_lease_ms = row.at(12);
 }
 
 } // namespace
--- a/tests/support/manual_dispatcher.hpp
+++ b/tests/support/manual_dispatcher.hpp
@@ -186,6 +186,7 @@
         u.places = {worker};
         u.incarnations = {incarnation};
         u.answered_run = answered ? 1 : 0;
+        u.late_lease_ms = 0;
         submit(job, progress);
     }
 
--- a/tests/unit/test_worker_clocks.cpp
+++ b/tests/unit/test_worker_clocks.cpp
@@ -28,6 +28,7 @@
     CPPUNIT_TEST_SUITE(test_worker_clocks);
     CPPUNIT_TEST(a_lease_by_an_order_to_an_earlier_process_is_waited_for);
     CPPUNIT_TEST(a_successor_waits_for_it_as_well);
+    CPPUNIT_TEST(a_successor_waits_for_it_by_records_of_earlier_versions);
     CPPUNIT_TEST(a_process_reached_late_may_have_such_a_lease);
     CPPUNIT_TEST(a_process_is_settled_once_such_a_lease_has_ended);
     CPPUNIT_TEST(an_answer_of_the_next_process_ends_no_lease);
@@ -78,6 +79,20 @@
                 });
     }
 
+    void a_successor_waits_for_it_by_records_of_earlier_versions()
+    {
+        manual_dispatcher predecessor;
+        restart_w1(predecessor);
+        start_on_w1(predecessor);
+        auto const job = whole_worker_task();
+        auto record = predecessor.newest_progress(job.id, job.spec);
+        record.late_lease_ms = unknown_late_lease_ms;
+        manual_dispatcher h;
+        adopt_silent(h, record);
+        h.run_for(max_lease_ms);
+        expect(h.starts.empty(), "no start");
+    }
+
     void a_process_reached_late_may_have_such_a_lease()
     {
         manual_dispatcher h;
@@ -187,13 +202,18 @@
     /// A successor does not reach the worker on which the task was started.
     static void adopt_silent(manual_dispatcher& h,
                              manual_dispatcher const& predecessor)
+    {
+        auto const job = whole_worker_task();
+        adopt_silent(h, predecessor.newest_progress(job.id, job.spec));
+    }
+
+    static void adopt_silent(manual_dispatcher& h, unit const& record)
     {
         h.add_worker("w1", 2);
         cut_off_w1(h);
         auto const job = whole_worker_task();
         auto progress = initial_progress(job.spec);
-        progress.units.begin()->second =
-            predecessor.newest_progress(job.id, job.spec);
+        progress.units.begin()->second = record;
         h.submit(job, progress);
     }
 
