The answer to a start does not move the estimate of a worker's clock

What callers could see: TWICE, where a worker restarts just before a start reaches it.

Cause: the answer to a start names no process, and member_started() took any reading that was not lower than expected for one of the process that it knew. Half of all restarts have a higher one. The estimate jumped ahead, the lease looked expired at once, and the task was started elsewhere beside the run that the next process had begun. The run also counted as answered.

Change: a reading must fit the time since the last one in both directions (may_read), else the start counts as not answered; and only answers to renewals, which name their process, move the estimate.

A reading that fits by chance is left: the next renewal tells the process.

--- a/packages/tasks/include/jasminetrack/tasks/worker_view.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/worker_view.hpp
@@ -65,10 +65,10 @@
 
     /// \returns a lower bound of the worker's clock, allowing for clock drift.
     [[nodiscard]] milliseconds clock_floor(milliseconds now) const noexcept;
-    /// \returns whether a reading of the worker's clock is earlier than it can
-    /// have been at this time, so that another incarnation gave it.
-    [[nodiscard]] bool is_before(milliseconds clock,
-                                 milliseconds at) const noexcept;
+    /// \returns whether its process may have given this reading of its clock
+    /// between `since` and `now`; else another process gave it.
+    [[nodiscard]] bool may_read(milliseconds clock, milliseconds since,
+                                milliseconds now) const noexcept;
     /// \returns whether the worker's lease has certainly expired, so that it
     /// has ended all its runs.
     [[nodiscard]] bool is_lease_expired(milliseconds now) const noexcept;
@@ -162,7 +162,9 @@
     }
 
     /// \param clock  as reported by the worker; ignored if outdated
-    void update_clock(milliseconds now, milliseconds clock) noexcept;
+    /// \param asked_at  when the call with this answer was sent
+    void update_clock(milliseconds now, milliseconds clock,
+                      milliseconds asked_at) noexcept;
     /// \param until  on the worker's clock
     void extend_lease(milliseconds until) noexcept;
     void add(task_run const& run, hosted_run o);
@@ -239,6 +241,7 @@
     std::set<std::int64_t> ended_incarnations_;
     milliseconds clock_ms_ = 0;
     milliseconds clock_at_ = -1;
+    milliseconds clock_asked_at_ = -1;
     milliseconds lease_until_ = 0; ///< on the worker's clock
 
     friend class dispatcher;
--- a/packages/tasks/src/dispatcher_renewals.cpp
+++ b/packages/tasks/src/dispatcher_renewals.cpp
@@ -257,7 +257,7 @@
                          std::to_string(now - w.unresponsive_since));
     bool const is_new_token = r.token == w.token && !w.token_known();
     bool const first = w.clock_at_ < 0;
-    w.update_clock(now, r.clock_ms);
+    w.update_clock(now, r.clock_ms, w.renewal_at);
     if (first || is_new_token)
         note_earlier_leases(now, w, r.clock_ms);
     if (is_new_token)
--- a/packages/tasks/src/dispatcher_starts.cpp
+++ b/packages/tasks/src/dispatcher_starts.cpp
@@ -262,7 +262,7 @@
 {
     auto& m = active_.at(ref).members[index];
     auto& w = workers_.at(m.worker);
-    if (w.is_before(clock_ms, m.last_sent_at))
+    if (!w.may_read(clock_ms, m.last_sent_at, now))
     {
         // The worker has restarted: an answer to a renewal shows what runs.
         m.unanswered_at = m.last_sent_at;
@@ -273,7 +273,6 @@
     m.phase = member_phase::running;
     m.started_ms = clock_ms;
     m.progress_at = now;
-    w.update_clock(now, clock_ms);
     auto& e = *find_job(ref.job);
     note_answered_run(now, e, ref);
     if (e.progress.units.at(ref.unit).checkpoint.empty())
--- a/packages/tasks/src/worker_view.cpp
+++ b/packages/tasks/src/worker_view.cpp
@@ -38,9 +38,12 @@
     return clock_at_ >= 0 && clock_floor(now) > lease_until_;
 }
 
-bool worker_view::is_before(milliseconds clock, milliseconds at) const noexcept
+bool worker_view::may_read(milliseconds clock, milliseconds since,
+                           milliseconds now) const noexcept
 {
-    return clock_at_ >= 0 && clock < clock_floor(at) - clock_tolerance_ms;
+    auto const least = clock_floor(since) - clock_tolerance_ms;
+    auto const most = clock_ms_ + now - clock_asked_at_ + clock_tolerance_ms;
+    return clock >= least && clock <= most;
 }
 
 resources worker_view::free_capacity() const noexcept
@@ -92,12 +95,14 @@
     return std::nullopt;
 }
 
-void worker_view::update_clock(milliseconds now, milliseconds clock) noexcept
+void worker_view::update_clock(milliseconds now, milliseconds clock,
+                               milliseconds asked_at) noexcept
 {
     if (clock < clock_floor(now) && clock_at_ >= 0)
         return; // an older answer that arrived late
     clock_ms_ = clock;
     clock_at_ = now;
+    clock_asked_at_ = asked_at;
 }
 
 void worker_view::extend_lease(milliseconds until) noexcept
@@ -162,6 +167,7 @@
     vulnerable_runs_ = 0;
     clock_ms_ = 0;
     clock_at_ = -1;
+    clock_asked_at_ = -1;
     lease_until_ = 0;
     late_lease_until.reset();
     last_seen = 0;
