A process that no late order can have reached is settled at once

Change: a process without a known predecessor can have got an order to an earlier one only until 13 s after the take-over, or after the view of a worker was dropped (which drop_worker() now notes: a further case of the same cause). Its longest lease counts from then.

--- a/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -241,7 +241,7 @@
                                        unit_ref const& ref,
                                        std::vector<std::string>& places) const;
     /// Before the view is erased: tokens of it are not used again.
-    void drop_worker(worker_view const& w);
+    void drop_worker(milliseconds now, worker_view const& w);
     /// \returns whether the refusal of an order with this token shows that
     /// another dispatcher has the role. Else this one has sent the worker a
     /// higher token itself.
@@ -806,6 +806,10 @@
     std::int64_t next_view_token_; ///< first one of workers that are new
     dispatch_limits limits_;
     milliseconds created_at_;
+    /// When an order may last have been sent to a worker of which this
+    /// dispatcher knew nothing later on: by an earlier one, or before the view
+    /// was dropped.
+    milliseconds unknown_orders_at_;
     role_proof role_;
     listener listen_;
     bool deposed_ = false;
--- a/packages/tasks/src/dispatcher_fencing.cpp
+++ b/packages/tasks/src/dispatcher_fencing.cpp
@@ -175,8 +175,9 @@
     return true;
 }
 
-void dispatcher::drop_worker(worker_view const& w)
+void dispatcher::drop_worker(milliseconds now, worker_view const& w)
 {
+    unknown_orders_at_ = now;
     forget_address(w);
     renewals_.erase(w.info.id);
     next_view_token_ = std::max(next_view_token_, w.token + 1);
--- a/packages/tasks/src/dispatcher_losses.cpp
+++ b/packages/tasks/src/dispatcher_losses.cpp
@@ -25,7 +25,7 @@
         bool const gone = !w.listed && w.hosted_runs.empty() &&
                           now - w.unlisted_since > unlisted_keep_ms;
         if (gone)
-            drop_worker(w);
+            drop_worker(now, w);
         at = gone ? workers_.erase(at) : std::next(at);
     }
     confirm_gone_workers(now);
--- a/packages/tasks/src/dispatcher_renewals.cpp
+++ b/packages/tasks/src/dispatcher_renewals.cpp
@@ -237,8 +237,13 @@
     auto const left =
         std::max(role_.earlier_leases_end() - w.renewal_at, min_lease_ms);
     w.extend_lease(clock_ms + left);
-    if (!w.late_lease_until)
-        w.late_lease_until = now + longest_lease();
+    if (w.late_lease_until)
+        return;
+    auto const late_order_at =
+        w.has_restarted()
+            ? now
+            : std::min(now, unknown_orders_at_ + detail::late_order_ms);
+    w.late_lease_until = late_order_at + longest_lease();
 }
 
 void dispatcher::record_answer(milliseconds now, worker_view& w,
