Leases on a slow clock last by 1/0.98, not by 2 % more

Cause: 6,000 ms on a clock that is 2 % slow last 6,122.4 ms, and 10,000 ms 10,204.1 ms; the bounds were 6,120 and 10,200 ms. The lower bound of a worker's clock was right.

Change: on_slow_clock() divides by the rate and rounds up, beside the one constant of the drift. test_role_proof expected 120 ms of drift, which was the same error; it is 123 ms now, by its own calculation, and stricter.

--- a/packages/tasks/include/jasminetrack/tasks/lease_bounds.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/lease_bounds.hpp
@@ -14,8 +14,16 @@
 /// three missed heartbeats, which are sent every 500 ms.
 inline constexpr milliseconds holder_timeout_ms = 1'600;
 
-/// A worker's clock may be slow by one part in this many.
-inline constexpr milliseconds clock_drift_divisor = 50;
+/// A worker's clock may be slow by this many thousandths.
+inline constexpr milliseconds max_clock_drift = 20;
+inline constexpr milliseconds thousand = 1'000;
+
+/// \returns how long a time on a worker's clock lasts at most.
+[[nodiscard]] constexpr milliseconds on_slow_clock(milliseconds time) noexcept
+{
+    constexpr auto rate = thousand - max_clock_drift;
+    return (time * thousand + rate - 1) / rate;
+}
 
 /// Longest lease that a dispatcher grants. Long enough for a successor to take
 /// over, and for a short disconnection of the worker.
@@ -37,8 +45,7 @@
 [[nodiscard]] constexpr milliseconds
 max_earlier_lease(dispatch_limits const& limits) noexcept
 {
-    auto const longest = max_lease_after_proof(limits);
-    return longest + longest / clock_drift_divisor;
+    return on_slow_clock(max_lease_after_proof(limits));
 }
 
 } // namespace jasminetrack::tasks
--- a/packages/tasks/src/dispatcher_losses.cpp
+++ b/packages/tasks/src/dispatcher_losses.cpp
@@ -161,7 +161,7 @@
 
 milliseconds dispatcher::longest_lease() const noexcept
 {
-    return limits_.max_lease_ms + limits_.max_lease_ms / clock_drift_divisor;
+    return on_slow_clock(limits_.max_lease_ms);
 }
 
 void dispatcher::end_lost_runs(milliseconds now, worker_view& w,
--- a/packages/tasks/src/worker_view.cpp
+++ b/packages/tasks/src/worker_view.cpp
@@ -1,5 +1,7 @@
 #include <jasminetrack/tasks/worker_view.hpp>
 
+#include <jasminetrack/tasks/lease_bounds.hpp>
+
 #include <algorithm>
 #include <array>
 #include <limits>
@@ -9,9 +11,6 @@
 namespace
 {
 
-/// A worker's clock may be slow by up to this many thousandths.
-constexpr milliseconds max_clock_drift = 20;
-constexpr milliseconds thousand = 1000;
 constexpr milliseconds clock_tolerance_ms = 100;
 /// A worker that has not answered for this time, beyond a pause of its
 /// renewals, gets no starts; more than two of its answers are missing then.
--- a/tests/unit/test_role_proof.cpp
+++ b/tests/unit/test_role_proof.cpp
@@ -50,7 +50,8 @@
 
     void earlier_leases_end_by_the_proof_before()
     {
-        constexpr milliseconds drift_ms = 120;
+        // 6 s on a clock that is 2 % slow: 6,000 / 0.98 = 6,122.4 ms.
+        constexpr milliseconds drift_ms = 123;
         role_proof role({}, taken_at);
         role.on_earlier_proof(taken_at - second_ms);
         expect(role.earlier_leases_end() ==
