Soak schedule "recuts": workers back beside old calls, then cut off

The soak delayed starts only, and cut off no worker soon after its return while tasks of over 6 s ran, so no schedule had a lease set by a call to an earlier process.

"recuts" draws workers_recut and workers_recut_around_a_kill: a share of the workers, at least two, restart under their ids, serve calls for 250 ms before they are listed, and are cut off for 9 s 1.4 to 2 s later; the second kind kills the dispatcher just before. Half of its plain jobs have tasks of 8 to 12 s (--long-per-hundred), and ends of jobs are waited for up to 35 s. A play prints its findings by kind.

--- a/tests/soak/fault_player.cpp
+++ b/tests/soak/fault_player.cpp
@@ -5,6 +5,7 @@
 #include <cmath>
 #include <csignal>
 #include <memory>
+#include <random>
 #include <thread>
 
 namespace jasminetrack::soak
@@ -28,6 +29,21 @@
 constexpr milliseconds notice_ms = 2'500;
 /// For so long a worker leaves starts unanswered before it loses power.
 constexpr milliseconds unanswered_ms = 1'000;
+/// Workers that are cut off soon after their return are down for this long.
+constexpr milliseconds min_down_ms = 200;
+constexpr milliseconds max_down_ms = 400;
+/// They serve calls for this long before their new entries are listed,
+constexpr milliseconds unlisted_ms = 250;
+/// and then are listed for this long before the cut.
+constexpr milliseconds min_back_ms = 1'400;
+constexpr milliseconds max_back_ms = 2'000;
+/// A dispatcher that is killed in between is killed this long after they lose
+/// power, and stays down for that long.
+constexpr milliseconds kill_after_ms = 1'600;
+static_assert(kill_after_ms > max_down_ms + unlisted_ms &&
+              kill_after_ms < min_down_ms + unlisted_ms + min_back_ms);
+constexpr milliseconds killed_ms = 2'000;
+constexpr std::size_t min_recut = 2; ///< workers
 /// The entry of a lost worker lapses this long after its end.
 constexpr milliseconds entry_lapse_ms = 4'500;
 /// A flapping worker is up for this long between its crashes.
@@ -37,6 +53,14 @@
 /// Time of each answer of a slow store.
 constexpr milliseconds slow_answer_ms = 240;
 
+/// Unlike the library's distributions, the same on each platform.
+milliseconds random_between(std::minstd_rand& engine, milliseconds least,
+                            milliseconds most)
+{
+    auto const range = static_cast<std::uint32_t>(most - least + 1);
+    return least + static_cast<milliseconds>(engine() % range);
+}
+
 } // namespace
 
 fault_player::player const fault_player::players[] = {
@@ -77,16 +101,20 @@
     &fault_player::refuse_some_vms,
     &fault_player::slow_store,
     &fault_player::return_with_orders,
+    &fault_player::recut_workers,
+    &fault_player::recut_workers_around_kill,
 };
 
-/// \returns a share of the elements, at least one, from that of the pick on.
+/// \returns a share of the elements, from that of the pick on.
+/// \param least  number of them, if there are as many
 template <typename Elements>
 std::vector<typename Elements::value_type::pointer>
-share_of(Elements const& all, fault const& f)
+share_of(Elements const& all, fault const& f, std::size_t least = 1)
 {
     auto const wanted = std::llround(f.share * static_cast<double>(all.size()));
-    auto const count = std::clamp<std::size_t>(static_cast<std::size_t>(wanted),
-                                               1, all.size());
+    auto const count =
+        std::clamp<std::size_t>(static_cast<std::size_t>(wanted),
+                                std::min(least, all.size()), all.size());
     std::vector<typename Elements::value_type::pointer> chosen;
     for (std::size_t i = 0; i < count; ++i)
         chosen.push_back(all[(f.pick + i) % all.size()].get());
@@ -523,13 +551,18 @@
 void fault_player::cut_workers(fault const& f)
 {
     auto const index = begin(f, "");
-    auto const cut = share_of(cluster_.workers(), f);
-    for (auto* const w : cut)
+    cut_off(share_of(cluster_.workers(), f), f.for_ms);
+    end(index);
+}
+
+void fault_player::cut_off(std::vector<standins::worker*> const& workers,
+                           milliseconds time)
+{
+    for (auto* const w : workers)
         w->act_on_calls(standins::worker_action::mute);
-    sleep_ms(f.for_ms);
-    for (auto* const w : cut)
+    sleep_ms(time);
+    for (auto* const w : workers)
         w->act_on_calls(standins::worker_action::serve);
-    end(index);
 }
 
 void fault_player::flap_workers(fault const& f)
@@ -616,6 +649,53 @@
     end(index);
 }
 
+void fault_player::restart_with_calls(
+    std::vector<standins::worker*> const& workers, milliseconds down_ms)
+{
+    for (auto* const w : workers)
+    {
+        log_.write("it is worker " + w->id());
+        w->crash();
+        w->act_on_calls(standins::worker_action::delay_to_next_process);
+    }
+    sleep_ms(down_ms);
+    for (auto* const w : workers)
+    {
+        w->crash(); // the next process begins
+        w->act_on_calls(standins::worker_action::serve);
+    }
+    sleep_ms(unlisted_ms);
+    for (auto* const w : workers)
+        cluster_.list(*w);
+}
+
+void fault_player::recut_workers(fault const& f)
+{
+    std::minstd_rand engine{f.pick};
+    auto const down = random_between(engine, min_down_ms, max_down_ms);
+    auto const back = random_between(engine, min_back_ms, max_back_ms);
+    auto const index = begin(f, "");
+    auto const workers = share_of(cluster_.workers(), f, min_recut);
+    restart_with_calls(workers, down);
+    sleep_ms(back);
+    cut_off(workers, f.for_ms);
+    end(index);
+}
+
+void fault_player::recut_workers_around_kill(fault const& f)
+{
+    std::thread kill(
+        [this, kill = f]() mutable
+        {
+            sleep_ms(kill_after_ms);
+            kill.kind = fault_kind::dispatcher_killed;
+            kill.for_ms = killed_ms;
+            kill_dispatcher(kill);
+        });
+    recut_workers(f);
+    kill.join();
+}
+
 void fault_player::lapse_entries(fault const& f)
 {
     auto const& workers = cluster_.workers();
--- a/tests/soak/fault_player.hpp
+++ b/tests/soak/fault_player.hpp
@@ -55,6 +55,8 @@
     void replace_worker(fault const& f);
     void delay_starts(fault const& f);
     void return_with_orders(fault const& f);
+    void recut_workers(fault const& f);
+    void recut_workers_around_kill(fault const& f);
     void lapse_entries(fault const& f);
     void refuse_store_after_takeover(fault const& f);
     void lose_worker(fault const& f);
@@ -77,6 +79,13 @@
     /// The same, and others under their ids follow after the time.
     void end_for(std::vector<standins::worker*> const& workers,
                  milliseconds time);
+    /// The workers end, and the next processes under their ids carry out the
+    /// calls that come meanwhile.
+    void restart_with_calls(std::vector<standins::worker*> const& workers,
+                            milliseconds down_ms);
+    /// The workers' calls get no answer for the time.
+    static void cut_off(std::vector<standins::worker*> const& workers,
+                        milliseconds time);
     /// Does this to the share of the VMs at once.
     void on_vms(fault const& f,
                 void (fault_player::*act)(standins::entry_vm&, fault const&));
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -19,6 +19,7 @@
 #include <fstream>
 #include <iostream>
 #include <map>
+#include <optional>
 #include <sstream>
 
 namespace
@@ -37,6 +38,11 @@
 /// Jobs of the classes of a site are waited for up to this long: the load that
 /// has come until then may take so long.
 constexpr milliseconds site_finish_ms = 90'000;
+/// The same for jobs with long tasks, which may have to begin again.
+constexpr milliseconds long_finish_ms = 35'000;
+/// Share of the jobs with long tasks in the schedule of that name.
+constexpr char const* recuts_schedule = "recuts";
+constexpr int recuts_long_per_hundred = 50;
 constexpr char const* site_classes = "site";
 constexpr std::size_t max_printed = 20; ///< findings of a play
 /// Share of a core of the larger VMs of the users' grown sites.
@@ -53,6 +59,7 @@
     int large_vms = 0; ///< of these, with `large_share`
     double jobs_per_second = 18;
     int gangs_per_hundred = 0;
+    std::optional<int> long_per_hundred;
     std::string classes = "plain";
     double link_mbps = 0; ///< of the smaller VMs to the store; 0: no limit
     std::string site;     ///< site file whose troubles are drawn; empty: none
@@ -66,6 +73,21 @@
     return o.classes == site_classes;
 }
 
+int long_per_hundred(options const& o)
+{
+    auto const usual =
+        o.schedule == recuts_schedule ? recuts_long_per_hundred : 0;
+    return o.long_per_hundred.value_or(usual);
+}
+
+/// \returns how long the ends of jobs are waited for.
+milliseconds finish_of(options const& o)
+{
+    if (has_site_classes(o))
+        return site_finish_ms;
+    return long_per_hundred(o) > 0 ? long_finish_ms : standins::finish_ms;
+}
+
 milliseconds longest_beside_idle(play_history const& h)
 {
     milliseconds longest = 0;
@@ -100,7 +122,8 @@
     drawn_schedules{{"random", draw_schedule},
                     {"losses", draw_losses},
                     {"shares", draw_shares},
-                    {"returns", draw_returns}};
+                    {"returns", draw_returns},
+                    {recuts_schedule, draw_recuts}};
 
 /// \throws std::runtime_error if the site file cannot be read, or has no
 /// trouble that can be played
@@ -171,6 +194,7 @@
     plan.seed = seed;
     plan.jobs_per_second = o.jobs_per_second;
     plan.gangs_per_hundred = o.gangs_per_hundred;
+    plan.long_per_hundred = long_per_hundred(o);
     plan.has_site_classes = has_site_classes(o);
     traffic callers(plan, c, log);
     auto const traffic_ms = o.seconds * ms_per_s;
@@ -181,8 +205,7 @@
     callers.stop();
     play_history h;
     h.traffic_ended_at = now_ms();
-    callers.await_ends(plan.has_site_classes ? site_finish_ms
-                                             : standins::finish_ms);
+    callers.await_ends(finish_of(o));
     h.ended_at = now_ms();
     callers.copy_to(h);
     faults.copy_to(h);
@@ -193,6 +216,17 @@
     return h;
 }
 
+void print(std::vector<finding> const& found)
+{
+    std::map<std::string, std::size_t> counts;
+    for (auto const& f : found)
+        ++counts[f.check];
+    for (auto const& [check, count] : counts)
+        std::cout << "  " << count << " of: " << check << "\n";
+    for (std::size_t i = 0; i < std::min(found.size(), max_printed); ++i)
+        std::cout << "  " << found[i].check << ": " << found[i].text << "\n";
+}
+
 /// The same; a message of failure names the folder, which is kept.
 play_history play_in(options const& o, std::uint32_t seed,
                      std::string const& dir)
@@ -229,8 +263,7 @@
         std::cout << "longest wait beside idle capacity "
                   << longest_beside_idle(h) << " ms, ";
     std::cout << found.size() << " findings\n";
-    for (std::size_t i = 0; i < std::min(found.size(), max_printed); ++i)
-        std::cout << "  " << found[i].check << ": " << found[i].text << "\n";
+    print(found);
     if (found.empty() && o.keep.empty())
         fs::remove_all(dir);
     else
@@ -265,6 +298,10 @@
     app.add_option("--gangs-per-hundred", o.gangs_per_hundred,
                    "of the plain jobs of several tasks")
         ->check(CLI::Range(0, 100));
+    app.add_option("--long-per-hundred", o.long_per_hundred,
+                   "of the plain jobs, with tasks of 8 to 12 s; if not given, "
+                   "half of them in recuts and none in other schedules")
+        ->check(CLI::Range(0, 100));
     app.add_option("--classes", o.classes,
                    "plain jobs of short tasks, or those of a site: long tasks "
                    "on accelerators, gangs that want one rack, bursts")
@@ -277,7 +314,7 @@
                    "site file; its troubles are drawn in place of --schedule")
         ->check(CLI::ExistingFile);
     app.add_option("--schedule", o.schedule,
-                   "random, losses, shares, or a fixed one")
+                   "random, losses, shares, returns, recuts, or a fixed one")
         ->check(CLI::IsMember(schedule_names()));
     app.add_option("--program", o.program,
                    "program of the entry VMs, if not that of the deploy file")
--- a/tests/soak/schedule.cpp
+++ b/tests/soak/schedule.cpp
@@ -37,6 +37,9 @@
     fault_kind::worker_restarted,        fault_kind::worker_silent,
     fault_kind::dispatcher_killed,
 };
+/// Longer than the longest lease of a dispatcher.
+constexpr milliseconds recut_ms = 9'000;
+constexpr double recut_share = 0.3;
 constexpr int max_series = 4; ///< faults in a series
 constexpr milliseconds min_length_ms = 500;
 constexpr milliseconds max_length_ms = 4'000;
@@ -78,7 +81,9 @@
              "vms_cut_from_store",
              "store_refuses_some",
              "store_slow",
-             "worker_back_with_orders"};
+             "worker_back_with_orders",
+             "workers_recut",
+             "workers_recut_around_a_kill"};
 
 /// \returns these kinds, of the usual shares and of any length.
 template <typename Kinds> fault_prototypes prototypes_of(Kinds const& kinds)
@@ -157,6 +162,15 @@
     return draw_from(prototypes_of(return_kinds), seed, traffic_ms);
 }
 
+fault_schedule draw_recuts(std::uint32_t seed, milliseconds traffic_ms)
+{
+    using enum fault_kind;
+    return draw_from(
+        {{workers_recut, 0, recut_ms, 0, recut_share},
+         {workers_recut_around_a_kill, 0, recut_ms, 0, recut_share}},
+        seed, traffic_ms);
+}
+
 fault_schedule placed_run_lost_with_its_sender()
 {
     using enum fault_kind;
--- a/tests/soak/schedule.hpp
+++ b/tests/soak/schedule.hpp
@@ -53,6 +53,10 @@
     store_slow,
     /// Under its id, while starts to its earlier process are under way.
     worker_back_with_orders,
+    /// A share, at least two, that restart under their ids beside calls to
+    /// their earlier processes, and are cut off soon after.
+    workers_recut,
+    workers_recut_around_a_kill, ///< the dispatcher is killed before the cut
     count,
 };
 
@@ -97,6 +101,10 @@
 /// with orders to their earlier processes under way.
 [[nodiscard]] fault_schedule draw_returns(std::uint32_t seed,
                                           milliseconds traffic_ms);
+/// \returns the same, drawn from workers that are back under their ids beside
+/// orders to their earlier processes and cut off soon after.
+[[nodiscard]] fault_schedule draw_recuts(std::uint32_t seed,
+                                         milliseconds traffic_ms);
 /// \returns the same, drawn from these.
 /// \param prototypes  at least one
 [[nodiscard]] fault_schedule draw_from(fault_prototypes const& prototypes,
--- a/tests/soak/traffic.cpp
+++ b/tests/soak/traffic.cpp
@@ -23,6 +23,8 @@
 constexpr milliseconds max_cancel_delay_ms = 2'500;
 constexpr milliseconds min_task_ms = 500;
 constexpr milliseconds max_task_ms = 5'000;
+constexpr milliseconds min_long_task_ms = 8'000;
+constexpr milliseconds max_long_task_ms = 12'000;
 constexpr milliseconds status_pause_ms = 100;
 constexpr int max_tasks = 4;
 constexpr int hundred = 100;
@@ -192,6 +194,18 @@
                      std::to_string(j.tasks) + " of " + j.id;
     }
 
+    /// \returns how long the tasks of the next plain job take.
+    std::uint32_t draw_task_time()
+    {
+        bool const is_long =
+            all_.plan_.long_per_hundred > 0 &&
+            static_cast<int>(below(hundred)) < all_.plan_.long_per_hundred;
+        auto const least = is_long ? min_long_task_ms : min_task_ms;
+        auto const most = is_long ? max_long_task_ms : max_task_ms;
+        return static_cast<std::uint32_t>(least) +
+               below(static_cast<std::uint32_t>(most - least + 1));
+    }
+
     job_history make_job()
     {
         auto const id = standins::job_id(all_.next_job_++);
@@ -205,7 +219,7 @@
     {
         job_history j;
         j.id = id;
-        auto const task_ms = min_task_ms + below(max_task_ms - min_task_ms + 1);
+        auto const task_ms = draw_task_time();
         j.spec = std::to_string(task_ms) + " of " + j.id;
         j.tasks = 1 + static_cast<int>(below(max_tasks));
         j.urgent =
--- a/tests/soak/traffic.hpp
+++ b/tests/soak/traffic.hpp
@@ -23,6 +23,7 @@
     int cancels_per_hundred = 6; ///< jobs
     int urgent_per_hundred = 5;  ///< jobs
     int gangs_per_hundred = 0;   ///< jobs
+    int long_per_hundred = 0;    ///< jobs, of tasks of 8 to 12 s
     /// Whether jobs are drawn from the classes of a site, with bursts of the
     /// most urgent; the shares above then don't count but for the cancels.
     bool has_site_classes = false;
--- a/tests/unit/test_soak_checks.cpp
+++ b/tests/unit/test_soak_checks.cpp
@@ -11,6 +11,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <set>
+
 namespace
 {
 
@@ -176,6 +178,7 @@
     CPPUNIT_TEST(gangs_work_together);
     CPPUNIT_TEST(guaranteed_jobs_start_in_time);
     CPPUNIT_TEST(schedules_are_equal_for_equal_seeds);
+    CPPUNIT_TEST(recuts_come_with_and_without_a_kill);
     CPPUNIT_TEST(troubles_of_a_site_file_are_played);
     CPPUNIT_TEST_SUITE_END();
 
@@ -716,6 +719,23 @@
             expect(f.kind < fault_kind::count, "each fault has a kind");
     }
 
+    void recuts_come_with_and_without_a_kill()
+    {
+        constexpr milliseconds traffic_ms = 30'000;
+        constexpr std::uint32_t seeds = 8;
+        std::set<fault_kind> kinds;
+        for (std::uint32_t seed = 1; seed <= seeds; ++seed)
+        {
+            auto const drawn = draw_recuts(seed, traffic_ms);
+            expect(drawn == draw_recuts(seed, traffic_ms), "the same seed");
+            for (auto const& f : drawn)
+                kinds.insert(f.kind);
+        }
+        expect(kinds == std::set{fault_kind::workers_recut,
+                                 fault_kind::workers_recut_around_a_kill},
+               "both kinds, and no others");
+    }
+
     void troubles_of_a_site_file_are_played()
     {
         auto const site = standins::parse_site_troubles(
