Late leases count from the answer with the newest token

Cause, found by the reviewer of this fix: the bound was set at a process's first answer. That may be one to the old token, by which the dispatcher learns of the process; orders to the earlier one are refused only from the answer with the raised token on. With a lost renewal in between the bound was too early by as much, and settle_worker() could record 0. Also, an earlier dispatcher may send orders until its leases end, not only until its successor is created.

Change: note_late_leases() at the acceptance of the token, from the end of the earlier leases for a process without a known predecessor.

--- a/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -282,8 +282,8 @@
     /// \param clock_ms  the worker's, in its first answer
     /// \returns until when earlier dispatchers may have granted it leases, on
     /// its clock.
-    void note_earlier_leases(milliseconds now, worker_view& w,
-                             milliseconds clock_ms) const;
+    void note_earlier_leases(worker_view& w, milliseconds clock_ms) const;
+    void note_late_leases(milliseconds now, worker_view& w) const;
     /// Handles an answer that arrives before all jobs are read.
     void keep_lease(milliseconds now, worker_view& w, renew_reply const& r,
                     bool is_first_answer);
@@ -806,10 +806,9 @@
     std::int64_t next_view_token_; ///< first one of workers that are new
     dispatch_limits limits_;
     milliseconds created_at_;
-    /// When an order may last have been sent to a worker of which this
-    /// dispatcher knew nothing later on: by an earlier one, or before the view
-    /// was dropped.
-    milliseconds unknown_orders_at_;
+    /// When the view of a worker was last dropped, so that nothing is known of
+    /// the orders to it; 0: none was.
+    milliseconds unknown_orders_at_ = 0;
     role_proof role_;
     listener listen_;
     bool deposed_ = false;
--- a/packages/tasks/src/dispatcher.cpp
+++ b/packages/tasks/src/dispatcher.cpp
@@ -19,7 +19,7 @@
 dispatcher::dispatcher(std::int64_t token, dispatch_limits limits,
                        milliseconds now, listener listen)
     : token_(token), next_view_token_(token), limits_(limits), created_at_(now),
-      unknown_orders_at_(now), role_(limits, now), listen_(std::move(listen)),
+      role_(limits, now), listen_(std::move(listen)),
       list_currency_(limits, now), evacuations_(limits.evacuation_bound_ms)
 {
 }
--- a/packages/tasks/src/dispatcher_renewals.cpp
+++ b/packages/tasks/src/dispatcher_renewals.cpp
@@ -226,23 +226,29 @@
                          0, role_.earlier_leases_end() - now)));
 }
 
-/// Earlier dispatchers may have granted leases, and the worker refuses their
-/// orders from this answer on. It refuses those to earlier processes as well: a
-/// time in such an order is on another clock, so that the worker may have taken
-/// it for its longest lease.
-void dispatcher::note_earlier_leases(milliseconds now, worker_view& w,
+/// Earlier dispatchers may have granted leases. A run that the worker lists
+/// goes on at least until the next renewal.
+void dispatcher::note_earlier_leases(worker_view& w,
                                      milliseconds clock_ms) const
 {
-    // A run that the worker lists goes on at least until the next renewal.
     auto const left =
         std::max(role_.earlier_leases_end() - w.renewal_at, min_lease_ms);
     w.extend_lease(clock_ms + left);
+}
+
+/// From the answer with the newest token on, the worker refuses orders to
+/// earlier processes. A time in such an order is on another clock, so that the
+/// worker may have taken it for its longest lease.
+void dispatcher::note_late_leases(milliseconds now, worker_view& w) const
+{
     if (w.late_lease_until)
-        return;
+        return; // by the record of the dispatcher that fenced this process
+    auto const unknown_order_at =
+        std::max(unknown_orders_at_, role_.earlier_leases_end());
     auto const late_order_at =
         w.has_restarted()
             ? now
-            : std::min(now, unknown_orders_at_ + detail::late_order_ms);
+            : std::min(now, unknown_order_at + detail::late_order_ms);
     w.late_lease_until = late_order_at + longest_lease();
 }
 
@@ -264,9 +270,12 @@
     bool const first = w.clock_at_ < 0;
     w.update_clock(now, r.clock_ms, w.renewal_at);
     if (first || is_new_token)
-        note_earlier_leases(now, w, r.clock_ms);
+        note_earlier_leases(w, r.clock_ms);
     if (is_new_token)
+    {
+        note_late_leases(now, w);
         accept_token(now, w);
+    }
     if (w.unresponsive_since >= 0)
         w.answers_since = now;
     w.unresponsive_since = -1;
--- a/tests/unit/test_worker_clocks.cpp
+++ b/tests/unit/test_worker_clocks.cpp
@@ -27,6 +27,7 @@
 {
     CPPUNIT_TEST_SUITE(test_worker_clocks);
     CPPUNIT_TEST(a_lease_by_an_order_to_an_earlier_process_is_waited_for);
+    CPPUNIT_TEST(it_counts_from_the_answer_with_the_newest_token);
     CPPUNIT_TEST(a_successor_waits_for_it_as_well);
     CPPUNIT_TEST(a_successor_waits_for_it_by_records_of_earlier_versions);
     CPPUNIT_TEST(a_process_reached_late_may_have_such_a_lease);
@@ -55,26 +56,60 @@
                 });
     }
 
+    void it_counts_from_the_answer_with_the_newest_token()
+    {
+        manual_dispatcher h;
+        h.add_worker("w1", 1);
+        h.run_for(30 * second_ms);
+        h.first_clock = hour_ms;
+        h.restart_unlisted("w1", 2);
+        h.held.insert("w1");
+        renew_reply found;
+        found.worker = "w1";
+        found.result = call_result::done;
+        found.incarnation = 2;
+        found.clock_ms = h.clock_of("w1");
+        h.run_for(100);
+        h.reply(found);
+        expect(!h.view_of("w1").token_known(), "the token was raised");
+        auto entry = h.entry_of("w1");
+        entry.incarnation = 2;
+        h.put_entry(entry);
+        h.run_for(5 * second_ms);
+        h.held.clear();
+        renew_reply failed;
+        failed.worker = "w1";
+        h.reply(failed);
+        h.run_for(500);
+        expect(h.view_of("w1").token_known(), "it has accepted the token");
+        auto const accepted = h.now - 500;
+        start_on_w1(h);
+        cut_off_w1(h);
+        h.run_for(accepted + max_lease_ms - h.now);
+        expect(h.starts.size() == 1, "no second start");
+    }
+
     void a_successor_waits_for_it_as_well()
     {
         manual_dispatcher predecessor;
         auto const reached = restart_w1(predecessor);
+        predecessor.run_for(2 * second_ms);
         auto const placed = predecessor.now;
         start_on_w1(predecessor);
         manual_dispatcher h;
         auto const taken_over = h.now;
         adopt_silent(h, predecessor);
-        auto const left = max_lease_ms - (placed - reached);
         section("nothing is started elsewhere while it may last",
                 [&]
                 {
-                    h.run_for(left);
+                    h.run_for(max_lease_ms - (placed - reached));
                     expect(h.starts.empty(), "no start");
                 });
         section("but soon afterwards",
                 [&]
                 {
-                    h.run_for(taken_over + start_after_max_lease_ms - h.now);
+                    h.run_for(taken_over + start_after_max_lease_ms -
+                              (placed - reached) - h.now);
                     expect(h.starts.size() == 1, "a start on w2");
                 });
     }
@@ -91,6 +126,8 @@
         adopt_silent(h, record);
         h.run_for(max_lease_ms);
         expect(h.starts.empty(), "no start");
+        h.run_for(start_after_max_lease_ms - max_lease_ms);
+        expect(h.starts.size() == 1, "a start on w2");
     }
 
     void a_process_reached_late_may_have_such_a_lease()
@@ -132,13 +169,13 @@
                     h.run_for(start_after_granted_lease_ms);
                     expect(h.starts.size() == 2, "a second start");
                 });
-        section("and so does a successor",
+        section("and so does a successor, also for an earlier start",
                 [&]
                 {
                     manual_dispatcher predecessor;
                     restart_w1(predecessor);
-                    predecessor.run_for(start_after_max_lease_ms);
                     start_on_w1(predecessor);
+                    predecessor.run_for(start_after_max_lease_ms);
                     manual_dispatcher next;
                     adopt_silent(next, predecessor);
                     next.run_for(start_after_granted_lease_ms);
