--- /dev/null
+++ b/packages/tasks/include/jasminetrack/tasks/detail/candidate_lists.hpp
@@ -0,0 +1,54 @@
+#pragma once
+/// \file
+/// The workers that may take starts in the current scheduling pass, and what is
+/// left of them as the pass goes on.
+
+#include <jasminetrack/tasks/detail/dispatcher_state.hpp>
+
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace jasminetrack::tasks::detail
+{
+
+/// \param list  sorted by id
+/// \returns nullptr if the worker is not in the list.
+[[nodiscard]] worker_candidate*
+find_candidate(std::vector<worker_candidate>& list, std::string const& id);
+
+/// The candidates by service and priority. The caller fills the lists; a list
+/// that is not current holds those of an earlier pass.
+class candidate_lists
+{
+public:
+    using service_and_priority = std::pair<std::string, std::int64_t>;
+
+    /// No list is current any more.
+    void begin_pass();
+    /// \returns the list, which is new and empty at first.
+    [[nodiscard]] candidate_list& list_of(std::string const& service,
+                                          std::int64_t priority);
+    [[nodiscard]] std::map<service_and_priority, candidate_list>& all() noexcept
+    {
+        return lists_;
+    }
+
+    /// A task that holds `each` is started in each of the places, which are
+    /// workers of the service.
+    void deduct(std::string const& service,
+                std::vector<std::string> const& places, resources const& each);
+    /// Nothing is started on these workers for the rest of the pass.
+    void remove(std::vector<std::string> const& places);
+    /// Suspected runs are being started there for the rest of the pass.
+    /// \param max_group  suspects that may start on a worker together
+    void note_suspects(std::set<std::string> const& workers,
+                       std::int64_t max_group);
+
+private:
+    std::map<service_and_priority, candidate_list> lists_;
+};
+
+} // namespace jasminetrack::tasks::detail
--- a/packages/tasks/include/jasminetrack/tasks/detail/departure_state.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/detail/departure_state.hpp
@@ -5,6 +5,7 @@
 
 #include <jasminetrack/tasks/departure_wait.hpp>
 #include <jasminetrack/tasks/departures.hpp>
+#include <jasminetrack/tasks/detail/dispatcher_state.hpp>
 #include <jasminetrack/tasks/drain_plan.hpp>
 #include <jasminetrack/tasks/placement.hpp>
 
@@ -59,6 +60,10 @@
     std::map<unit_ref, std::int64_t> moves;
     std::map<std::string, departure_losses> losses; ///< by service
 
+    /// A scheduling pass begins, with these steps waiting.
+    void note_waiting(std::vector<waiting_units> const& list);
+    /// The step got no place in this pass.
+    void note_unplaced(waiting_units const& w);
     void note_move(unit_ref const& ref, std::string const& service,
                    double lost_core_seconds);
     [[nodiscard]] std::int64_t moves_of(unit_ref const& ref) const;
--- a/packages/tasks/include/jasminetrack/tasks/detail/hold_state.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/detail/hold_state.hpp
@@ -4,6 +4,7 @@
 /// only; no decision depends on it.
 
 #include <jasminetrack/tasks/hold_reason.hpp>
+#include <jasminetrack/tasks/hold_tracker.hpp>
 #include <jasminetrack/tasks/placement.hpp>
 #include <jasminetrack/tasks/progress.hpp>
 
@@ -54,4 +55,14 @@
 /// and would fit into one that is empty.
 [[nodiscard]] bool lacks_rack(service_room const& room, unit_need const& need);
 
+/// The holds at their newest update.
+struct hold_state
+{
+    milliseconds updated_at = 0; ///< on the dispatcher's monotonic clock
+    hold_tracker tracker;
+    std::map<std::string, held_unit> held;     ///< by job
+    std::map<std::string, service_room> rooms; ///< by service
+    std::map<std::string, hold_counts> units;  ///< waiting units, by service
+};
+
 } // namespace jasminetrack::tasks::detail
--- a/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -5,42 +5,34 @@
 /// carry a lower fencing token than the highest one they have seen, which
 /// shuts out earlier dispatchers.
 
+#include <jasminetrack/tasks/decision.hpp>
+#include <jasminetrack/tasks/detail/candidate_lists.hpp>
+#include <jasminetrack/tasks/detail/crowding.hpp>
 #include <jasminetrack/tasks/detail/departure_state.hpp>
 #include <jasminetrack/tasks/detail/dispatcher_state.hpp>
 #include <jasminetrack/tasks/detail/hold_state.hpp>
+#include <jasminetrack/tasks/detail/rack_search.hpp>
+#include <jasminetrack/tasks/detail/service_shares.hpp>
+#include <jasminetrack/tasks/detail/suspect_counts.hpp>
+#include <jasminetrack/tasks/detail/unit_steps.hpp>
+#include <jasminetrack/tasks/detail/utilization_state.hpp>
 #include <jasminetrack/tasks/dispatch_limits.hpp>
 #include <jasminetrack/tasks/due_queue.hpp>
 #include <jasminetrack/tasks/evacuations.hpp>
-#include <jasminetrack/tasks/headroom.hpp>
-#include <jasminetrack/tasks/headroom_lending.hpp>
-#include <jasminetrack/tasks/hold_tracker.hpp>
 #include <jasminetrack/tasks/list_currency.hpp>
 #include <jasminetrack/tasks/load_reading.hpp>
 #include <jasminetrack/tasks/placement_advice.hpp>
 #include <jasminetrack/tasks/role_proof.hpp>
-#include <jasminetrack/tasks/service_utilization.hpp>
 #include <jasminetrack/tasks/speed_record.hpp>
 #include <jasminetrack/tasks/worker_speeds.hpp>
 
 #include <deque>
 #include <functional>
 #include <optional>
-#include <span>
 
 namespace jasminetrack::tasks
 {
 
-/// A scheduling decision, as it is written to the log.
-struct decision
-{
-    std::string step; ///< log step, such as "unit.place"
-    std::string job;  ///< job id; empty if no job is concerned
-    std::string text; ///< space-separated "key=value" fields
-    /// Wall-clock time at which the job was accepted; set only for the
-    /// decisions that report its begin or its end.
-    milliseconds accepted_ms = 0;
-};
-
 /// Decides placement, order, starts and stops; performs no I/O itself. The
 /// caller performs the returned actions and passes their outcomes back. All
 /// `now` arguments are milliseconds of one monotonic clock.
@@ -95,7 +87,7 @@
     [[nodiscard]] std::map<std::string, service_utilization> const&
     utilization() const noexcept
     {
-        return utilization_;
+        return utilization_.newest;
     }
 
     /// \returns the load of each service, for the admission of new jobs.
@@ -174,16 +166,8 @@
     using member = detail::member;
     using active_run = detail::active_run;
     using job_entry = detail::job_entry;
-    using reservation = detail::reservation;
-    using clearance = detail::clearance;
     using waiting_units = detail::waiting_units;
-    using candidate_list = detail::candidate_list;
-    using accelerator_count = detail::accelerator_count;
 
-    [[nodiscard]] step_spec const& step_of(job_entry const& e,
-                                           unit_ref const& ref) const;
-    /// \returns the resources that a task of the step occupies on its worker.
-    [[nodiscard]] resources held_by(step_spec const& s) const;
     [[nodiscard]] task_run run_of(unit_ref const& ref, std::int64_t run,
                                   std::size_t index, bool gang) const;
     [[nodiscard]] std::optional<unit_ref> ref_of(task_run const& run);
@@ -191,8 +175,6 @@
     [[nodiscard]] unit* find_unit(unit_ref const& ref);
     [[nodiscard]] queue const* queue_of(job_entry const& e) const;
     void apply_queue(job_entry& e) const;
-    [[nodiscard]] bool is_ready(job_entry const& e, unit_id const& id,
-                                milliseconds wall) const;
     void log_decision(std::string step, std::string job,
                       std::string text) const;
     void log_job_decision(std::string step, job_entry const& e,
@@ -308,9 +290,6 @@
                          renew_reply const& r);
     void stop_unexpected_run(milliseconds now, worker_view& w,
                              running_task const& t);
-    /// Logs how many tasks of its step the worker may have, and has.
-    void log_stale_run(worker_view const& w, task_run const& run,
-                       unit_ref const& ref) const;
     /// \returns whether a worker has listed an earlier run of the unit, which
     /// has not ended since.
     [[nodiscard]] bool has_stale_run(unit_ref const& ref);
@@ -372,10 +351,6 @@
     [[nodiscard]] crash_exposure exposure_of(worker_view const& w,
                                              active_run const& a,
                                              member const& m) const;
-    [[nodiscard]] static crash_exposure
-    exposure_before_adoption(active_run const& a);
-    /// \returns whether most workers of its rack became silent with it.
-    [[nodiscard]] bool lost_with_rack(worker_view const& w) const;
     /// Earlier losses of the worker were crashes, up to this incarnation.
     void confirm_losses(milliseconds now, std::string const& worker,
                         std::int64_t before_incarnation);
@@ -384,8 +359,6 @@
                            std::int64_t before_incarnation);
     /// Earlier losses of this incarnation were only silence.
     void dismiss_losses(std::string const& worker, std::int64_t incarnation);
-    [[nodiscard]] bool has_unclear_loss(unit_ref const& ref,
-                                        std::string const& worker);
     /// Counts workers as crashed that stay away.
     void confirm_gone_workers(milliseconds now);
     /// Notes the loss if the adopted run was sent to an earlier incarnation.
@@ -397,12 +370,6 @@
     [[nodiscard]] bool is_starting_runs(worker_view const& w) const;
     void mark_starting_candidates(std::string const& service,
                                   std::int64_t priority);
-    void remove_candidates(std::vector<std::string> const& places);
-    /// Suspected runs are being started there for the rest of the pass.
-    void note_suspects(std::string const& service,
-                       std::vector<std::string> const& places,
-                       std::int64_t max_group);
-    void log_crash(unit_ref const& ref, worker_loss const& l) const;
     void log_given_up(job_entry const& e, unit_id const& id,
                       unit const& u) const;
 
@@ -480,24 +447,15 @@
     void check_hanging(milliseconds now);
     /// Ends runs that cannot complete before their draining worker leaves.
     void check_draining(milliseconds now);
-    [[nodiscard]] static bool should_leave(milliseconds now,
-                                           active_run const& a,
-                                           std::size_t index, milliseconds left,
-                                           step_spec const& step);
     [[nodiscard]] std::optional<std::size_t>
     member_index(unit_ref const& ref, active_run const& a,
                  task_run const& run) const;
 
     // dispatcher_schedule.cpp
     void schedule(milliseconds now, milliseconds wall);
-    /// Notes since when work of each service finds no room.
-    void update_crowding(milliseconds now);
-    /// \returns whether starts leave workers with vulnerable runs alone.
-    [[nodiscard]] bool spares_vulnerable(milliseconds now,
-                                         std::string const& service) const;
     [[nodiscard]] milliseconds max_stop_time() const noexcept;
     /// \returns whether a reservation on the worker is of use.
-    [[nodiscard]] bool is_reservable(milliseconds now, unit_ref const& ref,
+    [[nodiscard]] bool is_reservable(unit_ref const& ref,
                                      std::string const& worker) const;
     void process_reservations(milliseconds now);
     void drop_reservation(unit_ref const& ref);
@@ -511,10 +469,6 @@
     void place_or_reclaim(milliseconds now, job_entry& e, unit_ref const& ref,
                           std::string const& service, unit_need const& need,
                           reclaim_plan const& plan);
-    /// \returns whether the unit may need other workers than the rest of its
-    /// step, as earlier runs of it have failed or lost their workers.
-    [[nodiscard]] static bool may_need_other_workers(waiting_units const& w,
-                                                     std::int64_t index);
     /// \returns false if no unit of this step can be placed now.
     bool start_unit(milliseconds now, waiting_units const& w,
                     std::int64_t index);
@@ -533,9 +487,6 @@
     /// \returns why nothing is started on the worker now; nothing if it may.
     [[nodiscard]] std::optional<unfit_reason>
     unfit_reason_of(milliseconds now, worker_view const& w) const;
-    void deduct_capacity(std::string const& service,
-                         std::vector<std::string> const& places,
-                         resources const& each);
     /// \returns the tasks of the unit's step on the worker.
     [[nodiscard]] std::int64_t count_same_step(unit_ref const& ref,
                                                std::string const& worker) const;
@@ -547,24 +498,13 @@
                          unit_ref const& ref, unit_need const& need) const;
     [[nodiscard]] unit_need need_of(milliseconds now, job_entry const& e,
                                     unit_ref const& ref) const;
-    [[nodiscard]] static bool has_failed_lately(milliseconds now,
-                                                job_entry const& e,
-                                                unit_ref const& ref);
-    [[nodiscard]] verification_level
-    verification_for(milliseconds now, job_entry const& e,
-                     unit_ref const& ref) const;
     [[nodiscard]] reclaim_terms terms_of(milliseconds now, job_entry const& e,
                                          unit_ref const& ref,
                                          unit_need const& need) const;
-    [[nodiscard]] milliseconds max_rack_wait(reclaim_terms const& terms,
-                                             unit_need const& need) const;
     // dispatcher_evacuations.cpp
     /// \returns whether the views of the jobs, the workers and the evacuations
     /// allow starts.
     [[nodiscard]] bool has_current_views(milliseconds now) const noexcept;
-    /// Logs an evacuation that begins or ends, and what is left there.
-    void log_evacuation(milliseconds now, std::string const& data_center,
-                        milliseconds as_of) const;
     // dispatcher_departures.cpp
     /// Counts a departure if the entry shows that the worker begins to drain.
     void note_drain(milliseconds now, worker_view const& w,
@@ -580,25 +520,8 @@
     [[nodiscard]] std::optional<leaving_run>
     leaving_run_of(milliseconds now, unit_ref const& ref,
                    active_run const& a) const;
-    /// \returns whether other waiting work can use what the run holds on
-    /// workers that stay.
-    [[nodiscard]] bool is_place_wanted(unit_ref const& ref,
-                                       active_run const& a) const;
-    void log_drain_plan(unit_ref const& ref, std::int64_t run,
-                        leaving_run const& r, drain_verdict const& v) const;
     void end_for_departure(milliseconds now, unit_ref const& ref,
                            drain_reason why);
-    /// Notes the needs of waiting steps, at the begin of a pass.
-    void note_waiting(std::vector<waiting_units> const& list);
-    /// The step got no place in this pass.
-    void note_unplaced(waiting_units const& w);
-    [[nodiscard]] detail::waiting_need
-    waiting_need_of(waiting_units const& w) const;
-    /// \returns how many of the workers may leave before others of the service
-    /// have been replaced.
-    [[nodiscard]] std::int64_t
-    count_exposed(milliseconds now,
-                  std::vector<std::string> const& places) const;
     [[nodiscard]] departure_wait_terms
     wait_terms_of(milliseconds now, job_entry const& e, unit_ref const& ref,
                   unit_need const& need, std::int64_t exposed) const;
@@ -627,85 +550,17 @@
     /// Sets whether the unit may wait by choice.
     void limit_wait(milliseconds now, job_entry const& e, unit_ref const& ref,
                     unit_need& need);
-    /// \returns whether the unit is a gang that wants one rack, and a rack of
-    /// listed workers could hold it, were it empty.
-    [[nodiscard]] bool wants_rack(milliseconds now, std::string const& service,
-                                  unit_need const& need);
-    /// \returns whether a new dispatcher has listed workers that it has not
-    /// reached yet, so that it does not know which racks have room.
-    [[nodiscard]] bool awaits_first_contact(milliseconds now,
-                                            std::string const& service) const;
-    /// \returns nothing if the unit should wait. Workers on which it failed are
-    /// used if there are no others and it may not wait by choice.
-    [[nodiscard]] static std::optional<reclaim_plan>
-    choose_places(std::vector<worker_candidate> const& candidates,
-                  unit_need need, reclaim_terms const& terms);
-    /// \returns whether all urgent jobs of the team fit into its guarantee.
-    [[nodiscard]] bool is_guaranteed(job_entry const& e) const;
-    /// \returns the core seconds that stopping the run loses.
-    [[nodiscard]] double lost_work(milliseconds now, active_run const& a,
-                                   step_spec const& s) const;
-    [[nodiscard]] double delay_cost(milliseconds now, job_entry const& e,
-                                    unit_ref const& ref) const;
-    /// \returns the time since the job, or its occurrence, was accepted or due.
-    [[nodiscard]] milliseconds age_of(milliseconds now, job_entry const& e,
-                                      std::int64_t occurrence) const;
     [[nodiscard]] ordering_key ordering_key_of(milliseconds now,
                                                job_entry const& e,
                                                unit_id const& id) const;
     // dispatcher_load.cpp
-    /// Sets the work that the job still needs in the keys of its steps.
-    void set_waiting_work(job_entry const& e,
-                          std::span<waiting_units> steps) const;
+    /// Adds the work of the job's units that wait and have not expired.
     void add_waiting_work(milliseconds now, job_entry const& e,
                           service_reading& load) const;
     void add_running_work(milliseconds now, unit_ref const& ref,
                           active_run const& a, service_reading& load) const;
-    [[nodiscard]] bool fits_now(milliseconds now, job_entry const& e,
-                                unit_ref const& ref,
-                                std::vector<std::string> const& places) const;
-    [[nodiscard]] std::map<std::string, accelerator_count>
-    count_accelerators() const;
-    [[nodiscard]] std::map<std::string, std::set<std::int64_t>>
-    lower_priorities() const;
-    /// \returns whether a lower priority would hold less than its least share
-    /// after releasing `less` accelerators.
-    [[nodiscard]] bool is_below_share(std::string const& service,
-                                      std::int64_t priority,
-                                      std::int64_t less = 0) const;
-    /// \returns whether the job may use `need` now. Urgent work always may.
-    /// Other work may while its priority is below its least share, even if a
-    /// gang then exceeds it, or if the headroom stays free.
-    [[nodiscard]] bool may_use(milliseconds now, job_entry const& e,
-                               std::string const& service,
-                               unit_need const& need);
-    /// \returns whether the headroom for urgent work stays free after `need`;
-    /// if the unit has waited long, that for its recent peak.
-    [[nodiscard]] bool leaves_headroom(milliseconds now,
-                                       std::string const& service,
-                                       unit_need const& need);
-    // dispatcher_lending.cpp
-    void record_urgent_use(milliseconds now);
-    [[nodiscard]] headroom_state headroom_of(milliseconds now,
-                                             std::string const& service) const;
-    [[nodiscard]] static lending_unit lending_unit_of(job_entry const& e,
-                                                      unit_need const& need);
-    /// \returns whether the unit may start within the headroom for urgent work.
-    [[nodiscard]] bool may_borrow(milliseconds now, job_entry const& e,
-                                  std::string const& service,
-                                  unit_need const& need) const;
-    void log_lending(milliseconds now, job_entry const& e, unit_ref const& ref,
-                     std::string const& service, unit_need const& need) const;
     // dispatcher_utilization.cpp
     void update_utilization(milliseconds now);
-    void count_worker(milliseconds now, worker_view const& w,
-                      service_utilization& c) const;
-    [[nodiscard]] std::optional<std::string>
-    service_of_spread_gang(unit_ref const& ref, active_run const& a) const;
-    void count_departures(milliseconds now, std::string const& service,
-                          service_utilization& c) const;
-    void count_waiting_step(job_entry const& e,
-                            std::int64_t priority_utilization::*as);
     // dispatcher_holds.cpp
     /// Counts the units that wait by what they wait for, and logs what holds
     /// the jobs that have nothing running.
@@ -719,8 +574,6 @@
     /// \returns what a unit that is not done waits for; nothing if it runs.
     [[nodiscard]] std::optional<hold_reason>
     hold_of(milliseconds now, job_entry const& e, unit_ref const& ref);
-    [[nodiscard]] std::optional<hold_reason> hold_of(milliseconds now,
-                                                     member const& m) const;
     [[nodiscard]] hold_reason
     hold_of_waiting(milliseconds now, job_entry const& e, unit_ref const& ref);
     /// \returns what a unit waits for that only lacks a place.
@@ -735,9 +588,6 @@
     void add_to_room(milliseconds now, worker_view const& w,
                      detail::service_room& room) const;
     void log_hold(milliseconds now, milliseconds wall, hold_change const& c);
-    /// \param due  wall-clock time: the job was accepted or due
-    void log_release(milliseconds wall, hold_change const& c,
-                     milliseconds due) const;
     // dispatcher_isolation.cpp
     /// Starts nothing else on some workers until the unit can start alone
     /// there.
@@ -749,39 +599,25 @@
     /// being started there.
     void start_on_cleared(milliseconds now, job_entry& e, unit_ref const& ref,
                           std::string const& service, unit_need const& need);
-    [[nodiscard]] bool has_room(unit_ref const& ref,
-                                std::vector<std::string> const& places) const;
     /// Drops the clearances that last too long or that no unit waits for.
     void drop_old_clearances(milliseconds now);
     void drop_clearance(unit_ref const& ref);
     /// Urgent work does not wait for workers that are cleared for other work.
     void drop_clearances_below(std::int64_t priority,
                                std::string const& service);
-    /// \returns how many workers of the service may be kept for suspects.
-    [[nodiscard]] std::int64_t max_isolating(std::string const& service) const;
     /// \returns whether many suspects waited in the latest pass.
     [[nodiscard]] bool has_many_suspects(std::string const& service) const;
-    /// \returns their number for each worker that may be kept for them; 0 if
-    /// there were not many.
-    [[nodiscard]] std::int64_t
-    many_suspects_each(std::string const& service) const;
     /// \returns how many of the workers start other runs than suspects.
     [[nodiscard]] std::int64_t
     count_new_isolating(std::set<std::string> const& workers) const;
-    /// \returns whether so many further workers of the service may be kept from
-    /// starting other runs than suspects.
-    [[nodiscard]] bool may_isolate(std::string const& service,
-                                   std::int64_t count);
-    /// The same for those of these workers that start other runs.
+    /// \returns whether those of these workers that start other runs may be
+    /// kept for suspects.
     [[nodiscard]] bool may_isolate_on(std::string const& service,
                                       std::vector<std::string> const& places);
     // dispatcher_advice.cpp
     /// Excludes the workers for which the unit has no valid ticket.
     void exclude_unadvised(milliseconds now, unit_ref const& ref,
                            std::string const& service, unit_need& need) const;
-    /// \returns whether the unit has failed on the worker lately.
-    [[nodiscard]] bool has_failed_there(milliseconds now, unit_ref const& ref,
-                                        std::string const& worker) const;
     void request_advice(milliseconds now, unit_ref const& ref, queue const& q,
                         unit_need const& need);
     [[nodiscard]] std::string const* ticket_of(milliseconds now,
@@ -789,8 +625,6 @@
                                                std::string const& worker) const;
     /// Stores the changed progress of jobs, one batch at a time.
     void emit_batch(milliseconds now);
-    /// Whether the log takes the job's progress as one record.
-    [[nodiscard]] static bool fits_record(job_entry const& e);
     /// Drops what the job can do without, or the job, if it does not fit.
     void bound_record(milliseconds now, job_entry& e);
 
@@ -830,8 +664,8 @@
     std::set<std::string> unacknowledged_;
     milliseconds monitored_at_ = 0;
     std::map<unit_ref, active_run> active_;
-    std::map<unit_ref, reservation> reservations_;
-    std::map<unit_ref, clearance> clearances_;
+    std::map<unit_ref, detail::reservation> reservations_;
+    std::map<unit_ref, detail::clearance> clearances_;
     std::set<std::string> cleared_workers_; ///< the places of `clearances_`
     /// Units of which a worker has listed an earlier run; it may have ended.
     std::set<unit_ref> stale_units_;
@@ -840,35 +674,15 @@
     std::set<std::pair<unit_ref, std::size_t>> deferred_resends_;
     placement_advice advice_;
     detail::departure_state departures_;
-    std::map<std::string, urgent_headroom> headroom_; ///< by service
+    detail::service_shares shares_;
     worker_speeds speeds_;
     speed_record_writer speed_writer_;
-    /// By service; empty unless the headroom is lent.
-    std::map<std::string, urgent_history> urgent_history_;
-    /// State of the current scheduling pass, by service.
-    std::map<std::string, accelerator_count> counts_;
-    /// State of the current scheduling pass, by service and priority.
-    std::map<std::pair<std::string, std::int64_t>, candidate_list> candidates_;
-    /// Listed workers as if nothing ran there, by service, and since when.
-    milliseconds listed_at_ = 0;
-    std::map<std::string, std::vector<worker_candidate>> listed_;
-    /// Waiting units that are to be isolated, by service.
-    std::map<std::string, std::int64_t> suspects_;
-    std::map<std::string, std::int64_t> suspects_in_pass_;
-    std::set<std::string> crowded_; ///< services without room in this pass
-    std::map<std::string, milliseconds> crowded_since_; ///< by service
-    milliseconds holds_at_ = 0;
-    hold_tracker holds_;
-    std::map<std::string, detail::held_unit> held_; ///< newest, by job
-    /// Of the newest update of the holds, by service.
-    std::map<std::string, detail::service_room> rooms_;
-    /// Newest counts of waiting units, by service.
-    std::map<std::string, hold_counts> held_units_;
-    milliseconds utilization_at_ = 0;
-    /// Newest utilization, by service.
-    std::map<std::string, service_utilization> utilization_;
-    /// Counts of waiting steps in the current pass, by service.
-    std::map<std::string, service_utilization> pending_utilization_;
+    detail::candidate_lists candidates_;
+    detail::rack_search racks_;
+    detail::suspect_counts suspects_;
+    detail::crowding crowding_;
+    detail::hold_state holds_;
+    detail::utilization_state utilization_;
     std::deque<unit_ref> unsent_; ///< runs whose starts wait for the log
     std::set<std::string> dirty_; ///< jobs whose progress is not yet in a batch
     /// Jobs with answers to starts that are in no batch, and since when.
--- a/packages/tasks/src/departure_state.cpp
+++ b/packages/tasks/src/departure_state.cpp
@@ -1,5 +1,7 @@
 #include <jasminetrack/tasks/detail/departure_state.hpp>
 
+#include <jasminetrack/tasks/detail/unit_steps.hpp>
+
 #include <algorithm>
 #include <limits>
 
@@ -8,6 +10,14 @@
 namespace
 {
 
+waiting_need waiting_need_of(waiting_units const& w)
+{
+    auto const& step =
+        w.entry->job.spec.steps[static_cast<std::size_t>(w.step)];
+    return {w.entry->job.id, step.label, held_by(step),
+            step.gang ? step.count : 1};
+}
+
 std::int64_t times_in(std::int64_t need, std::int64_t available)
 {
     if (need <= 0)
@@ -42,6 +52,22 @@
     return tasks >= need.count;
 }
 
+void departure_state::note_waiting(std::vector<waiting_units> const& list)
+{
+    waiting.clear();
+    unplaced.clear();
+    for (auto const& w : list)
+        waiting[w.entry->service].push_back(waiting_need_of(w));
+}
+
+/// A gang that waits for departures has places.
+void departure_state::note_unplaced(waiting_units const& w)
+{
+    unit_ref const gang{w.entry->job.id, {w.occurrence, w.step, 0}};
+    if (!waits.is_waiting(gang))
+        unplaced[w.entry->service].push_back(waiting_need_of(w));
+}
+
 void departure_state::note_move(unit_ref const& ref, std::string const& service,
                                 double lost_core_seconds)
 {
--- a/packages/tasks/src/dispatcher.cpp
+++ b/packages/tasks/src/dispatcher.cpp
@@ -14,13 +14,20 @@
 /// not checked. A gang counts as one unit, however many members it has.
 constexpr std::int64_t min_bounded_units = 500;
 
+/// \returns whether the log takes the job's progress as one record.
+bool fits_record(detail::job_entry const& e)
+{
+    return std::ssize(encode(e.progress)) <= max_record_bytes - max_key_bytes;
+}
+
 } // namespace
 
 dispatcher::dispatcher(std::int64_t token, dispatch_limits limits,
                        milliseconds now, listener listen)
     : token_(token), next_view_token_(token), limits_(limits), created_at_(now),
       role_(limits, now), listen_(std::move(listen)),
-      list_currency_(limits, now), evacuations_(limits.evacuation_bound_ms)
+      list_currency_(limits, now), evacuations_(limits.evacuation_bound_ms),
+      shares_(limits)
 {
 }
 
@@ -36,20 +43,6 @@
     return at == workers_.end() ? nullptr : &at->second;
 }
 
-step_spec const& dispatcher::step_of(job_entry const& e,
-                                     unit_ref const& ref) const
-{
-    return e.job.spec.steps[static_cast<std::size_t>(ref.unit.step)];
-}
-
-resources dispatcher::held_by(step_spec const& s) const
-{
-    auto held = s.need;
-    if (s.filling)
-        held.millicores = 0;
-    return held;
-}
-
 task_run dispatcher::run_of(unit_ref const& ref, std::int64_t run,
                             std::size_t index, bool gang) const
 {
@@ -93,26 +86,6 @@
     return find_queue(config_, e.job.queue);
 }
 
-bool dispatcher::is_ready(job_entry const& e, unit_id const& id,
-                          milliseconds wall) const
-{
-    auto const& spec = e.job.spec;
-    if (spec.occurrences > 0 && wall < due_of(e.job, id.occurrence))
-        return false;
-    auto const& step = spec.steps[static_cast<std::size_t>(id.step)];
-    for (int const before : step.after)
-    {
-        auto at = e.progress.units.lower_bound({id.occurrence, before, 0});
-        for (;
-             at != e.progress.units.end() &&
-             at->first.occurrence == id.occurrence && at->first.step == before;
-             ++at)
-            if (at->second.phase != unit_phase::done)
-                return false;
-    }
-    return true;
-}
-
 void dispatcher::log_decision(std::string step, std::string job,
                               std::string text) const
 {
@@ -256,11 +229,6 @@
         emit_batch(now);
 }
 
-bool dispatcher::fits_record(job_entry const& e)
-{
-    return std::ssize(encode(e.progress)) <= max_record_bytes - max_key_bytes;
-}
-
 /// The log refuses a record that is too large, and all others of its append
 /// with it, so that nothing of any job would be stored any more. Losses of
 /// workers are dropped first, then the job fails.
--- a/packages/tasks/src/dispatcher_advice.cpp
+++ b/packages/tasks/src/dispatcher_advice.cpp
@@ -1,3 +1,5 @@
+#include "failed_runs.hpp"
+
 #include <jasminetrack/tasks/dispatcher.hpp>
 
 #include <algorithm>
@@ -35,15 +37,6 @@
             need.avoid.insert(id);
 }
 
-bool dispatcher::has_failed_there(milliseconds now, unit_ref const& ref,
-                                  std::string const& worker) const
-{
-    auto const& e = jobs_.at(ref.job);
-    auto const failed = e.failed_on.find(ref);
-    return failed != e.failed_on.end() && failed->second.count(worker) != 0 &&
-           has_failed_lately(now, e, ref);
-}
-
 /// Names the workers with the most free accelerators first.
 void dispatcher::request_advice(milliseconds now, unit_ref const& ref,
                                 queue const& q, unit_need const& need)
@@ -55,7 +48,7 @@
     for (auto const& [id, w] : workers_)
         if (w.info.service == q.service && !unfit_reason_of(now, w) &&
             !ticket_of(now, ref, id) && !advice_.is_refused(step, id) &&
-            !has_failed_there(now, ref, id) &&
+            !detail::has_failed_there(now, jobs_.at(ref.job), ref, id) &&
             fits(need.per_task, w.info.capacity))
             candidates.push_back(&w);
     if (candidates.empty())
--- a/packages/tasks/src/dispatcher_candidates.cpp
+++ b/packages/tasks/src/dispatcher_candidates.cpp
@@ -7,8 +7,6 @@
 namespace
 {
 
-/// Time that every stopped run loses at least, for its restart.
-constexpr milliseconds restart_cost_ms = 500;
 /// Part of its work that a job loses in value if it ends late.
 constexpr double late_loss_factor = 0.7;
 /// Weight of the loss if a stop brings a priority below its least share.
@@ -23,46 +21,28 @@
 constexpr int quarantine_penalty = 1;
 constexpr int crawling_penalty = 1;
 
-/// \returns nullptr if the worker is not in the list, which is sorted by id.
-worker_candidate* find_candidate(std::vector<worker_candidate>& list,
-                                 std::string const& id)
+/// \returns the core seconds that the job loses in value if stopping this run
+/// makes it late.
+double delay_cost(milliseconds now, detail::job_entry const& e,
+                  unit_ref const& ref)
 {
-    auto const at =
-        std::lower_bound(list.begin(), list.end(), id,
-                         [](worker_candidate const& c, std::string const& other)
-                         { return c.id < other; });
-    return at == list.end() || at->id != id ? nullptr : &*at;
+    auto const& step = step_of(e, ref);
+    auto const age = now - e.known_at;
+    auto const chain =
+        e.critical_paths[static_cast<std::size_t>(ref.unit.step)];
+    bool const late_already = age > e.objective_ms;
+    if (late_already || age + chain <= e.objective_ms)
+        return 0;
+    return late_loss_factor * core_seconds(step.need, step.estimate_ms) *
+           static_cast<double>(step.gang ? step.count : 1);
 }
 
 } // namespace
 
-void dispatcher::deduct_capacity(std::string const& service,
-                                 std::vector<std::string> const& places,
-                                 resources const& each)
-{
-    for (auto& [key, list] : candidates_)
-    {
-        if (key.first != service || !list.current)
-            continue;
-        for (auto const& id : places)
-        {
-            auto* const candidate = find_candidate(list.workers, id);
-            if (!candidate)
-                continue;
-            candidate->free -= each;
-            candidate->free_after_stops -= each;
-            candidate->starting = true;
-        }
-    }
-    auto const total = std::ssize(places) * each;
-    counts_[service].free -= total.accelerators;
-    counts_[service].load.free -= total;
-}
-
 void dispatcher::mark_starting_candidates(std::string const& service,
                                           std::int64_t priority)
 {
-    auto& list = candidates_[{service, priority}];
+    auto& list = candidates_.list_of(service, priority);
     if (list.starting_known)
         return;
     for (auto& candidate : list.workers)
@@ -70,35 +50,6 @@
     list.starting_known = true;
 }
 
-void dispatcher::remove_candidates(std::vector<std::string> const& places)
-{
-    for (auto& [key, list] : candidates_)
-        for (auto const& id : places)
-            if (auto* const candidate = find_candidate(list.workers, id))
-            {
-                candidate->free = {};
-                candidate->free_after_stops = {};
-                candidate->stoppable.clear();
-            }
-}
-
-void dispatcher::note_suspects(std::string const& service,
-                               std::vector<std::string> const& places,
-                               std::int64_t max_group)
-{
-    std::set<std::string> const workers(places.begin(), places.end());
-    counts_[service].isolating += count_new_isolating(workers);
-    for (auto& [key, list] : candidates_)
-        for (auto const& id : workers)
-            if (auto* const candidate = find_candidate(list.workers, id))
-            {
-                auto const before = candidate->max_suspects;
-                candidate->max_suspects =
-                    before == 0 ? max_group : std::min(before, max_group);
-                ++candidate->suspects;
-            }
-}
-
 void dispatcher::count_same_step(std::vector<worker_candidate>& candidates,
                                  unit_ref const& ref,
                                  unit_need const& need) const
@@ -153,7 +104,7 @@
 dispatcher::candidates_of(milliseconds now, std::string const& service,
                           std::int64_t priority)
 {
-    auto& list = candidates_[{service, priority}];
+    auto& list = candidates_.list_of(service, priority);
     if (list.current)
         return list.workers;
     list.current = true;
@@ -174,13 +125,14 @@
 void dispatcher::update_candidates(milliseconds now,
                                    std::set<std::string> const& workers)
 {
-    for (auto& [key, list] : candidates_)
+    for (auto& [key, list] : candidates_.all())
     {
         if (!list.current)
             continue;
         list.starting_known = false;
         for (auto const& id : workers)
-            if (auto* const candidate = find_candidate(list.workers, id))
+            if (auto* const candidate =
+                    detail::find_candidate(list.workers, id))
                 update_candidate(now, workers_.at(id), key.second, *candidate);
     }
 }
@@ -245,7 +197,7 @@
         auto const lost = (o.lent ? lent_loss_factor : 1) *
                           (lost_work(now, at->second, step) +
                            delay_cost(now, job->second, o.unit));
-        bool const cuts_share = is_below_share(
+        bool const cuts_share = shares_.is_below_share(
             w.info.service, job->second.priority, o.held.accelerators);
         candidate.stoppable.push_back(
             {at->second.number, o.held,
@@ -253,30 +205,4 @@
     }
 }
 
-double dispatcher::lost_work(milliseconds now, active_run const& a,
-                             step_spec const& s) const
-{
-    // A run with checkpoints keeps its progress when it is stopped.
-    auto const ran =
-        a.first_sent == 0 || s.checkpoints ? 0 : now - a.first_sent;
-    return core_seconds(s.need, ran + restart_cost_ms) *
-           static_cast<double>(a.members.size());
-}
-
-/// \returns the core seconds that the job loses in value if stopping this run
-/// makes it late.
-double dispatcher::delay_cost(milliseconds now, job_entry const& e,
-                              unit_ref const& ref) const
-{
-    auto const& step = step_of(e, ref);
-    auto const age = now - e.known_at;
-    auto const chain =
-        e.critical_paths[static_cast<std::size_t>(ref.unit.step)];
-    bool const late_already = age > e.objective_ms;
-    if (late_already || age + chain <= e.objective_ms)
-        return 0;
-    return late_loss_factor * core_seconds(step.need, step.estimate_ms) *
-           static_cast<double>(step.gang ? step.count : 1);
-}
-
 } // namespace jasminetrack::tasks
--- a/packages/tasks/src/dispatcher_crashes.cpp
+++ b/packages/tasks/src/dispatcher_crashes.cpp
@@ -20,6 +20,55 @@
 constexpr milliseconds max_isolation_wait_ms = 2'000;
 constexpr milliseconds max_repeated_isolation_wait_ms = 20'000;
 
+/// The earlier dispatcher may have had an answer, which speaks against a task
+/// that is suspected already.
+crash_exposure exposure_before_adoption(detail::active_run const& a)
+{
+    return a.fresh_exposure == crash_exposure::starting
+               ? crash_exposure::unanswered
+               : crash_exposure::starting;
+}
+
+/// \returns whether most workers of its rack became silent with it.
+bool lost_with_rack(worker_view const& w,
+                    std::map<std::string, worker_view> const& workers)
+{
+    if (w.unresponsive_since < 0)
+        return false;
+    std::int64_t others = 0;
+    std::int64_t silent = 0;
+    for (auto const& [id, other] : workers)
+    {
+        if (&other == &w || other.info.rack != w.info.rack ||
+            (!other.listed && other.unresponsive_since < 0))
+            continue;
+        ++others;
+        bool const together = other.unresponsive_since >= 0 &&
+                              std::abs(other.unresponsive_since -
+                                       w.unresponsive_since) <= rack_loss_ms;
+        silent += together ? 1 : 0;
+    }
+    return others > 0 && 2 * silent >= others;
+}
+
+/// \param u  nullptr: not known any more
+bool has_unclear_loss(unit const* u, std::string const& worker)
+{
+    return u && std::any_of(u->losses.begin(), u->losses.end(),
+                            [&](worker_loss const& l)
+                            { return l.worker == worker && !l.crashed; });
+}
+
+std::string crash_text(unit_ref const& ref, worker_loss const& l)
+{
+    return "worker=" + l.worker +
+           " incarnation=" + std::to_string(l.incarnation) +
+           " step=" + std::to_string(ref.unit.step) +
+           " index=" + std::to_string(ref.unit.index) +
+           " task=" + std::to_string(l.index) +
+           " run=" + std::to_string(l.run) + " exposure=" + to_text(l.exposure);
+}
+
 } // namespace
 
 crash_verdict dispatcher::verdict_on(milliseconds now, job_entry const& e,
@@ -79,7 +128,7 @@
         return crash_exposure::unanswered;
     if (detail::is_proven(m))
         return crash_exposure::proven;
-    if (detail::is_established(m) || lost_with_rack(w))
+    if (detail::is_established(m) || lost_with_rack(w, workers_))
         return crash_exposure::established;
     return a.fresh_exposure;
 }
@@ -103,35 +152,6 @@
     return others.empty() ? crash_exposure::isolated : crash_exposure::grouped;
 }
 
-/// The earlier dispatcher may have had an answer, which speaks against a task
-/// that is suspected already.
-crash_exposure dispatcher::exposure_before_adoption(active_run const& a)
-{
-    return a.fresh_exposure == crash_exposure::starting
-               ? crash_exposure::unanswered
-               : crash_exposure::starting;
-}
-
-bool dispatcher::lost_with_rack(worker_view const& w) const
-{
-    if (w.unresponsive_since < 0)
-        return false;
-    std::int64_t others = 0;
-    std::int64_t silent = 0;
-    for (auto const& [id, other] : workers_)
-    {
-        if (&other == &w || other.info.rack != w.info.rack ||
-            (!other.listed && other.unresponsive_since < 0))
-            continue;
-        ++others;
-        bool const together = other.unresponsive_since >= 0 &&
-                              std::abs(other.unresponsive_since -
-                                       w.unresponsive_since) <= rack_loss_ms;
-        silent += together ? 1 : 0;
-    }
-    return others > 0 && 2 * silent >= others;
-}
-
 void dispatcher::confirm_losses(milliseconds now, std::string const& worker,
                                 std::int64_t before_incarnation)
 {
@@ -142,7 +162,7 @@
         if (confirm_losses_of(ref, worker, before_incarnation))
             update_job_phase(now, *find_job(ref.job));
     std::erase_if(at->second, [&](unit_ref const& ref)
-                  { return !has_unclear_loss(ref, worker); });
+                  { return !has_unclear_loss(find_unit(ref), worker); });
     if (at->second.empty())
         unclear_losses_.erase(at);
 }
@@ -161,7 +181,7 @@
             l.incarnation >= before_incarnation)
             continue;
         l.crashed = any = true;
-        log_crash(ref, l);
+        log_decision("run.crashed", ref.job, crash_text(ref, l));
     }
     if (!any)
         return false;
@@ -192,15 +212,6 @@
     changed_ = true;
 }
 
-bool dispatcher::has_unclear_loss(unit_ref const& ref,
-                                  std::string const& worker)
-{
-    auto const* const u = find_unit(ref);
-    return u && std::any_of(u->losses.begin(), u->losses.end(),
-                            [&](worker_loss const& l)
-                            { return l.worker == worker && !l.crashed; });
-}
-
 void dispatcher::confirm_gone_workers(milliseconds now)
 {
     std::vector<std::string> gone;
@@ -231,7 +242,7 @@
     worker_loss const loss{
         static_cast<std::int64_t>(index),          u.run, w.info.id, sent_to,
         exposure_before_adoption(active_.at(ref)), true};
-    log_crash(ref, loss);
+    log_decision("run.crashed", ref.job, crash_text(ref, loss));
     add_loss(u.losses, loss);
     mark_dirty(ref.job);
 }
@@ -264,17 +275,6 @@
         });
 }
 
-void dispatcher::log_crash(unit_ref const& ref, worker_loss const& l) const
-{
-    log_decision("run.crashed", ref.job,
-                 "worker=" + l.worker +
-                     " incarnation=" + std::to_string(l.incarnation) +
-                     " step=" + std::to_string(ref.unit.step) +
-                     " index=" + std::to_string(ref.unit.index) + " task=" +
-                     std::to_string(l.index) + " run=" + std::to_string(l.run) +
-                     " exposure=" + to_text(l.exposure));
-}
-
 void dispatcher::log_given_up(job_entry const& e, unit_id const& id,
                               unit const& u) const
 {
--- a/packages/tasks/src/dispatcher_departures.cpp
+++ b/packages/tasks/src/dispatcher_departures.cpp
@@ -38,6 +38,71 @@
     return r;
 }
 
+std::string plan_text(unit_ref const& ref, std::int64_t run,
+                      leaving_run const& r, drain_verdict const& v)
+{
+    return "step=" + std::to_string(ref.unit.step) +
+           " index=" + std::to_string(ref.unit.index) +
+           " run=" + std::to_string(run) + " why=" + to_text(v.reason) +
+           " end_in_ms=" + std::to_string(v.end_in_ms) +
+           " notice_ms=" + std::to_string(r.notice_ms) +
+           " least_ms=" + std::to_string(r.remaining.least_ms) +
+           " expected_ms=" + std::to_string(r.remaining.expected_ms) +
+           " checkpoints=" + (r.checkpoints ? "1" : "0") +
+           " wanted=" + (r.place_is_wanted ? "1" : "0");
+}
+
+/// \returns how many of the workers may leave before others of the service have
+/// been replaced.
+std::int64_t
+count_exposed(milliseconds now, std::vector<std::string> const& places,
+              std::map<std::string, worker_view> const& workers_by_id,
+              departures const& history)
+{
+    std::set<std::string> const workers(places.begin(), places.end());
+    return std::count_if(
+        workers.begin(), workers.end(),
+        [&](std::string const& id)
+        { return !history.is_replacement(now, workers_by_id.at(id).info); });
+}
+
+/// \returns whether other waiting work can use what the run of the job holds on
+/// workers that stay.
+///
+/// The work got no place without what the run holds, so it uses that if it fits
+/// with it.
+bool is_place_wanted(detail::job_entry const& e, step_spec const& step,
+                     detail::active_run const& a,
+                     std::map<std::string, worker_view> const& workers,
+                     detail::departure_state const& departures)
+{
+    auto const waiting = departures.unplaced.find(e.service);
+    if (waiting == departures.unplaced.end())
+        return false;
+    std::map<std::string, resources> held;
+    for (auto const& m : a.members)
+        held[m.worker] += held_by(step);
+    bool any_stays = false;
+    std::vector<detail::free_place> places;
+    for (auto const& [id, w] : workers)
+    {
+        if (w.info.service != e.service || !w.takes_new_work())
+            continue;
+        auto const released = held.find(id);
+        bool const is_released = released != held.end();
+        any_stays = any_stays || is_released;
+        places.push_back({&w.info, is_released
+                                       ? w.free_capacity() + released->second
+                                       : w.free_capacity()});
+    }
+    return any_stays &&
+           std::any_of(waiting->second.begin(), waiting->second.end(),
+                       [&](detail::waiting_need const& need) {
+                           return need.job != e.job.id &&
+                                  detail::fits_on(need, places);
+                       });
+}
+
 } // namespace
 
 /// The first list entry of a worker does not show when its drain began.
@@ -83,7 +148,8 @@
         std::pair const noted{a.run, verdict.reason};
         auto const [at, is_new] = departures_.verdicts.emplace(ref, noted);
         if (is_new || at->second != noted)
-            log_drain_plan(ref, a.run, *r, verdict);
+            log_decision("drain.plan", ref.job,
+                         plan_text(ref, a.run, *r, verdict));
         at->second = noted;
         if (verdict.action == drain_action::end_now)
             ends.emplace_back(ref, verdict.reason);
@@ -104,29 +170,14 @@
     end_run(now, ref, std::string("its worker leaves: ") + to_text(why));
 }
 
-void dispatcher::log_drain_plan(unit_ref const& ref, std::int64_t run,
-                                leaving_run const& r,
-                                drain_verdict const& v) const
-{
-    log_decision("drain.plan", ref.job,
-                 "step=" + std::to_string(ref.unit.step) +
-                     " index=" + std::to_string(ref.unit.index) + " run=" +
-                     std::to_string(run) + " why=" + to_text(v.reason) +
-                     " end_in_ms=" + std::to_string(v.end_in_ms) +
-                     " notice_ms=" + std::to_string(r.notice_ms) +
-                     " least_ms=" + std::to_string(r.remaining.least_ms) +
-                     " expected_ms=" + std::to_string(r.remaining.expected_ms) +
-                     " checkpoints=" + (r.checkpoints ? "1" : "0") +
-                     " wanted=" + (r.place_is_wanted ? "1" : "0"));
-}
-
 /// A gang goes on at the speed of its slowest member, and ends with the first
 /// that leaves.
 std::optional<leaving_run> dispatcher::leaving_run_of(milliseconds now,
                                                       unit_ref const& ref,
                                                       active_run const& a) const
 {
-    auto const& step = step_of(jobs_.at(ref.job), ref);
+    auto const& e = jobs_.at(ref.job);
+    auto const& step = step_of(e, ref);
     if (a.over || step.lasting)
         return std::nullopt;
     milliseconds leaves_at = never;
@@ -150,80 +201,11 @@
     r.remaining = project(report_of(now, a, *slowest, step));
     r.checkpoints = step.checkpoints;
     bool const is_hopeless = !r.checkpoints && !may_complete(r);
-    r.place_is_wanted = is_hopeless && is_place_wanted(ref, a);
+    r.place_is_wanted =
+        is_hopeless && is_place_wanted(e, step, a, workers_, departures_);
     return r;
 }
 
-/// The work got no place without what the run holds, so it uses that if it fits
-/// with it.
-bool dispatcher::is_place_wanted(unit_ref const& ref, active_run const& a) const
-{
-    auto const& e = jobs_.at(ref.job);
-    auto const waiting = departures_.unplaced.find(e.service);
-    if (waiting == departures_.unplaced.end())
-        return false;
-    std::map<std::string, resources> held;
-    for (auto const& m : a.members)
-        held[m.worker] += held_by(step_of(e, ref));
-    bool any_stays = false;
-    std::vector<detail::free_place> places;
-    for (auto const& [id, w] : workers_)
-    {
-        if (w.info.service != e.service || !w.takes_new_work())
-            continue;
-        auto const released = held.find(id);
-        bool const is_released = released != held.end();
-        any_stays = any_stays || is_released;
-        places.push_back({&w.info, is_released
-                                       ? w.free_capacity() + released->second
-                                       : w.free_capacity()});
-    }
-    return any_stays &&
-           std::any_of(waiting->second.begin(), waiting->second.end(),
-                       [&](detail::waiting_need const& need) {
-                           return need.job != ref.job &&
-                                  detail::fits_on(need, places);
-                       });
-}
-
-detail::waiting_need dispatcher::waiting_need_of(waiting_units const& w) const
-{
-    auto const& step =
-        w.entry->job.spec.steps[static_cast<std::size_t>(w.step)];
-    return {w.entry->job.id, step.label, held_by(step),
-            step.gang ? step.count : 1};
-}
-
-void dispatcher::note_waiting(std::vector<waiting_units> const& list)
-{
-    departures_.waiting.clear();
-    departures_.unplaced.clear();
-    if (!limits_.expect_departures)
-        return;
-    for (auto const& w : list)
-        departures_.waiting[w.entry->service].push_back(waiting_need_of(w));
-}
-
-/// A gang that waits for departures has places.
-void dispatcher::note_unplaced(waiting_units const& w)
-{
-    unit_ref const gang{w.entry->job.id, {w.occurrence, w.step, 0}};
-    if (limits_.expect_departures && !departures_.waits.is_waiting(gang))
-        departures_.unplaced[w.entry->service].push_back(waiting_need_of(w));
-}
-
-std::int64_t
-dispatcher::count_exposed(milliseconds now,
-                          std::vector<std::string> const& places) const
-{
-    std::set<std::string> const workers(places.begin(), places.end());
-    return std::count_if(workers.begin(), workers.end(),
-                         [&](std::string const& id) {
-                             return !departures_.history.is_replacement(
-                                 now, workers_.at(id).info);
-                         });
-}
-
 /// Only narrower units count as other work that can use the room. Two wide
 /// gangs would otherwise wait for each other.
 departure_wait_terms dispatcher::wait_terms_of(milliseconds now,
@@ -233,7 +215,7 @@
                                                std::int64_t exposed) const
 {
     auto const& step = step_of(e, ref);
-    auto const& count = counts_.at(e.service);
+    auto const& count = shares_.counts().at(e.service);
     auto const is_other = [&](detail::waiting_need const& other)
     {
         return other.job != ref.job && other.count < need.count &&
@@ -257,11 +239,11 @@
 bool dispatcher::avoids_departures(milliseconds now, job_entry const& e,
                                    unit_need const& need) const
 {
-    auto const count = counts_.find(e.service);
-    if (!limits_.expect_departures || count == counts_.end())
+    auto const* const count = shares_.find(e.service);
+    if (!limits_.expect_departures || !count)
         return false;
     auto const chance = departures_.history.chance_to_complete(
-        now, e.service, count->second.workers, need.count, need.estimate_ms);
+        now, e.service, count->workers, need.count, need.estimate_ms);
     return chance < safe_chance;
 }
 
@@ -271,21 +253,22 @@
 {
     if (!limits_.expect_departures || need.count < 2)
         return false;
-    auto const exposed = count_exposed(now, places);
+    auto const exposed =
+        count_exposed(now, places, workers_, departures_.history);
     auto const t = wait_terms_of(now, e, ref, need, exposed);
     bool const waited = departures_.waits.is_waiting(ref);
     auto const reason = departures_.waits.judge(now, ref, t);
     bool const waits = reason == departure_wait_reason::waits;
     if (waits != waited)
-        log_decision("departures.wait", ref.job,
-                     "step=" + std::to_string(ref.unit.step) +
-                         " index=" + std::to_string(ref.unit.index) +
-                         " why=" + to_text(reason) +
-                         " chance_thousandths=" + thousandths(t.chance) +
-                         " exposed=" + std::to_string(exposed) + " workers=" +
-                         std::to_string(counts_.at(e.service).workers) +
-                         " estimate_ms=" + std::to_string(need.estimate_ms) +
-                         " spare_ms=" + std::to_string(t.spare_ms));
+        log_decision(
+            "departures.wait", ref.job,
+            "step=" + std::to_string(ref.unit.step) + " index=" +
+                std::to_string(ref.unit.index) + " why=" + to_text(reason) +
+                " chance_thousandths=" + thousandths(t.chance) +
+                " exposed=" + std::to_string(exposed) + " workers=" +
+                std::to_string(shares_.counts().at(e.service).workers) +
+                " estimate_ms=" + std::to_string(need.estimate_ms) +
+                " spare_ms=" + std::to_string(t.spare_ms));
     return waits;
 }
 
--- a/packages/tasks/src/dispatcher_evacuations.cpp
+++ b/packages/tasks/src/dispatcher_evacuations.cpp
@@ -6,6 +6,28 @@
 
 namespace jasminetrack::tasks
 {
+namespace
+{
+
+/// \returns what is left in the data center, as fields of a log line.
+std::string text_of(std::string const& data_center,
+                    std::map<std::string, worker_view> const& workers_by_id)
+{
+    std::size_t workers = 0;
+    std::size_t runs = 0;
+    for (auto const& [id, w] : workers_by_id)
+    {
+        if (!w.listed || w.info.zone != data_center)
+            continue;
+        ++workers;
+        runs += w.hosted_runs.size();
+    }
+    return "data_center=" + data_center +
+           " workers=" + std::to_string(workers) +
+           " runs=" + std::to_string(runs);
+}
+
+} // namespace
 
 bool dispatcher::has_current_views(milliseconds now) const noexcept
 {
@@ -31,28 +53,12 @@
         before.begin(), before.end(), evacuations_.data_centers().begin(),
         evacuations_.data_centers().end(), std::back_inserter(changed));
     for (auto const& data_center : changed)
-        log_evacuation(now, data_center, as_of);
-}
-
-void dispatcher::log_evacuation(milliseconds now,
-                                std::string const& data_center,
-                                milliseconds as_of) const
-{
-    std::size_t workers = 0;
-    std::size_t runs = 0;
-    for (auto const& [id, w] : workers_)
-    {
-        if (!w.listed || w.info.zone != data_center)
-            continue;
-        ++workers;
-        runs += w.hosted_runs.size();
-    }
-    log_decision(evacuations_.contains(data_center) ? "data_center.evacuated"
-                                                    : "data_center.restored",
-                 "",
-                 "data_center=" + data_center + " workers=" +
-                     std::to_string(workers) + " runs=" + std::to_string(runs) +
-                     " view_age_ms=" + std::to_string(now - as_of));
+        log_decision(evacuations_.contains(data_center)
+                         ? "data_center.evacuated"
+                         : "data_center.restored",
+                     "",
+                     text_of(data_center, workers_) +
+                         " view_age_ms=" + std::to_string(now - as_of));
 }
 
 } // namespace jasminetrack::tasks
--- a/packages/tasks/src/dispatcher_hold_log.cpp
+++ b/packages/tasks/src/dispatcher_hold_log.cpp
@@ -22,7 +22,7 @@
 detail::service_room& dispatcher::room_of(milliseconds now,
                                           std::string const& service)
 {
-    auto const [at, is_new] = rooms_.try_emplace(service);
+    auto const [at, is_new] = holds_.rooms.try_emplace(service);
     auto& room = at->second;
     if (!is_new)
         return room;
@@ -61,7 +61,7 @@
 void dispatcher::log_hold(milliseconds now, milliseconds wall,
                           hold_change const& c)
 {
-    auto const& held = held_.at(c.job);
+    auto const& held = holds_.held.at(c.job);
     auto const& e = jobs_.at(c.job);
     auto const& step = step_of(e, {c.job, held.unit});
     auto const& room = room_of(now, e.service);
@@ -76,16 +76,8 @@
     r.free = room.free;
     r.used = room.used;
     r.capacity = room.capacity;
-    r.headroom = headroom_[e.service].required(now);
+    r.headroom = shares_.headroom(now, e.service);
     log_decision("job.held", c.job, to_text(r));
 }
 
-void dispatcher::log_release(milliseconds wall, hold_change const& c,
-                             milliseconds due) const
-{
-    log_decision("job.released", c.job,
-                 "held_ms=" + std::to_string(c.held_ms) +
-                     " age_ms=" + std::to_string(time_since(due, wall)));
-}
-
 } // namespace jasminetrack::tasks
--- a/packages/tasks/src/dispatcher_holds.cpp
+++ b/packages/tasks/src/dispatcher_holds.cpp
@@ -1,5 +1,6 @@
 #include <jasminetrack/tasks/dispatcher.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace jasminetrack::tasks
@@ -9,32 +10,75 @@
 
 constexpr milliseconds hold_interval_ms = 500;
 
+std::string release_text(milliseconds wall, hold_change const& c,
+                         detail::held_unit const& held)
+{
+    auto const age = std::max<milliseconds>(0, wall - held.due_ms);
+    return "held_ms=" + std::to_string(c.held_ms) +
+           " age_ms=" + std::to_string(age);
+}
+
+/// \param worker  the member's; nullptr: not known
+/// \returns what the member waits for; nothing if it runs.
+std::optional<hold_reason> hold_of_member(detail::member const& m,
+                                          worker_view const* worker,
+                                          bool role_is_proven)
+{
+    bool const is_reached = worker && worker->token_known();
+    bool const is_silent = worker && worker->unresponsive_since >= 0;
+    switch (m.phase)
+    {
+    case detail::member_phase::recorded:
+        return hold_reason::placement_not_stored;
+    case detail::member_phase::awaiting_late_start:
+        return hold_reason::late_start;
+    case detail::member_phase::adopted:
+        if (is_silent)
+            return is_reached ? hold_reason::worker_silent
+                              : hold_reason::worker_unreached;
+        return hold_reason::start_unanswered;
+    case detail::member_phase::starting:
+    case detail::member_phase::unconfirmed:
+        if (is_silent)
+            return hold_reason::worker_silent;
+        return role_is_proven ? hold_reason::start_unanswered
+                              : hold_reason::role_unproven;
+    case detail::member_phase::running:
+        return is_silent ? std::optional(hold_reason::worker_silent)
+                         : std::nullopt;
+    case detail::member_phase::released:
+        break;
+    }
+    return std::nullopt;
+}
+
 } // namespace
 
 void dispatcher::update_holds(milliseconds now, milliseconds wall)
 {
-    if (now - holds_at_ < hold_interval_ms)
+    if (now - holds_.updated_at < hold_interval_ms)
         return;
-    holds_at_ = now;
-    held_units_.clear();
-    rooms_.clear();
-    auto const before = std::exchange(held_, {});
+    holds_.updated_at = now;
+    holds_.units.clear();
+    holds_.rooms.clear();
+    auto const before = std::exchange(holds_.held, {});
     std::map<std::string, hold_reason> reasons;
     for (auto const& [id, e] : jobs_)
     {
         if (is_final(e.progress.phase))
             continue;
-        auto const held = hold_of(now, wall, e, held_units_[e.service]);
+        auto const held = hold_of(now, wall, e, holds_.units[e.service]);
         if (!held)
             continue;
-        held_.emplace(id, *held);
+        holds_.held.emplace(id, *held);
         reasons.emplace(id, held->reason);
     }
-    for (auto const& change : holds_.update(now, reasons))
+    for (auto const& change : holds_.tracker.update(now, reasons))
         if (change.reason)
             log_hold(now, wall, change);
         else
-            log_release(wall, change, before.at(change.job).due_ms);
+            log_decision("job.released", change.job,
+                         release_text(wall, change, before.at(change.job)));
 }
 
 /// The units of a step without failures and losses have the same needs, so one
@@ -88,7 +132,8 @@
     std::optional<hold_reason> reason;
     for (auto const& m : members)
         if (!reason && m.phase != member_phase::released)
-            reason = hold_of(now, m);
+            reason =
+                hold_of_member(m, find_worker(m.worker), role_.is_proven(now));
     if (!at->second.over)
         return reason;
     // A start of a run that is over may still be carried out.
@@ -97,39 +142,6 @@
     return reason.value_or(hold_reason::stopping);
 }
 
-std::optional<hold_reason> dispatcher::hold_of(milliseconds now,
-                                               member const& m) const
-{
-    auto const at = workers_.find(m.worker);
-    bool const is_reached = at != workers_.end() && at->second.token_known();
-    bool const is_silent =
-        at != workers_.end() && at->second.unresponsive_since >= 0;
-    switch (m.phase)
-    {
-    case member_phase::recorded:
-        return hold_reason::placement_not_stored;
-    case member_phase::awaiting_late_start:
-        return hold_reason::late_start;
-    case member_phase::adopted:
-        if (is_silent)
-            return is_reached ? hold_reason::worker_silent
-                              : hold_reason::worker_unreached;
-        return hold_reason::start_unanswered;
-    case member_phase::starting:
-    case member_phase::unconfirmed:
-        if (is_silent)
-            return hold_reason::worker_silent;
-        return role_.is_proven(now) ? hold_reason::start_unanswered
-                                    : hold_reason::role_unproven;
-    case member_phase::running:
-        return is_silent ? std::optional(hold_reason::worker_silent)
-                         : std::nullopt;
-    case member_phase::released:
-        break;
-    }
-    return std::nullopt;
-}
-
 /// The order is that in which start_unit() looks for obstacles.
 hold_reason dispatcher::hold_of_waiting(milliseconds now, job_entry const& e,
                                         unit_ref const& ref)
@@ -170,7 +182,7 @@
     auto& room = room_of(now, q.service);
     if (!may_fit(room, need))
         return hold_reason::no_room;
-    need.spares_vulnerable = spares_vulnerable(now, q.service);
+    need.spares_vulnerable = crowding_.spares_vulnerable(now, q.service);
     count_same_step(room.fit, ref, need);
     count_same_step(room.listed, ref, need);
     count_same_step(room.evacuated, ref, need);
@@ -187,8 +199,8 @@
     case detail::unit_fit::now:
         break;
     }
-    if (!may_use(now, e, q.service, need) &&
-        !may_borrow(now, e, q.service, need))
+    if (!shares_.may_use(now, q.service, e.priority, need) &&
+        !shares_.may_borrow(now, q.service, e.priority, need))
         return hold_reason::headroom;
     if (departures_.waits.is_waiting(ref))
         return hold_reason::departures;
--- a/packages/tasks/src/dispatcher_isolation.cpp
+++ b/packages/tasks/src/dispatcher_isolation.cpp
@@ -10,12 +10,22 @@
 /// By then a worker that starts nothing else has shown that its earlier runs
 /// are established.
 constexpr milliseconds max_clearance_ms = 3'000;
-/// Of the workers of a service, one in so many may be cleared or start
-/// suspects, as the others have to start everything else.
-constexpr std::int64_t isolating_share = 4;
-/// More suspects of a service at once have lost their workers by another cause,
-/// but for a few of them.
-constexpr std::int64_t max_few_suspects = 40;
+
+/// \returns whether a task with this need fits on each place; a worker may be
+/// several of them.
+bool has_room(std::map<std::string, worker_view> const& workers,
+              std::vector<std::string> const& places, resources const& need)
+{
+    std::map<std::string, resources> wanted;
+    for (auto const& id : places)
+        wanted[id] += need;
+    return std::all_of(wanted.begin(), wanted.end(),
+                       [&](auto const& entry)
+                       {
+                           auto const& w = workers.at(entry.first);
+                           return fits(entry.second, w.free_capacity());
+                       });
+}
 
 } // namespace
 
@@ -23,7 +33,7 @@
                                unit_ref const& ref, std::string const& service,
                                unit_need need)
 {
-    if (!may_isolate(service, 1))
+    if (!shares_.may_isolate(service, 1))
         return false;
     need.isolated = false;
     auto const choice = choose_plan(candidates_of(now, service, e.priority),
@@ -32,12 +42,12 @@
         return false;
     std::set<std::string> const places(choice->places.begin(),
                                        choice->places.end());
-    if (!may_isolate(service, std::ssize(places)))
+    if (!shares_.may_isolate(service, std::ssize(places)))
         return false;
-    counts_[service].isolating += std::ssize(places);
+    shares_.count_of(service).isolating += std::ssize(places);
     clearances_[ref] = {choice->places, now};
     cleared_workers_.insert(places.begin(), places.end());
-    remove_candidates(choice->places);
+    candidates_.remove(choice->places);
     log_decision("unit.clear", ref.job,
                  "step=" + std::to_string(ref.unit.step) +
                      " index=" + std::to_string(ref.unit.index) +
@@ -46,39 +56,16 @@
     return true;
 }
 
-std::int64_t dispatcher::max_isolating(std::string const& service) const
-{
-    auto const at = counts_.find(service);
-    auto const workers = at == counts_.end() ? 0 : at->second.workers;
-    return std::max<std::int64_t>(1, workers / isolating_share);
-}
-
 bool dispatcher::has_many_suspects(std::string const& service) const
 {
-    auto const at = suspects_.find(service);
-    return at != suspects_.end() && at->second > max_few_suspects;
-}
-
-std::int64_t dispatcher::many_suspects_each(std::string const& service) const
-{
-    if (!has_many_suspects(service))
-        return 0;
-    auto const most = max_isolating(service);
-    return (suspects_.at(service) + most - 1) / most;
-}
-
-/// A gang may need more workers, so it goes ahead while there are no others.
-bool dispatcher::may_isolate(std::string const& service, std::int64_t count)
-{
-    auto const isolating = counts_[service].isolating;
-    return isolating == 0 || isolating + count <= max_isolating(service);
+    return suspects_.has_many(service);
 }
 
 bool dispatcher::may_isolate_on(std::string const& service,
                                 std::vector<std::string> const& places)
 {
     auto const count = count_new_isolating({places.begin(), places.end()});
-    return count == 0 || may_isolate(service, count);
+    return count == 0 || shares_.may_isolate(service, count);
 }
 
 std::int64_t
@@ -100,13 +87,12 @@
     auto const places = clearances_.at(ref).places;
     auto const is_usable = [&](std::string const& id)
     {
-        return is_reservable(now, ref, id) &&
-               workers_.at(id).accepts_starts(now) &&
+        return is_reservable(ref, id) && workers_.at(id).accepts_starts(now) &&
                !workers_.at(id).hosts_isolated_run();
     };
     bool const usable = list_currency_.is_current(now) &&
                         std::all_of(places.begin(), places.end(), is_usable) &&
-                        has_room(ref, places);
+                        has_room(workers_, places, held_by(step_of(e, ref)));
     auto const is_starting = [&](std::string const& id)
     { return is_starting_runs(workers_.at(id)); };
     if (usable && std::any_of(places.begin(), places.end(), is_starting))
@@ -115,23 +101,9 @@
     if (!usable)
         return;
     place(now, e, ref, places, false);
-    deduct_capacity(service, places, need.per_task);
-    counts_[service].held[e.priority] += need.accelerators();
-}
-
-bool dispatcher::has_room(unit_ref const& ref,
-                          std::vector<std::string> const& places) const
-{
-    auto const need = held_by(step_of(jobs_.at(ref.job), ref));
-    std::map<std::string, resources> wanted;
-    for (auto const& id : places)
-        wanted[id] += need;
-    return std::all_of(wanted.begin(), wanted.end(),
-                       [&](auto const& entry)
-                       {
-                           auto const& w = workers_.at(entry.first);
-                           return fits(entry.second, w.free_capacity());
-                       });
+    candidates_.deduct(service, places, need.per_task);
+    shares_.deduct(service, std::ssize(places) * need.per_task);
+    shares_.count_of(service).held[e.priority] += need.accelerators();
 }
 
 void dispatcher::drop_old_clearances(milliseconds now)
--- a/packages/tasks/src/dispatcher_load.cpp
+++ b/packages/tasks/src/dispatcher_load.cpp
@@ -1,3 +1,5 @@
+#include "waiting_work.hpp"
+
 #include <jasminetrack/tasks/cost_of_delay.hpp>
 #include <jasminetrack/tasks/dispatcher.hpp>
 
@@ -24,16 +26,6 @@
     return std::max(estimate - ran, estimate / overrun_divisor);
 }
 
-std::int64_t tasks_of_unit(step_spec const& s) noexcept
-{
-    return s.gang ? s.count : 1;
-}
-
-milliseconds estimate_of(step_spec const& s) noexcept
-{
-    return std::max<milliseconds>(s.estimate_ms, 1);
-}
-
 /// \returns the time that the service needs for the queued work at least.
 milliseconds least_wait(resource_load const& load)
 {
@@ -84,14 +76,14 @@
 {
     load_reading reading;
     reading.taken_ms = now + wall_offset_ms_;
-    for (auto const& [service, count] : counts_)
-        reading.services[service] = capacity_of(count);
-    for (auto const& [service, headroom] : headroom_)
-        if (auto const at = reading.services.find(service);
-            at != reading.services.end())
-            at->second.accelerators.kept_cores =
-                cores_per_accelerator *
-                static_cast<double>(headroom.required(now));
+    for (auto const& [service, count] : shares_.counts())
+    {
+        auto& load = reading.services[service];
+        load = capacity_of(count);
+        load.accelerators.kept_cores =
+            cores_per_accelerator *
+            static_cast<double>(shares_.headroom(now, service));
+    }
     // In the queue order, as work that expires before its turn is left out.
     std::vector<std::pair<ordering_key, job_entry const*>> waiting;
     for (auto const& [id, e] : jobs_)
@@ -105,7 +97,7 @@
         waiting_units step;
         step.occurrence = first->first.occurrence;
         step.key = ordering_key_of(now, e, first->first);
-        set_waiting_work(e, std::span(&step, 1));
+        detail::set_waiting_work(e, std::span(&step, 1));
         waiting.emplace_back(step.key, &e);
     }
     std::stable_sort(waiting.begin(), waiting.end(),
@@ -145,7 +137,8 @@
         if (u.phase != unit_phase::waiting || step.lasting || !is_due ||
             expires_in_queue(ordering_key_of(now, e, id), wait))
             continue;
-        auto const time = tasks_of_unit(step) * estimate_of(step);
+        auto const time =
+            detail::tasks_of_unit(step) * detail::estimate_of(step);
         cores += core_work(held_by(step), time);
         accelerators += accelerator_work(held_by(step), time);
     }
@@ -185,8 +178,9 @@
     bool const is_whole = slowest->sent_before < 0 &&
                           e.progress.units.at(ref.unit).checkpoint.empty();
     auto const percent = is_whole ? slowest->percent : 0;
-    auto const time = a.over ? limits_.max_stop_ms
-                             : expected_rest(ran, estimate_of(step), percent);
+    auto const time =
+        a.over ? limits_.max_stop_ms
+               : expected_rest(ran, detail::estimate_of(step), percent);
     auto const held = staying * held_by(step);
     load.cores.priorities[e.priority].running_core_s += core_work(held, time);
     load.cores.freed_cores_per_s += core_work(held, second_ms);
@@ -195,21 +189,4 @@
     load.accelerators.freed_cores_per_s += accelerator_work(held, second_ms);
 }
 
-void dispatcher::set_waiting_work(job_entry const& e,
-                                  std::span<waiting_units> steps) const
-{
-    if (steps.empty())
-        return;
-    std::map<std::int64_t, double> work; // by occurrence
-    for (auto const& [id, u] : e.progress.units)
-    {
-        auto const& step = e.job.spec.steps[static_cast<std::size_t>(id.step)];
-        if (u.phase == unit_phase::waiting)
-            work[id.occurrence] += core_seconds(
-                held_by(step), tasks_of_unit(step) * estimate_of(step));
-    }
-    for (auto& s : steps)
-        s.key.work_core_s = work[s.occurrence];
-}
-
 } // namespace jasminetrack::tasks
--- a/packages/tasks/src/dispatcher_monitor.cpp
+++ b/packages/tasks/src/dispatcher_monitor.cpp
@@ -16,6 +16,24 @@
 /// Draining workers stay a little longer than the time they announce.
 constexpr milliseconds drain_slack_ms = 500;
 
+/// A run with checkpoints continues until the last moment. One without them is
+/// moved as soon as it cannot complete in time, unless it has less work left
+/// than it would lose.
+bool should_leave(milliseconds now, detail::active_run const& a,
+                  std::size_t index, milliseconds left, step_spec const& step)
+{
+    auto const& m = a.members[index];
+    if (m.phase != detail::member_phase::running || step.lasting)
+        return false;
+    auto const ran = std::max<milliseconds>(1, now - a.first_sent);
+    auto const remaining = m.percent > 0
+                               ? ran * (hundred - m.percent) / m.percent
+                               : step.estimate_ms;
+    if (remaining <= left + drain_slack_ms)
+        return false;
+    return step.checkpoints ? left <= 0 : ran < remaining;
+}
+
 } // namespace
 
 void dispatcher::check_hanging(milliseconds now)
@@ -119,23 +137,4 @@
                     "it cannot complete before its worker is drained");
 }
 
-/// A run with checkpoints continues until the last moment. One without them is
-/// moved as soon as it cannot complete in time, unless it has less work left
-/// than it would lose.
-bool dispatcher::should_leave(milliseconds now, active_run const& a,
-                              std::size_t index, milliseconds left,
-                              step_spec const& step)
-{
-    auto const& m = a.members[index];
-    if (m.phase != member_phase::running || step.lasting)
-        return false;
-    auto const ran = std::max<milliseconds>(1, now - a.first_sent);
-    auto const remaining = m.percent > 0
-                               ? ran * (hundred - m.percent) / m.percent
-                               : step.estimate_ms;
-    if (remaining <= left + drain_slack_ms)
-        return false;
-    return step.checkpoints ? left <= 0 : ran < remaining;
-}
-
 } // namespace jasminetrack::tasks
--- a/packages/tasks/src/dispatcher_replies.cpp
+++ b/packages/tasks/src/dispatcher_replies.cpp
@@ -9,6 +9,20 @@
 constexpr std::size_t max_ends_per_reply = 500;
 constexpr std::int64_t complete_percent = 100;
 
+/// \param same_step  tasks of the step that the worker may have
+std::string stale_run_text(worker_view const& w, task_run const& run,
+                           unit const& newest, std::int64_t same_step,
+                           std::int64_t limit)
+{
+    return "worker=" + w.info.id + " step=" + std::to_string(run.task.step) +
+           " index=" + std::to_string(run.task.index) +
+           " run=" + std::to_string(run.run) +
+           " current_run=" + std::to_string(newest.run) +
+           " incarnation=" + std::to_string(w.info.incarnation) +
+           " same_step=" + std::to_string(same_step) +
+           " limit=" + std::to_string(limit);
+}
+
 } // namespace
 
 void dispatcher::process_ended(milliseconds now, worker_view& w,
@@ -152,30 +166,19 @@
     }
     else
     {
-        auto const held = held_by(step_of(*find_job(ref->job), *ref));
-        w.add(t.run, {*ref, held, true, 0, now});
+        auto const& e = *find_job(ref->job);
+        auto const& step = step_of(e, *ref);
+        w.add(t.run, {*ref, held_by(step), true, 0, now});
         stale_units_.insert(*ref);
         drop_reservation(*ref);
-        log_stale_run(w, t.run, *ref);
+        log_decision("run.stale", t.run.task.job,
+                     stale_run_text(w, t.run, e.progress.units.at(ref->unit),
+                                    count_same_step(*ref, w.info.id),
+                                    step.most_per_worker));
     }
     send_stop(now, w, t.run);
 }
 
-void dispatcher::log_stale_run(worker_view const& w, task_run const& run,
-                               unit_ref const& ref) const
-{
-    auto const& e = jobs_.at(ref.job);
-    log_decision(
-        "run.stale", run.task.job,
-        "worker=" + w.info.id + " step=" + std::to_string(run.task.step) +
-            " index=" + std::to_string(run.task.index) +
-            " run=" + std::to_string(run.run) + " current_run=" +
-            std::to_string(e.progress.units.at(ref.unit).run) +
-            " incarnation=" + std::to_string(w.info.incarnation) +
-            " same_step=" + std::to_string(count_same_step(ref, w.info.id)) +
-            " limit=" + std::to_string(step_of(e, ref).most_per_worker));
-}
-
 bool dispatcher::has_stale_run(unit_ref const& ref)
 {
     if (stale_units_.count(ref) == 0)
--- a/packages/tasks/src/dispatcher_schedule.cpp
+++ b/packages/tasks/src/dispatcher_schedule.cpp
@@ -1,3 +1,6 @@
+#include "failed_runs.hpp"
+#include "waiting_work.hpp"
+
 #include <jasminetrack/tasks/cost_of_delay.hpp>
 #include <jasminetrack/tasks/dispatcher.hpp>
 
@@ -10,18 +13,58 @@
 namespace
 {
 
-/// For so long work without room leaves workers with vulnerable runs alone.
-constexpr milliseconds max_spared_ms = 1'500;
 /// Interval of scheduling passes while something changes, and otherwise.
 constexpr milliseconds min_schedule_interval_ms = 20;
 constexpr milliseconds max_schedule_interval_ms = 500;
-/// How long a unit avoids the workers on which it failed, and its last attempt
-/// waits for a verified one. Workers that fail their runs are detected in less
-/// time.
-constexpr milliseconds max_verified_wait_ms = 2'000;
-/// How long it prefers other workers to them.
+/// How long a unit prefers other workers to those on which it failed.
 constexpr milliseconds max_avoided_ms = 10'000;
 
+/// \param wall  wall-clock time
+/// \returns the time since the job, or its occurrence, was accepted or due.
+milliseconds age_of(milliseconds wall, detail::job_entry const& e,
+                    std::int64_t occurrence)
+{
+    auto const due = due_of(e.job, occurrence);
+    return std::max<milliseconds>(0, wall - due);
+}
+
+/// \param q  the job's queue; nullptr: it has none
+verification_level verification_for(milliseconds now,
+                                    detail::job_entry const& e,
+                                    unit_ref const& ref, queue const* q)
+{
+    auto const& u = e.progress.units.at(ref.unit);
+    if (u.failures == 0 || step_of(e, ref).lasting)
+        return verification_level::none;
+    bool const last = q && u.failures + 1 >= q->max_attempts;
+    return last && detail::has_failed_lately(now, e, ref)
+               ? verification_level::required
+               : verification_level::preferred;
+}
+
+/// \returns whether the unit may need other workers than the rest of its step,
+/// as earlier runs of it have failed or lost their workers.
+bool may_need_other_workers(detail::waiting_units const& w, std::int64_t index)
+{
+    unit_id const id{w.occurrence, w.step, index};
+    auto const& u = w.entry->progress.units.at(id);
+    return u.failures > 0 || !u.losses.empty() ||
+           w.entry->late_starts.count({w.entry->job.id, id}) != 0;
+}
+
+/// \returns nothing if the unit should wait. Workers on which it failed are
+/// used if there are no others and it may not wait by choice.
+std::optional<reclaim_plan>
+choose_places(std::vector<worker_candidate> const& candidates, unit_need need,
+              reclaim_terms const& terms)
+{
+    auto choice = choose_plan(candidates, need, terms);
+    if (choice || need.may_wait || !need.avoids_failed_on)
+        return choice;
+    need.avoids_failed_on = false;
+    return choose_plan(candidates, need, terms);
+}
+
 } // namespace
 
 void dispatcher::schedule(milliseconds now, milliseconds wall)
@@ -40,60 +83,33 @@
     send_deferred_resends(now);
     process_reservations(now);
     drop_old_clearances(now);
-    for (auto& [key, list] : candidates_)
-        list.current = false;
-    counts_ = count_accelerators();
-    for (auto const& [service, count] : counts_)
-        headroom_[service].record(now, count.urgent);
-    record_urgent_use(now);
-    pending_utilization_.clear();
-    crowded_.clear();
-    suspects_in_pass_.clear();
+    candidates_.begin_pass();
+    shares_.begin_pass(
+        now, detail::count_accelerators(workers_, jobs_, cleared_workers_));
+    utilization_.pending.clear();
+    crowding_.begin_pass();
+    suspects_.begin_pass();
     auto const waiting = collect_waiting(now, wall);
-    note_waiting(waiting);
+    if (limits_.expect_departures)
+        departures_.note_waiting(waiting);
     for (auto const& w : waiting)
     {
-        count_waiting_step(*w.entry, &priority_utilization::waiting);
+        utilization_.count_step(*w.entry, &priority_utilization::waiting);
         for (auto const index : w.indices)
         {
             if (start_unit(now, w, index))
                 continue;
-            note_unplaced(w);
+            if (limits_.expect_departures)
+                departures_.note_unplaced(w);
             if (!may_need_other_workers(w, index))
                 break; // the step's other units have the same needs
         }
     }
-    update_crowding(now);
-    suspects_ = suspects_in_pass_;
+    crowding_.end_pass(now);
+    suspects_.end_pass();
     update_utilization(now);
 }
 
-void dispatcher::update_crowding(milliseconds now)
-{
-    std::erase_if(crowded_since_, [&](auto const& entry)
-                  { return crowded_.count(entry.first) == 0; });
-    for (auto const& service : crowded_)
-        crowded_since_.try_emplace(service, now);
-}
-
-/// Workers with vulnerable runs stay as they are for a short time only, as a
-/// job must not wait for them.
-bool dispatcher::spares_vulnerable(milliseconds now,
-                                   std::string const& service) const
-{
-    auto const since = crowded_since_.find(service);
-    return since == crowded_since_.end() || now - since->second < max_spared_ms;
-}
-
-bool dispatcher::may_need_other_workers(waiting_units const& w,
-                                        std::int64_t index)
-{
-    unit_id const id{w.occurrence, w.step, index};
-    auto const& u = w.entry->progress.units.at(id);
-    return u.failures > 0 || !u.losses.empty() ||
-           w.entry->late_starts.count({w.entry->job.id, id}) != 0;
-}
-
 bool dispatcher::start_unit(milliseconds now, waiting_units const& w,
                             std::int64_t index)
 {
@@ -111,7 +127,7 @@
     limit_wait(now, e, ref, need);
     if (is_kept_out(now, e, q->service, need))
         return false;
-    need.same_rack = wants_rack(now, q->service, need);
+    need.same_rack = racks_.could_hold(now, q->service, need, workers_);
     if (q->advised)
         exclude_unadvised(now, ref, q->service, need);
     keep_places(now, e, ref, need);
@@ -138,8 +154,8 @@
     if (!choice)
     {
         if (!need.isolated)
-            crowded_.insert(q->service);
-        count_waiting_step(e, &priority_utilization::no_room);
+            crowding_.note(q->service);
+        utilization_.count_step(e, &priority_utilization::no_room);
         return false;
     }
     if (awaits_departures(now, e, ref, need, choice->places))
@@ -154,12 +170,13 @@
     if (need.isolated || need.vulnerable)
         mark_starting_candidates(service, priority);
     // Many suspects together are hardly guilty.
-    need.spares_vulnerable = need.isolated ? !has_many_suspects(service)
-                                           : spares_vulnerable(now, service);
+    need.spares_vulnerable = need.isolated
+                                 ? !suspects_.has_many(service)
+                                 : crowding_.spares_vulnerable(now, service);
     if (!need.isolated)
         return;
-    ++suspects_in_pass_[service];
-    need.may_isolate = may_isolate(service, 1);
+    suspects_.note(service);
+    need.may_isolate = shares_.may_isolate(service, 1);
 }
 
 void dispatcher::place_or_reclaim(milliseconds now, job_entry& e,
@@ -174,13 +191,23 @@
         return;
     }
     if (need.isolated)
-        note_suspects(service, plan.places, need.max_group);
+    {
+        std::set<std::string> const workers(plan.places.begin(),
+                                            plan.places.end());
+        shares_.count_of(service).isolating += count_new_isolating(workers);
+        candidates_.note_suspects(workers, need.max_group);
+    }
     if (need.lent)
-        log_lending(now, e, ref, service, need);
+        log_decision("unit.lend", ref.job,
+                     "step=" + std::to_string(ref.unit.step) +
+                         " index=" + std::to_string(ref.unit.index) + " " +
+                         shares_.lending_text(now, service, e.priority, need));
     place(now, e, ref, plan.places, need.lent);
-    deduct_capacity(service, plan.places, need.per_task);
-    counts_[service].held[e.priority] += need.accelerators();
-    counts_[service].lent += need.lent ? need.accelerators() : 0;
+    candidates_.deduct(service, plan.places, need.per_task);
+    shares_.deduct(service, std::ssize(plan.places) * need.per_task);
+    auto& count = shares_.count_of(service);
+    count.held[e.priority] += need.accelerators();
+    count.lent += need.lent ? need.accelerators() : 0;
 }
 
 std::vector<dispatcher::waiting_units>
@@ -210,7 +237,7 @@
             list.back().indices.push_back(unit.index);
         }
         if (limits_.shed_load)
-            set_waiting_work(e, std::span(list).subspan(first));
+            detail::set_waiting_work(e, std::span(list).subspan(first));
     }
     auto const order = limits_.shed_load ? precedes_by_cost : precedes;
     std::stable_sort(list.begin(), list.end(),
@@ -219,22 +246,15 @@
     return list;
 }
 
-milliseconds dispatcher::age_of(milliseconds now, job_entry const& e,
-                                std::int64_t occurrence) const
-{
-    auto const due = due_of(e.job, occurrence);
-    return std::max<milliseconds>(0, now + wall_offset_ms_ - due);
-}
-
 ordering_key dispatcher::ordering_key_of(milliseconds now, job_entry const& e,
                                          unit_id const& id) const
 {
     ordering_key key;
     key.priority = e.priority;
-    key.age_ms = age_of(now, e, id.occurrence);
+    key.age_ms = age_of(now + wall_offset_ms_, e, id.occurrence);
     key.remaining_ms = e.critical_paths[static_cast<std::size_t>(id.step)];
     key.objective_ms = e.objective_ms;
-    key.below_share = is_below_share(e.service, e.priority);
+    key.below_share = shares_.is_below_share(e.service, e.priority);
     return key;
 }
 
@@ -252,7 +272,7 @@
     if (auto const at = e.failed_on.find(ref); at != e.failed_on.end())
     {
         need.avoids_failed_on = now - e.failed_at.at(ref) <= max_avoided_ms;
-        (has_failed_lately(now, e, ref) ? need.avoid : need.failed_on) =
+        (detail::has_failed_lately(now, e, ref) ? need.avoid : need.failed_on) =
             at->second;
     }
     auto const& losses = e.progress.units.at(ref.unit).losses;
@@ -260,11 +280,14 @@
     need.vulnerable = is_vulnerable(losses);
     // The members of a gang are judged one by one, so others do not join it.
     if (need.isolated && !step.gang)
-        need.max_group = max_group(losses, many_suspects_each(e.service));
-    need.verification = verification_for(now, e, ref);
+        need.max_group = max_group(
+            losses,
+            suspects_.many_each(e.service, shares_.max_isolating(e.service)));
+    need.verification = verification_for(now, e, ref, queue_of(e));
     // The clock of the VM that accepted the job may be ahead.
     need.waited_ms =
-        std::max(age_of(now, e, ref.unit.occurrence), now - e.known_at);
+        std::max(age_of(now + wall_offset_ms_, e, ref.unit.occurrence),
+                 now - e.known_at);
     need.lasting = step.lasting;
     need.estimate_ms = std::max<milliseconds>(step.estimate_ms, 1);
     need.speeds = preferred_speeds(now, e, ref);
@@ -273,24 +296,4 @@
     return need;
 }
 
-bool dispatcher::has_failed_lately(milliseconds now, job_entry const& e,
-                                   unit_ref const& ref)
-{
-    auto const at = e.failed_at.find(ref);
-    return at != e.failed_at.end() && now - at->second <= max_verified_wait_ms;
-}
-
-verification_level dispatcher::verification_for(milliseconds now,
-                                                job_entry const& e,
-                                                unit_ref const& ref) const
-{
-    auto const& u = e.progress.units.at(ref.unit);
-    if (u.failures == 0 || step_of(e, ref).lasting)
-        return verification_level::none;
-    auto const* q = queue_of(e);
-    bool const last = q && u.failures + 1 >= q->max_attempts;
-    return last && has_failed_lately(now, e, ref)
-               ? verification_level::required
-               : verification_level::preferred;
-}
 } // namespace jasminetrack::tasks
