--- a/packages/tasks/src/dispatcher_losses.cpp
+++ b/packages/tasks/src/dispatcher_losses.cpp
@@ -19,9 +19,9 @@
     {
         auto& w = at->second;
         w.drop_late_starts(now);
-        settle_worker(now, w);
         if (!w.hosted_runs.empty() && have_leases_ended(now, w))
             end_expired_runs(now, w);
+        settle_worker(now, w);
         bool const gone = !w.listed && w.hosted_runs.empty() &&
                           now - w.unlisted_since > unlisted_keep_ms;
         if (gone)
