--- a/review/standins/workers.cpp
+++ b/review/standins/workers.cpp
@@ -55,13 +55,9 @@
       born_(std::chrono::duration_cast<std::chrono::milliseconds>(
                 std::chrono::system_clock::now().time_since_epoch())
                 .count()),
-      begun_ms_(now_ms()),
-      first_clock_(
-          clock_start(static_cast<std::uint32_t>(std::hash<std::string>{}(id_)))
-              .draw(0)),
-      choose_([](std::string const&, std::int64_t)
-              { return worker_action::serve; }),
-      lease_until_(first_clock_), thread_([this] { run(); }),
+      begun_ms_(now_ms()), choose_([](std::string const&, std::int64_t)
+                                   { return worker_action::serve; }),
+      thread_([this] { run(); }),
       server_(std::make_unique<http_server>(
           address_, [this](http_request const& r) { return handle(r); }))
 {
@@ -93,7 +89,7 @@
 
 milliseconds worker::clock() const
 {
-    return first_clock_ + now_ms() - begun_ms_ + 1;
+    return now_ms() - begun_ms_ + 1;
 }
 
 std::string worker::list_entry() const
--- a/review/standins/workers.hpp
+++ b/review/standins/workers.hpp
@@ -3,7 +3,6 @@
 /// Stand-ins for the platform's workers: they start, stop and end tasks as the
 /// users' pages describe it.
 
-#include "clock_start.hpp"
 #include "http.hpp"
 #include "record.hpp"
 
@@ -129,13 +128,12 @@
     record& log_;
     std::int64_t born_;
     milliseconds begun_ms_;
-    milliseconds first_clock_; ///< reading at `begun_ms_`
     std::mutex mutex_;
     std::condition_variable changed_;
     chooser choose_;
     bool stopping_ = false;
     std::int64_t token_ = 0;
-    milliseconds lease_until_; ///< on its clock
+    milliseconds lease_until_ = 0;
     bool lease_lapsed_ = true;
     int lapses_ = 0; ///< of the lease
     std::map<std::string, running> running_;
--- a/review/standins/clock_start.hpp
+++ b/tests/support/clock_start.hpp
@@ -8,7 +8,7 @@
 #include <cstdint>
 #include <random>
 
-namespace jasminetrack::review
+namespace support
 {
 
 /// Draws the first readings of clocks, in milliseconds. Deterministic for a
@@ -51,4 +51,4 @@
     std::mt19937 random_;
 };
 
-} // namespace jasminetrack::review
+} // namespace support
--- a/tests/support/dispatch_simulation.hpp
+++ b/tests/support/dispatch_simulation.hpp
@@ -6,7 +6,7 @@
 
 #include "idle_wait_check.hpp"
 
-#include <review/standins/clock_start.hpp>
+#include <tests/support/clock_start.hpp>
 
 #include <jasminetrack/tasks/dispatcher.hpp>
 
@@ -489,7 +489,7 @@
 
     std::mt19937 random_;
     /// Its own draws, so that the days of a seed stay the same.
-    jasminetrack::review::clock_start clock_start_;
+    clock_start clock_start_;
     simulation_faults faults_;
     milliseconds now_ = 100'000;
     std::multimap<milliseconds, std::function<void()>> queue_;
