--- a/review/standins-3/deployment.cpp
+++ b/review/standins-3/deployment.cpp
@@ -130,6 +130,8 @@
     auto program = deployed_program();
     std::vector<std::string> environment{"JASMINETRACK_NODE_FILE=" + dir_ +
                                          "/" + name_ + ".yaml"};
+    // DEPLOY.md: the platform sets this variable, too.
+    environment.emplace_back("MALLOC_ARENA_MAX=1");
     for (auto const* name : {"PATH", "HOME", "LANG"})
         if (auto const* value = std::getenv(name))
             environment.push_back(std::string(name) + "=" + value);
@@ -151,6 +153,7 @@
     posix_spawn_file_actions_destroy(&files);
     if (error != 0)
         throw std::runtime_error("cannot start " + program);
+    std::ofstream(dir_ + "/pids", std::ios::app) << pid_ << "\n";
     out_.write("entry VM " + name_ + " started as process " +
                std::to_string(pid_));
 }
@@ -193,7 +196,7 @@
 std::int64_t entry_vm::memory_mb() const
 {
     constexpr std::int64_t kb_per_mb = 1'024;
-    std::string const mark = "VmRSS:";
+    std::string const mark = "RssAnon:";
     std::ifstream in("/proc/" + std::to_string(pid_) + "/status");
     for (std::string line; pid_ > 0 && std::getline(in, line);)
         if (line.starts_with(mark))
@@ -236,34 +239,46 @@
 std::int64_t deployment::configure(std::vector<route> const& routes,
                                    std::vector<std::string> const& keys)
 {
-    json list = json::array();
-    std::string names;
+    return configure(routes, std::vector<tenant>{{"zeildoek", keys, 0}});
+}
+
+std::int64_t deployment::configure(std::vector<route> const& routes,
+                                   std::vector<tenant> const& tenants)
+{
+    json route_list = json::array();
+    json tenant_list = json::array();
+    std::string text;
     for (auto const& r : routes)
     {
-        list.push_back({{"name", r.name},
-                        {"host", host},
-                        {"path_prefix", r.prefix},
-                        {"service", service},
-                        {"priority", 1},
-                        {"max_attempts", r.max_attempts},
-                        {"stretch", 3.0},
-                        {"target_latency_ms", 1'200},
-                        {"public", false}});
-        names += " " + r.name;
+        route_list.push_back({{"name", r.name},
+                              {"host", host},
+                              {"path_prefix", r.prefix},
+                              {"service", service},
+                              {"priority", r.priority},
+                              {"max_attempts", r.max_attempts},
+                              {"stretch", 3.0},
+                              {"target_latency_ms", 1'200},
+                              {"public", false}});
+        text += " " + r.name;
+    }
+    for (auto const& t : tenants)
+    {
+        tenant_list.push_back({{"name", t.name},
+                               {"api_keys", t.keys},
+                               {"guaranteed", {{"gpu", t.guaranteed}}}});
+        text += ", tenant " + t.name + " with " +
+                std::to_string(t.keys.size()) + " keys and " +
+                std::to_string(t.guaranteed) + " guaranteed accelerators";
     }
     json const config{
         {"version", ++version_},
-        {"routes", list},
+        {"routes", route_list},
         {"services", {{{"name", service}, {"rejects_overload", false}}}},
-        {"tenants",
-         {{{"name", "zeildoek"},
-           {"api_keys", keys},
-           {"guaranteed", {{"gpu", 0}}}}}},
+        {"tenants", tenant_list},
         {"limits", {{"max_body_bytes", 262'144}}}};
     store_.put("keyed.op", "config", config.dump());
     out_.write("operator: version " + std::to_string(version_) +
-               " acknowledged, routes" + names + ", " +
-               std::to_string(keys.size()) + " keys");
+               " acknowledged, routes" + text);
     return version_;
 }
 
--- a/review/standins-3/deployment.hpp
+++ b/review/standins-3/deployment.hpp
@@ -34,6 +34,15 @@
     std::string name;
     std::string prefix;
     std::int64_t max_attempts = 3;
+    std::int64_t priority = 1;
+};
+
+/// A tenant of the operator's configuration.
+struct tenant
+{
+    std::string name;
+    std::vector<std::string> keys;
+    std::int64_t guaranteed = 0; ///< accelerators
 };
 
 /// One entry VM: a process of the project's program.
@@ -69,7 +78,8 @@
     [[nodiscard]] bool is_alive();
     [[nodiscard]] bool is_ready() const;
     [[nodiscard]] bool is_dispatcher() const;
-    /// \returns the memory that the process holds, in MB; 0 if none runs.
+    /// \returns the memory that the process alone holds, in MB; 0 if none
+    /// runs.
     [[nodiscard]] std::int64_t memory_mb() const;
 
 private:
@@ -95,6 +105,9 @@
     /// \returns its version.
     std::int64_t configure(std::vector<route> const& routes,
                            std::vector<std::string> const& keys);
+    /// The same with several tenants.
+    std::int64_t configure(std::vector<route> const& routes,
+                           std::vector<tenant> const& tenants);
     /// Starts all VMs.
     /// \returns whether all are ready and one dispatches in time.
     [[nodiscard]] bool start();
--- a/review/standins-3/net.cpp
+++ b/review/standins-3/net.cpp
@@ -11,6 +11,7 @@
 #include <cctype>
 #include <chrono>
 #include <csignal>
+#include <iterator>
 #include <limits>
 #include <random>
 #include <stdexcept>
@@ -168,9 +169,29 @@
             }
             socket->non_blocking(false);
             std::lock_guard<std::mutex> const lock(mutex);
+            join_ended();
             descriptors.push_back(socket->native_handle());
-            threads.emplace_back([this, socket] { serve(*socket); });
+            threads.emplace_back();
+            auto const self = std::prev(threads.end());
+            *self = std::thread(
+                [this, socket, self]
+                {
+                    serve(*socket);
+                    std::lock_guard<std::mutex> const ending(mutex);
+                    ended.push_back(self);
+                });
+        }
+    }
+
+    /// Joins the threads of connections that have ended; needs the lock.
+    void join_ended()
+    {
+        for (auto const at : ended)
+        {
+            at->join();
+            threads.erase(at);
         }
+        ended.clear();
     }
 
     void serve(tcp::socket& socket)
@@ -240,6 +261,7 @@
     std::mutex mutex;
     std::vector<int> descriptors;
     std::list<std::thread> threads;
+    std::vector<std::list<std::thread>::iterator> ended;
     std::thread thread;
 };
 
--- a/review/standins-3/run_play.sh
+++ b/review/standins-3/run_play.sh
@@ -12,10 +12,12 @@
   exit 2
 }
 dir=$(mktemp -d)
-record=review/$case/record.txt
-[ "${TROUBLE:-1}" = 0 ] && record=$dir/record.txt
-"$play" "$dir" "$record"
+"$play" "$dir" "review/$case/record.txt"
 code=$?
+# A play that ended by a signal has not ended its entry VMs.
+if [ "$code" -gt 2 ] && [ -e "$dir/pids" ]; then
+  while read -r pid; do kill -KILL "$pid" 2>/dev/null; done < "$dir/pids"
+fi
 [ -n "${KEEP:-}" ] && mkdir -p "$KEEP" && cp "$dir"/* "$KEEP"/
 rm -rf "$dir"
 case $code in 0 | 1) exit "$code" ;; *) exit 2 ;; esac
