--- a/review/12/play.cpp
+++ b/review/12/play.cpp
@@ -29,15 +29,16 @@
 constexpr char const* owner_key = "key-of-the-owner";
 constexpr char const* other_key = "key-of-the-other";
 
-/// \returns a job of tasks of a minute that use all accelerators.
+/// \returns a job of tasks of an hour that use all accelerators. Letter 1:
+/// "670 jobs a day, most running for hours".
 std::string borrowing_job()
 {
     json const step{{"count", worker_count * accelerators},
                     {"cpu", 5'600},
                     {"mem_mb", 8'200},
                     {"gpu", 1},
-                    {"est_runtime_ms", 60'000}};
-    json const job{{"spec", "60000"}, {"steps", {step}}};
+                    {"est_runtime_ms", 3'600'000}};
+    json const job{{"spec", "3600000"}, {"steps", {step}}};
     return job.dump();
 }
 
