--- a/review/standins-3/store.cpp
+++ b/review/standins-3/store.cpp
@@ -137,21 +137,17 @@
                : t.records[static_cast<std::size_t>(at->second)].value;
 }
 
-void store::copy_job(std::string const& id, std::vector<std::string> const& ids)
+void store::copy_record(std::string const& topic, std::string const& id,
+                        std::vector<std::string> const& ids)
 {
-    for (auto const* topic : {"keyed.jobs", "keyed.work"})
+    auto const value = newest(topic, id);
+    auto const at = value.find(id);
+    for (auto const& other : ids)
     {
-        auto const value = newest(topic, id);
-        if (value.empty())
-            continue;
-        auto const at = value.find(id);
-        for (auto const& other : ids)
-        {
-            auto copy = value;
-            if (at != std::string::npos)
-                copy.replace(at, id.size(), other);
-            put(topic, other, copy);
-        }
+        auto copy = value;
+        if (at != std::string::npos)
+            copy.replace(at, id.size(), other);
+        put(topic, other, copy);
     }
 }
 
--- a/review/standins-3/store.hpp
+++ b/review/standins-3/store.hpp
@@ -37,9 +37,10 @@
     /// \returns the newest value of the key; empty if there is none.
     [[nodiscard]] std::string newest(std::string const& topic,
                                      std::string const& key);
-    /// Adds copies of the newest records of a job under other ids, as further
+    /// Adds copies of the newest record of a job under other ids, as further
     /// jobs of the same kind would have left them.
-    void copy_job(std::string const& id, std::vector<std::string> const& ids);
+    void copy_record(std::string const& topic, std::string const& id,
+                     std::vector<std::string> const& ids);
     void stop();
 
 private:
