--- a/packages/entry/include/jasminetrack/entry/job_requests.hpp
+++ b/packages/entry/include/jasminetrack/entry/job_requests.hpp
@@ -88,10 +88,11 @@
     /// \returns the seconds after which to submit the job again, or nothing if
     /// it is to be submitted now. A known job is never refused.
     [[nodiscard]] std::optional<int>
-    refuse_for_load(std::string const& queue, std::string const& id,
+    refuse_for_load(tasks::queue const& queue, std::string const& id,
                     tasks::job_spec const& spec);
+    /// \param queue  its terms are stored with the job
     [[nodiscard]] submit_result submit(caller const& who,
-                                       std::string const& queue,
+                                       tasks::queue const& queue,
                                        std::string const& id,
                                        tasks::job_spec spec);
     [[nodiscard]] job_status find_status(std::string const& id);
@@ -99,7 +100,8 @@
                                        std::string const& id);
     /// \returns the number of jobs of the queue that have not begun; nothing
     /// if this node has no recent view of the jobs.
-    [[nodiscard]] std::optional<std::int64_t> pending(std::string const& queue);
+    [[nodiscard]] std::optional<std::int64_t>
+    pending(tasks::queue const& queue);
     /// \returns the time for which the log has stored nothing for any node; 0
     /// if it works, or if this node cannot tell.
     [[nodiscard]] milliseconds log_outage() const;
--- a/packages/entry/include/jasminetrack/entry/job_table.hpp
+++ b/packages/entry/include/jasminetrack/entry/job_table.hpp
@@ -40,7 +40,7 @@
     /// \returns nothing if the job was not read.
     [[nodiscard]] std::optional<job_view> find(std::string const& id) const;
     /// \returns the number of jobs of the queue that have not begun.
-    [[nodiscard]] std::int64_t pending(std::string const& queue) const;
+    [[nodiscard]] std::int64_t pending(tasks::queue const& queue) const;
     [[nodiscard]] std::size_t size() const;
     /// \returns the ids of the jobs that have not ended.
     [[nodiscard]] std::vector<std::string> unfinished() const;
--- a/packages/entry/include/jasminetrack/entry/load_admission.hpp
+++ b/packages/entry/include/jasminetrack/entry/load_admission.hpp
@@ -6,7 +6,6 @@
 
 #include <jasminetrack/tasks/admission.hpp>
 
-#include <memory>
 #include <mutex>
 
 namespace jasminetrack::entry
@@ -32,7 +31,6 @@
     {
         return enabled_;
     }
-    void set_configuration(std::shared_ptr<tasks::configuration const> config);
     /// A record of the dispatcher with a reading was read.
     /// \param gap_ms  time before `now` within which it was taken; a reading is
     ///                not used if it may be too old
@@ -40,26 +38,24 @@
                      milliseconds gap_ms);
     /// \returns the verdict on a new job.
     [[nodiscard]] tasks::admission_verdict
-    judge(milliseconds now, std::string const& queue,
+    judge(milliseconds now, tasks::queue const& queue,
           tasks::job_spec const& spec) const;
     /// The job was stored, or may have been.
-    void on_accepted(std::string const& queue, tasks::job_spec const& spec);
+    void on_accepted(tasks::queue const& queue, tasks::job_spec const& spec);
     /// The job is refused; logs the decision and its inputs.
-    void on_refused(milliseconds now, std::string const& queue,
+    void on_refused(milliseconds now, tasks::queue const& queue,
                     std::string const& id, tasks::job_spec const& spec,
                     tasks::admission_verdict const& v);
     [[nodiscard]] admission_metrics metrics(milliseconds now) const;
 
 private:
-    /// \returns nullptr if the queue or its service is not known.
-    [[nodiscard]] tasks::queue const* find(std::string const& queue) const;
+    /// \returns nullptr if the service is not in the reading.
     [[nodiscard]] tasks::service_reading const*
     reading_of(std::string const& service) const;
     [[nodiscard]] milliseconds age(milliseconds now) const;
 
     bool enabled_;
     mutable std::mutex mutex_;
-    std::shared_ptr<tasks::configuration const> config_;
     std::optional<tasks::load_reading> reading_;
     milliseconds taken_at_ = 0; ///< at the earliest
     /// Since the newest reading, by service.
--- a/packages/entry/src/entry_node.cpp
+++ b/packages/entry/src/entry_node.cpp
@@ -137,7 +137,6 @@
         config_ =
             std::make_shared<tasks::configuration const>(std::move(*config));
         dispatch_.on_configuration(config_);
-        admission_.set_configuration(config_);
     }
 }
 
--- a/packages/entry/src/job_requests.cpp
+++ b/packages/entry/src/job_requests.cpp
@@ -124,7 +124,7 @@
 /// Another entry VM may have accepted the job just now, so it is refused only
 /// after a read that begins during the request. If the log cannot be read, the
 /// append decides.
-std::optional<int> job_requests::refuse_for_load(std::string const& queue,
+std::optional<int> job_requests::refuse_for_load(tasks::queue const& queue,
                                                  std::string const& id,
                                                  tasks::job_spec const& spec)
 {
@@ -137,7 +137,7 @@
     return overload_retry_after_s(verdict.wait_ms, id);
 }
 
-submit_result job_requests::submit(caller const& who, std::string const& queue,
+submit_result job_requests::submit(caller const& who, tasks::queue const& queue,
                                    std::string const& id, tasks::job_spec spec)
 {
     latency_timer const clock(latencies_, latency::submit);
@@ -146,7 +146,8 @@
         return submit_result::accepted;
     tasks::accepted_job job;
     job.id = id;
-    job.queue = queue;
+    job.queue = queue.name;
+    job.terms = queue;
     job.team = who.team;
     job.accepted_ms = runtime::wall_ms();
     job.spec = std::move(spec);
@@ -154,7 +155,7 @@
     auto const result = store(who, {id, encode(job)});
     write_log(log_level::info, "job.submit",
               {{"job", id},
-               {"queue", queue},
+               {"queue", queue.name},
                {"team", who.team},
                {"steps", std::to_string(tasks)},
                {"result", to_text(result)},
@@ -199,7 +200,7 @@
                                            : cancel_result::unknown;
 }
 
-std::optional<std::int64_t> job_requests::pending(std::string const& queue)
+std::optional<std::int64_t> job_requests::pending(tasks::queue const& queue)
 {
     if (!is_current() && !jobs_.read_to_end(complete_read_timeout_ms))
         return std::nullopt;
--- a/packages/entry/src/job_table.cpp
+++ b/packages/entry/src/job_table.cpp
@@ -25,12 +25,12 @@
     return at->second;
 }
 
-std::int64_t job_table::pending(std::string const& queue) const
+std::int64_t job_table::pending(tasks::queue const& queue) const
 {
     std::lock_guard<std::mutex> const lock(mutex_);
     std::int64_t count = 0;
     for (auto const& [id, v] : jobs_)
-        if (v.job && v.job->queue == queue && !v.summary.begun &&
+        if (v.job && is_of_queue(*v.job, queue) && !v.summary.begun &&
             !tasks::is_final(v.phase()))
             ++count;
     return count;
--- a/packages/entry/src/load_admission.cpp
+++ b/packages/entry/src/load_admission.cpp
@@ -49,13 +49,6 @@
 
 } // namespace
 
-void load_admission::set_configuration(
-    std::shared_ptr<tasks::configuration const> config)
-{
-    std::lock_guard<std::mutex> const lock(mutex_);
-    config_ = std::move(config);
-}
-
 void load_admission::put_reading(milliseconds now, std::string const& encoded,
                                  milliseconds gap_ms)
 {
@@ -74,11 +67,6 @@
     accepted_.clear();
 }
 
-tasks::queue const* load_admission::find(std::string const& queue) const
-{
-    return config_ ? tasks::find_queue(*config_, queue) : nullptr;
-}
-
 tasks::service_reading const*
 load_admission::reading_of(std::string const& service) const
 {
@@ -94,51 +82,46 @@
 }
 
 tasks::admission_verdict
-load_admission::judge(milliseconds now, std::string const& queue,
+load_admission::judge(milliseconds now, tasks::queue const& queue,
                       tasks::job_spec const& spec) const
 {
     std::lock_guard<std::mutex> const lock(mutex_);
-    auto const* q = find(queue);
-    if (!enabled_ || !q)
+    if (!enabled_)
         return {};
-    auto const accepted = accepted_.find(q->service);
+    auto const accepted = accepted_.find(queue.service);
     return judge_admission(
-        admission_need_of(*q, spec), reading_of(q->service), age(now),
+        admission_need_of(queue, spec), reading_of(queue.service), age(now),
         accepted == accepted_.end() ? tasks::accepted_by_priority()
                                     : accepted->second);
 }
 
-void load_admission::on_accepted(std::string const& queue,
+void load_admission::on_accepted(tasks::queue const& queue,
                                  tasks::job_spec const& spec)
 {
     std::lock_guard<std::mutex> const lock(mutex_);
-    auto const* q = find(queue);
-    if (!enabled_ || !q)
+    if (!enabled_)
         return;
-    auto const need = admission_need_of(*q, spec);
+    auto const need = admission_need_of(queue, spec);
     if (!need.has_end)
         return;
-    auto& work = accepted_[q->service][q->priority];
+    auto& work = accepted_[queue.service][queue.priority];
     work.core_s += need.core_s;
     work.accelerator_s += need.accelerator_s;
 }
 
-void load_admission::on_refused(milliseconds now, std::string const& queue,
+void load_admission::on_refused(milliseconds now, tasks::queue const& queue,
                                 std::string const& id,
                                 tasks::job_spec const& spec,
                                 tasks::admission_verdict const& v)
 {
     std::lock_guard<std::mutex> const lock(mutex_);
-    ++refused_[queue];
-    auto const* q = find(queue);
-    if (!q)
-        return;
-    auto const need = admission_need_of(*q, spec);
-    auto const* found = reading_of(q->service);
+    ++refused_[queue.name];
+    auto const need = admission_need_of(queue, spec);
+    auto const* found = reading_of(queue.service);
     auto const load = found ? *found : tasks::service_reading();
     write_log(log_level::info, "job.refused",
               {{"job", id},
-               {"queue", queue},
+               {"queue", queue.name},
                {"reason", to_text(v.reason)},
                {"priority", std::to_string(need.priority)},
                {"core_s", rounded(need.core_s)},
@@ -152,7 +135,7 @@
                {"cores_work", work_text(load.cores)},
                {"accelerators", use_text(load.accelerators)},
                {"accelerators_work", work_text(load.accelerators)},
-               {"accepted_core_s", accepted_text(accepted_, q->service)}});
+               {"accepted_core_s", accepted_text(accepted_, queue.service)}});
 }
 
 admission_metrics load_admission::metrics(milliseconds now) const
--- a/packages/tasks/include/jasminetrack/tasks/detail/dispatcher_state.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/detail/dispatcher_state.hpp
@@ -134,7 +134,7 @@
     accepted_job job;
     job_progress progress;
     std::int64_t priority = 0;
-    std::string service;       ///< that its queue uses
+    std::string service;       ///< empty if its terms are not known
     milliseconds known_at = 0; ///< when this dispatcher received it
     milliseconds objective_ms = 0;
     /// Longest chain of estimated work from each step to the job's end.
--- a/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -173,7 +173,9 @@
     [[nodiscard]] std::optional<unit_ref> ref_of(task_run const& run);
     [[nodiscard]] job_entry* find_job(std::string const& id);
     [[nodiscard]] unit* find_unit(unit_ref const& ref);
-    [[nodiscard]] queue const* queue_of(job_entry const& e) const;
+    /// \returns the queue on whose terms the job runs; nullptr for a job of an
+    /// earlier build whose queue no configuration had.
+    [[nodiscard]] static queue const* queue_of(job_entry const& e);
     void apply_queue(job_entry& e) const;
     void log_decision(std::string step, std::string job,
                       std::string text) const;
@@ -240,7 +242,7 @@
     [[nodiscard]] hosted_run stray_run(milliseconds now, hosted_run const& o,
                                        std::size_t index,
                                        member const& m) const;
-    /// \returns whether a queue uses the service.
+    /// \returns whether a queue or a job uses the service.
     [[nodiscard]] bool is_used(std::string const& service) const;
     void log_capacity(worker_view const& w, worker_info const& info) const;
     static void record_remaining_time(milliseconds now, worker_view& w,
--- a/packages/tasks/include/jasminetrack/tasks/model.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/model.hpp
@@ -98,23 +98,6 @@
     friend bool operator==(job_spec const&, job_spec const&) = default;
 };
 
-/// A job as it was accepted.
-struct accepted_job
-{
-    std::string id;
-    std::string queue;
-    std::string team;
-    milliseconds accepted_ms = 0; ///< wall-clock time
-    job_spec spec;
-
-    friend bool operator==(accepted_job const&, accepted_job const&) = default;
-};
-
-/// \returns the wall-clock time at which the occurrence was due, or the job was
-/// accepted if it has none.
-[[nodiscard]] milliseconds due_of(accepted_job const& job,
-                                  std::int64_t occurrence) noexcept;
-
 enum class job_phase : std::uint8_t
 {
     queued,
@@ -151,6 +134,30 @@
     friend bool operator==(queue const&, queue const&) = default;
 };
 
+/// A job as it was accepted.
+struct accepted_job
+{
+    std::string id;
+    std::string queue; ///< its name
+    std::string team;
+    milliseconds accepted_ms = 0; ///< wall-clock time
+    job_spec spec;
+    /// The queue as it was then. Its terms apply until the job ends, whatever
+    /// becomes of the queue. Records of earlier builds have none.
+    std::optional<tasks::queue> terms{};
+
+    friend bool operator==(accepted_job const&, accepted_job const&) = default;
+};
+
+/// \returns the wall-clock time at which the occurrence was due, or the job was
+/// accepted if it has none.
+[[nodiscard]] milliseconds due_of(accepted_job const& job,
+                                  std::int64_t occurrence) noexcept;
+
+/// \returns whether the job was submitted to the queue: under its name, or at
+/// its address while it had another name.
+[[nodiscard]] bool is_of_queue(accepted_job const& job, queue const& q);
+
 /// A team: its API keys and its guarantee.
 struct team
 {
--- a/packages/tasks/src/dispatcher.cpp
+++ b/packages/tasks/src/dispatcher.cpp
@@ -81,9 +81,9 @@
     return at == e->progress.units.end() ? nullptr : &at->second;
 }
 
-queue const* dispatcher::queue_of(job_entry const& e) const
+queue const* dispatcher::queue_of(job_entry const& e)
 {
-    return find_queue(config_, e.job.queue);
+    return e.job.terms ? &*e.job.terms : nullptr;
 }
 
 void dispatcher::log_decision(std::string step, std::string job,
@@ -146,14 +146,26 @@
     update_job_phase(now, placed);
 }
 
+/// A job keeps the terms of its acceptance, also if its queue has gone or has
+/// other ones now. A job without terms, from an earlier build, gets those of
+/// the first configuration that has its queue. Only advice is a matter of the
+/// queue as it is: the workers go by that.
 void dispatcher::apply_queue(job_entry& e) const
 {
-    auto const* q = queue_of(e);
-    if (!q)
+    auto const* const q = find_queue(config_, e.job.queue);
+    auto& terms = e.job.terms;
+    if (!terms && q)
+        terms = *q;
+    if (!terms)
         return;
-    e.priority = q->priority;
-    e.service = q->service;
-    e.objective_ms = objective_of(*q, e.job.spec);
+    e.priority = terms->priority;
+    e.service = terms->service;
+    e.objective_ms = objective_of(*terms, e.job.spec);
+    if (!q || q->service != terms->service)
+        return;
+    terms->advised = q->advised;
+    terms->advice_ms = q->advice_ms;
+    terms->advice_each_ms = q->advice_each_ms;
 }
 
 void dispatcher::cancel_job(milliseconds now, std::string const& id)
--- a/packages/tasks/src/dispatcher_workers.cpp
+++ b/packages/tasks/src/dispatcher_workers.cpp
@@ -81,7 +81,10 @@
 bool dispatcher::is_used(std::string const& service) const
 {
     return std::any_of(config_.queues.begin(), config_.queues.end(),
-                       [&](queue const& q) { return q.service == service; });
+                       [&](queue const& q) { return q.service == service; }) ||
+           std::any_of(jobs_.begin(), jobs_.end(),
+                       [&](auto const& entry)
+                       { return entry.second.service == service; });
 }
 
 /// A worker reports the remaining time again and again. Each report is older
--- a/packages/tasks/src/hold_reason.cpp
+++ b/packages/tasks/src/hold_reason.cpp
@@ -11,7 +11,9 @@
 
 constexpr std::array<hold_terms, static_cast<std::size_t>(hold_reason::count)>
     terms{{
-        {"no_queue", "a configuration with the job's queue", by_load},
+        {"no_queue",
+         "a configuration with the queue of a job of an earlier build",
+         by_load},
         {"jobs_not_current", "a read of the jobs to their end", 1'900},
         {"list_not_current", "a read of the workers after their reports",
          2'500},
--- a/packages/tasks/src/model.cpp
+++ b/packages/tasks/src/model.cpp
@@ -20,6 +20,13 @@
                : job.accepted_ms;
 }
 
+bool is_of_queue(accepted_job const& job, queue const& q)
+{
+    auto const& terms = job.terms;
+    return job.queue == q.name ||
+           (terms && terms->host == q.host && terms->prefix == q.prefix);
+}
+
 char const* to_text(job_phase p) noexcept
 {
     constexpr std::array names{"queued", "running", "completed", "failed",
--- a/packages/tasks/src/progress.cpp
+++ b/packages/tasks/src/progress.cpp
@@ -20,9 +20,6 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(job_spec, payload, steps,
                                                 first_due_ms, interval_ms,
                                                 occurrences)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(accepted_job, id, queue, team,
-                                                accepted_ms, spec)
-
 namespace
 {
 
@@ -35,6 +32,75 @@
     return {bytes.begin(), bytes.end()};
 }
 
+/// Fields of a queue in a job's record; a queue with advice has two more.
+constexpr std::size_t queue_fields = 7;
+constexpr std::size_t advised_queue_fields = 9;
+
+json row_of(queue const& q)
+{
+    auto row = json::array({q.host, q.prefix, q.service, q.priority,
+                            q.max_attempts, q.stretch, q.latency_ms});
+    if (!q.advised)
+        return row;
+    row.push_back(q.advice_ms);
+    row.push_back(q.advice_each_ms);
+    return row;
+}
+
+/// \returns nothing if the job's record has no queue, or one that this build
+/// cannot read.
+std::optional<queue> queue_of(json const& record, std::string const& name)
+try
+{
+    auto const at = record.find("terms");
+    if (at == record.end() || at->size() < queue_fields)
+        return std::nullopt;
+    auto const& row = *at;
+    queue q;
+    q.name = name;
+    q.host = row.at(0).get<std::string>();
+    q.prefix = row.at(1).get<std::string>();
+    q.service = row.at(2).get<std::string>();
+    q.priority = row.at(3).get<std::int64_t>();
+    q.max_attempts = row.at(4).get<std::int64_t>();
+    q.stretch = row.at(5).get<double>();
+    q.latency_ms = row.at(6).get<milliseconds>();
+    q.advised = row.size() >= advised_queue_fields;
+    if (!q.advised)
+        return q;
+    q.advice_ms = row.at(7).get<milliseconds>();
+    q.advice_each_ms = row.at(8).get<milliseconds>();
+    return q;
+}
+catch (json::exception const&)
+{
+    return std::nullopt;
+}
+
+json record_of(accepted_job const& job)
+{
+    json record{{"id", job.id},
+                {"queue", job.queue},
+                {"team", job.team},
+                {"accepted_ms", job.accepted_ms},
+                {"spec", job.spec}};
+    if (job.terms)
+        record["terms"] = row_of(*job.terms);
+    return record;
+}
+
+accepted_job job_of(json const& record)
+{
+    accepted_job job;
+    job.id = record.value("id", job.id);
+    job.queue = record.value("queue", job.queue);
+    job.team = record.value("team", job.team);
+    job.accepted_ms = record.value("accepted_ms", job.accepted_ms);
+    job.spec = record.value("spec", job.spec);
+    job.terms = queue_of(record, job.queue);
+    return job;
+}
+
 json rows_of(std::vector<worker_loss> const& losses)
 {
     json rows = json::array();
@@ -117,14 +183,14 @@
 
 std::string encode(accepted_job const& job)
 {
-    return to_bytes(json(job));
+    return to_bytes(record_of(job));
 }
 
 std::optional<accepted_job> decode_job(std::string const& bytes)
 {
     try
     {
-        return json::from_cbor(bytes).get<accepted_job>();
+        return job_of(json::from_cbor(bytes));
     }
     catch (json::exception const&)
     {
--- a/tests/support/dispatch_simulation.cpp
+++ b/tests/support/dispatch_simulation.cpp
@@ -114,6 +114,7 @@
 
 void dispatch_simulation::configure(configuration const& c)
 {
+    trace("configuration " + std::to_string(c.version));
     config_ = c;
     inform_all([c](dispatcher& d) { d.set_configuration(c); });
 }
@@ -144,6 +145,8 @@
 {
     sim_job j;
     j.job = {id, queue, "team", now_, std::move(spec)};
+    if (auto const* const q = find_queue(config_, queue))
+        j.job.terms = *q;
     j.work = work;
     j.submitted = now_;
     jobs_[id] = j;
--- a/tests/support/dispatch_simulation.hpp
+++ b/tests/support/dispatch_simulation.hpp
@@ -159,6 +159,10 @@
     [[nodiscard]] milliseconds begun_at(std::string const& job) const;
 
     void configure(configuration const& c);
+    [[nodiscard]] configuration const& current_configuration() const noexcept
+    {
+        return config_;
+    }
     /// \param address  the worker's id if empty
     void add_worker(std::string const& id, std::string const& rack,
                     resources capacity, std::string const& address = "",
@@ -326,6 +330,11 @@
     struct sim_job
     {
         accepted_job job;
+        /// \returns the queue that has accepted it, or nullptr.
+        [[nodiscard]] queue const* accepted_by() const noexcept
+        {
+            return job.terms ? &*job.terms : nullptr;
+        }
         true_work work;
         bool cancelled = false;
         milliseconds submitted = 0;
--- a/tests/support/dispatch_simulation_crashes.cpp
+++ b/tests/support/dispatch_simulation_crashes.cpp
@@ -119,7 +119,7 @@
     if (at == jobs_.end() || !summary || summary->phase != job_phase::failed)
         return;
     auto const& j = at->second;
-    auto const* q = find_queue(config_, j.job.queue);
+    auto const* q = j.accepted_by();
     bool has_cause = !q || j.failed_ends >= q->max_attempts;
     for (auto const& [task, crashes] : j.crashed_under)
         has_cause = has_cause || crashes >= min_crashes_to_fail;
--- a/tests/support/dispatch_simulation_idle_waits.cpp
+++ b/tests/support/dispatch_simulation_idle_waits.cpp
@@ -112,15 +112,16 @@
 std::map<std::string, std::string> dispatch_simulation::idle_waits() const
 {
     std::map<std::string, std::string> waiting;
-    std::map<std::string, service_room> rooms;
+    std::map<std::pair<std::string, bool>, service_room> rooms;
     for (auto const& [id, j] : jobs_)
     {
-        auto const* q = find_queue(config_, j.job.queue);
+        auto const* q = j.accepted_by();
         if (!q || j.cancelled || is_final(phase(id)))
             continue;
-        if (rooms.count(q->name) == 0)
-            rooms[q->name] = room_of(*q);
-        add_idle_waits(j, rooms.at(q->name), waiting);
+        std::pair const key(q->service, q->advised);
+        if (rooms.count(key) == 0)
+            rooms[key] = room_of(*q);
+        add_idle_waits(j, rooms.at(key), waiting);
     }
     return waiting;
 }
@@ -188,7 +189,7 @@
 bool dispatch_simulation::may_wait_after_faults(sim_job const& j,
                                                 unit_id const& id) const
 {
-    auto const* q = find_queue(config_, j.job.queue);
+    auto const* q = j.accepted_by();
     auto const& step = j.job.spec.steps.at(static_cast<std::size_t>(id.step));
     auto const failures = j.failures.find(id);
     if (failures != j.failures.end() && !step.lasting &&
--- a/tests/support/dispatch_simulation_workers.cpp
+++ b/tests/support/dispatch_simulation_workers.cpp
@@ -135,7 +135,7 @@
                     violation_kind::step_order,
                     name + " started before an earlier step was done");
     }
-    auto const* q = find_queue(config_, j.job.queue);
+    auto const* q = j.accepted_by();
     auto const failures = j.acknowledged_failures.find(o.run.task);
     if (q && !step.lasting && failures != j.acknowledged_failures.end() &&
         failures->second >= q->max_attempts)
@@ -154,7 +154,7 @@
                                        std::string const& name)
 {
     auto const& step = *step_of(o.run);
-    auto const* q = find_queue(config_, jobs_.at(o.run.task.job).job.queue);
+    auto const* q = jobs_.at(o.run.task.job).accepted_by();
     if (q && q->service != w.info.service)
         report_violation(violation_kind::wrong_worker,
                          name + " is of service " + w.info.service);
--- a/tests/support/entry_cluster.hpp
+++ b/tests/support/entry_cluster.hpp
@@ -33,6 +33,12 @@
     return c;
 }
 
+/// \returns the queue of that configuration.
+inline tasks::queue batch_queue()
+{
+    return single_queue_configuration().queues.front();
+}
+
 /// \returns a job of two steps of three tasks, one after the other.
 inline tasks::job_spec two_step_job()
 {
@@ -97,7 +103,8 @@
     bool submit(std::string const& id)
     {
         entry::caller const who{"team", 3'000};
-        return nodes[0]->requests().submit(who, "batch", id, two_step_job()) ==
+        return nodes[0]->requests().submit(who, batch_queue(), id,
+                                           two_step_job()) ==
                entry::submit_result::accepted;
     }
 
--- a/tests/support/manual_dispatcher.hpp
+++ b/tests/support/manual_dispatcher.hpp
@@ -136,6 +136,21 @@
         dispatcher_.cancel_job(now, job);
     }
 
+    void configure(configuration const& c)
+    {
+        dispatcher_.set_configuration(c);
+    }
+
+    /// The worker lists the end of the job's runs there as done.
+    void complete(std::string const& worker, std::string const& job)
+    {
+        for (auto const& run : running[worker])
+            if (run.task.job == job)
+                ended_[worker].push_back(
+                    {std::ssize(ended_[worker]) + 1, run, run_end::done, ""});
+        end(worker, job);
+    }
+
     /// The worker no longer runs the job's tasks.
     void end(std::string const& worker, std::string const& job)
     {
@@ -370,6 +385,7 @@
             seen = std::max(seen, o.token);
             r.incarnation = incarnations_[o.worker];
             r.clock_ms = clock_of(o.worker);
+            r.ended = ended_[o.worker];
             for (auto const& run : running[o.worker])
                 r.running.push_back(
                     {run, "", std::max<std::int64_t>(1, percents[o.worker])});
@@ -383,6 +399,7 @@
             seen_tokens_[id] = 0;
         started_at_[id] = now;
         first_clocks_[id] = first_clock;
+        ended_[id].clear();
     }
 
     void on_store(store_order const& o)
@@ -400,6 +417,7 @@
     std::map<std::string, milliseconds> started_at_;
     std::map<std::string, milliseconds> first_clocks_;
     std::map<std::string, worker_info> infos_;
+    std::map<std::string, std::vector<ended_task>> ended_; ///< by worker
     std::int64_t unstored_ = 0;
     std::map<std::string, std::string> records_; ///< newest, by job
     dispatcher dispatcher_;
--- a/tests/support/random_fleet.cpp
+++ b/tests/support/random_fleet.cpp
@@ -254,6 +254,15 @@
          with_evacuations(lossy),
          {&fleet::evacuate, &fleet::restore, &fleet::isolate_with_workers,
           &fleet::log_outage, &fleet::restore_links}},
+        {"replaced queues",
+         lossy,
+         {&fleet::rename_queue, &fleet::remove_queue, &fleet::move_queue,
+          &fleet::restore_queues}},
+        {"replaced queues and take-overs",
+         lossy,
+         {&fleet::rename_queue, &fleet::remove_queue, &fleet::restore_queues,
+          &fleet::take_over, &fleet::replace_leader},
+         false},
         {"resubmissions", lossy, {&fleet::resubmit, &fleet::take_over}},
         {"other kinds and take-overs",
          with_slow_answers(lossy),
@@ -367,7 +376,6 @@
 void random_fleet::submit_sound()
 {
     auto const id = "sound" + std::to_string(sound_.size());
-    sound_.push_back(id);
     auto spec = below(3) == 0 ? gang_job(1 + below(4), 1 << below(4))
                               : simple_job(1 + below(12), 1 << below(3));
     spec.steps[0].checkpoints = below(2) == 0;
@@ -379,8 +387,12 @@
     }
     if (has_constrained_jobs_)
         constrain(spec);
-    world_.submit(id, below(3) == 0 ? "urgent" : "batch", spec,
-                  {200 + below(6'000)});
+    true_work const work{200 + below(6'000)};
+    auto const queue = queue_at(below(3) == 0 ? urgent_prefix : batch_prefix);
+    if (!queue)
+        return;
+    sound_.push_back(id);
+    world_.submit(id, *queue, spec, work);
 }
 
 void random_fleet::constrain(job_spec& spec)
@@ -400,14 +412,17 @@
 void random_fleet::submit_crashing()
 {
     constexpr int max_crash_after_ms = 1'500;
+    auto const queue = queue_at(batch_prefix);
+    if (!queue)
+        return;
     auto const id = "crashing" + std::to_string(crashing_.size());
     crashing_.push_back(id);
     auto work = crashing_task(below(3));
     work.crash_after_ms =
         below(2) == 0 ? work.crash_after_ms : below(max_crash_after_ms);
     work.duration_ms = max_crash_after_ms + 200;
-    world_.submit(id, "batch",
-                  below(2) == 0 ? gang_job(3, 2) : simple_job(3, 1), work);
+    world_.submit(id, *queue, below(2) == 0 ? gang_job(3, 2) : simple_job(3, 1),
+                  work);
 }
 
 void random_fleet::evacuate()
--- a/tests/support/random_fleet.hpp
+++ b/tests/support/random_fleet.hpp
@@ -116,6 +116,16 @@
     void evacuate();
     void restore();
 
+    // random_fleet_queues.cpp
+    /// A new configuration has the queue's host and path under another name.
+    void rename_queue();
+    /// A new configuration lacks the queue.
+    void remove_queue();
+    /// A new configuration has the queue's name for another service.
+    void move_queue();
+    /// A new configuration has both queues, under the names of the first one.
+    void restore_queues();
+
     // random_fleet_racks.cpp
     /// A gang of whole or half workers that wants one rack.
     void submit_rack_gang();
@@ -133,6 +143,17 @@
     /// Submits jobs during an outage, with this event after each.
     void submit_and(fleet_event event);
     void settle();
+
+    // random_fleet_queues.cpp
+    [[nodiscard]] std::string prefix_of_any_queue();
+    /// \returns the name under which jobs are submitted at this path; nothing
+    /// if no queue of the fleet's service has it.
+    [[nodiscard]] std::optional<std::string>
+    queue_at(std::string const& prefix) const;
+    /// Replaces the queue at the path, or removes it if there is no new one.
+    void replace_queue(std::string const& prefix,
+                       std::optional<queue> const& q);
+
     /// Lets time pass, with bursts of urgent work if the profile has them.
     void pass(milliseconds ms);
 
@@ -146,6 +167,7 @@
 
     std::mt19937 random_;
     std::vector<fleet_event> events_;
+    int renamed_queues_ = 0;
     bool has_constrained_jobs_;
     fleet_layout layout_;
     bool has_bursts_;
--- a/tests/support/small_jobs.hpp
+++ b/tests/support/small_jobs.hpp
@@ -7,13 +7,17 @@
 namespace support
 {
 
+/// Paths of the queues.
+inline constexpr char const* urgent_prefix = "/u/";
+inline constexpr char const* batch_prefix = "/b/";
+
 /// \returns a configuration with one urgent and one low-priority queue.
 inline configuration two_queues()
 {
     configuration c;
     c.version = 1;
-    queue urgent{"urgent", "h", "/u/", "service", 0, 4, 1.5, 400};
-    queue batch{"batch", "h", "/b/", "service", 2, 3, 3, 3000};
+    queue urgent{"urgent", "h", urgent_prefix, "service", 0, 4, 1.5, 400};
+    queue batch{"batch", "h", batch_prefix, "service", 2, 3, 3, 3000};
     c.queues = {urgent, batch};
     c.teams = {{"team", {"key"}, 16}};
     return c;
--- a/tests/unit/test_entry.cpp
+++ b/tests/unit/test_entry.cpp
@@ -14,6 +14,7 @@
 
 using namespace jasminetrack;
 using namespace jasminetrack::entry;
+using support::batch_queue;
 using support::cluster_timeout_ms;
 using support::entry_cluster;
 using support::expect;
@@ -43,7 +44,8 @@
         {
             auto const id = "job" + std::to_string(i);
             auto& node = *cluster.nodes[static_cast<std::size_t>(i % 3)];
-            expect(node.requests().submit(who, "batch", id, two_step_job()) ==
+            expect(node.requests().submit(who, batch_queue(), id,
+                                          two_step_job()) ==
                        submit_result::accepted,
                    "accepted");
         }
@@ -106,8 +108,9 @@
         expect(cluster.wait_until_ready(), "ready");
         expect(cluster.submit("a"), "accepted");
         cluster.log.set_down(true);
-        expect(cluster.nodes[0]->requests().submit(
-                   who, "batch", "b", two_step_job()) == submit_result::refused,
+        expect(cluster.nodes[0]->requests().submit(who, batch_queue(), "b",
+                                                   two_step_job()) ==
+                   submit_result::refused,
                "a submission during the outage is refused");
         cluster.log.set_down(false);
         expect(cluster.wait_for_completion("a"), "the accepted job completes");
--- a/tests/unit/test_load_shedding.cpp
+++ b/tests/unit/test_load_shedding.cpp
@@ -221,30 +221,27 @@
 
     void an_entry_vm_counts_what_it_has_accepted()
     {
-        auto const config = std::make_shared<configuration>();
-        config->queues = {{"low", "h", "/l/", "service", 1, 2, 1, 1'000}};
+        queue const low{"low", "h", "/l/", "service", 1, 2, 1, 1'000};
         load_reading reading;
         reading.services["service"] = full_service(0);
         auto const bytes = encode(reading);
         load_admission node(true);
-        node.set_configuration(config);
         auto const accepts = [&](milliseconds now)
-        { return node.judge(now, "low", small_spec()).accepted(); };
+        { return node.judge(now, low, small_spec()).accepted(); };
         node.put_reading(1'000, bytes, 500);
         expect(accepts(1'000), "nothing waits");
         for (int i = 0; i < 30; ++i)
-            node.on_accepted("low", small_spec());
+            node.on_accepted(low, small_spec());
         expect(!accepts(1'000), "12 s of work since the reading");
         expect(accepts(4'001), "the reading is too old");
         node.put_reading(1'500, bytes, 500);
         expect(accepts(1'500), "a new reading has that work");
         for (int i = 0; i < 30; ++i)
-            node.on_accepted("low", small_spec());
+            node.on_accepted(low, small_spec());
         node.put_reading(1'600, bytes, 3'001);
         node.put_reading(1'600, "unreadable", 0);
         expect(!accepts(1'600), "old and unreadable readings change nothing");
         load_admission off(false);
-        off.set_configuration(config);
         off.put_reading(1'000, encode(reading), 0);
         expect(off.metrics(1'000).reading_age_ms > 1'000'000, "off: unused");
     }
--- a/tests/unit/test_old_views.cpp
+++ b/tests/unit/test_old_views.cpp
@@ -55,7 +55,7 @@
     entry::submit_result submit_at_cut_node(std::string const& id)
     {
         entry::caller const who{"team", 3'000};
-        return cluster.nodes[1]->requests().submit(who, "batch", id,
+        return cluster.nodes[1]->requests().submit(who, batch_queue(), id,
                                                    two_step_job());
     }
 
@@ -294,8 +294,8 @@
         auto single_task = two_step_job();
         single_task.steps.resize(1);
         single_task.steps[0].count = 1;
-        expect(c.nodes[1]->requests().submit({"team", 3'000}, "batch", job_id,
-                                             single_task) ==
+        expect(c.nodes[1]->requests().submit({"team", 3'000}, batch_queue(),
+                                             job_id, single_task) ==
                    entry::submit_result::accepted,
                "accepted by the other node");
         expect(c.wait_until([&] { return c.submit(job_id); }),
