Soak: queues that get other names while their jobs run

--schedule queues draws configurations that have all queues at their paths under other names, beside workers that restart, dispatchers that are killed, and losses of all VMs.

--- a/tests/soak/fault_player.cpp
+++ b/tests/soak/fault_player.cpp
@@ -103,6 +103,7 @@
     &fault_player::return_with_orders,
     &fault_player::recut_workers,
     &fault_player::recut_workers_around_kill,
+    &fault_player::rename_queues,
 };
 
 /// \returns a share of the elements, from that of the pick on.
@@ -297,6 +298,13 @@
     refuse_store(f);
 }
 
+void fault_player::rename_queues(fault const& f)
+{
+    auto const index = begin(f, "");
+    cluster_.rename_queues();
+    end(index);
+}
+
 void fault_player::kill_vm(fault const& f)
 {
     kill_for(vm_of(f), f);
--- a/tests/soak/fault_player.hpp
+++ b/tests/soak/fault_player.hpp
@@ -57,6 +57,7 @@
     void return_with_orders(fault const& f);
     void recut_workers(fault const& f);
     void recut_workers_around_kill(fault const& f);
+    void rename_queues(fault const& f);
     void lapse_entries(fault const& f);
     void refuse_store_after_takeover(fault const& f);
     void lose_worker(fault const& f);
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -119,11 +119,9 @@
 
 /// Schedules that are drawn from a seed, by name.
 std::map<std::string, fault_schedule (*)(std::uint32_t, milliseconds)> const
-    drawn_schedules{{"random", draw_schedule},
-                    {"losses", draw_losses},
-                    {"shares", draw_shares},
-                    {"returns", draw_returns},
-                    {recuts_schedule, draw_recuts}};
+    drawn_schedules{{"random", draw_schedule}, {"losses", draw_losses},
+                    {"shares", draw_shares},   {"returns", draw_returns},
+                    {"queues", draw_queues},   {recuts_schedule, draw_recuts}};
 
 /// \throws std::runtime_error if the site file cannot be read, or has no
 /// trouble that can be played
@@ -313,8 +311,10 @@
     app.add_option("--site", o.site,
                    "site file; its troubles are drawn in place of --schedule")
         ->check(CLI::ExistingFile);
-    app.add_option("--schedule", o.schedule,
-                   "random, losses, shares, returns, recuts, or a fixed one")
+    app.add_option(
+           "--schedule", o.schedule,
+           "random, losses, shares, returns, queues, recuts, or a fixed "
+           "one")
         ->check(CLI::IsMember(schedule_names()));
     app.add_option("--program", o.program,
                    "program of the entry VMs, if not that of the deploy file")
--- a/tests/soak/schedule.cpp
+++ b/tests/soak/schedule.cpp
@@ -37,6 +37,11 @@
     fault_kind::worker_restarted,        fault_kind::worker_silent,
     fault_kind::dispatcher_killed,
 };
+constexpr std::array queue_kinds{
+    fault_kind::queues_renamed,    fault_kind::queues_renamed,
+    fault_kind::queues_renamed,    fault_kind::worker_restarted,
+    fault_kind::dispatcher_killed, fault_kind::all_killed,
+};
 /// Longer than the longest lease of a dispatcher.
 constexpr milliseconds recut_ms = 9'000;
 constexpr double recut_share = 0.3;
@@ -83,7 +88,8 @@
              "store_slow",
              "worker_back_with_orders",
              "workers_recut",
-             "workers_recut_around_a_kill"};
+             "workers_recut_around_a_kill",
+             "queues_renamed"};
 
 /// \returns these kinds, of the usual shares and of any length.
 template <typename Kinds> fault_prototypes prototypes_of(Kinds const& kinds)
@@ -171,6 +177,11 @@
         seed, traffic_ms);
 }
 
+fault_schedule draw_queues(std::uint32_t seed, milliseconds traffic_ms)
+{
+    return draw_from(prototypes_of(queue_kinds), seed, traffic_ms);
+}
+
 fault_schedule placed_run_lost_with_its_sender()
 {
     using enum fault_kind;
--- a/tests/soak/schedule.hpp
+++ b/tests/soak/schedule.hpp
@@ -57,6 +57,7 @@
     /// their earlier processes, and are cut off soon after.
     workers_recut,
     workers_recut_around_a_kill, ///< the dispatcher is killed before the cut
+    queues_renamed, ///< a configuration has them at their paths, as before
     count,
 };
 
@@ -105,6 +106,10 @@
 /// orders to their earlier processes and cut off soon after.
 [[nodiscard]] fault_schedule draw_recuts(std::uint32_t seed,
                                          milliseconds traffic_ms);
+/// \returns the same, drawn from queues that get other names, beside workers
+/// and VMs that restart.
+[[nodiscard]] fault_schedule draw_queues(std::uint32_t seed,
+                                         milliseconds traffic_ms);
 /// \returns the same, drawn from these.
 /// \param prototypes  at least one
 [[nodiscard]] fault_schedule draw_from(fault_prototypes const& prototypes,
