--- a/packages/cli/src/job_report.cpp
+++ b/packages/cli/src/job_report.cpp
@@ -61,8 +61,15 @@
         {"unit.reclaim",
          [](log_line const& e)
          {
+             auto const urgent = e.field("urgent");
+             bool const has_urgent = !urgent.empty() && urgent != "0";
              return "Not enough capacity was free; " + e.field("victims") +
-                    " run(s) of lower priority were stopped for this job.";
+                    " run(s) " +
+                    (has_urgent ? "(" + urgent +
+                                      " urgent, beyond the guarantees of "
+                                      "their teams) "
+                                : "of lower priority ") +
+                    "were stopped for this job.";
          }},
         {"unit.reclaim_again",
          [](log_line const& e)
--- a/packages/tasks/include/jasminetrack/tasks/detail/candidate_lists.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/detail/candidate_lists.hpp
@@ -19,19 +19,29 @@
 [[nodiscard]] worker_candidate*
 find_candidate(std::vector<worker_candidate>& list, std::string const& id);
 
-/// The candidates by service and priority. The caller fills the lists; a list
-/// that is not current holds those of an earlier pass.
+/// For whom the candidates of a list are.
+struct candidate_key
+{
+    std::string service;
+    std::int64_t priority = 0;
+    /// The team that claims its guarantee, and so may stop what other teams
+    /// hold beyond theirs; empty: only work of lower priority is stopped.
+    std::string claimant;
+
+    friend auto operator<=>(candidate_key const&,
+                            candidate_key const&) = default;
+};
+
+/// The candidates by service, priority and claimant. The caller fills the
+/// lists; a list that is not current holds those of an earlier pass.
 class candidate_lists
 {
 public:
-    using service_and_priority = std::pair<std::string, std::int64_t>;
-
     /// No list is current any more.
     void begin_pass();
     /// \returns the list, which is new and empty at first.
-    [[nodiscard]] candidate_list& list_of(std::string const& service,
-                                          std::int64_t priority);
-    [[nodiscard]] std::map<service_and_priority, candidate_list>& all() noexcept
+    [[nodiscard]] candidate_list& list_of(candidate_key const& key);
+    [[nodiscard]] std::map<candidate_key, candidate_list>& all() noexcept
     {
         return lists_;
     }
@@ -48,7 +58,7 @@
                        std::int64_t max_group);
 
 private:
-    std::map<service_and_priority, candidate_list> lists_;
+    std::map<candidate_key, candidate_list> lists_;
 };
 
 } // namespace jasminetrack::tasks::detail
--- a/packages/tasks/include/jasminetrack/tasks/detail/unit_steps.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/detail/unit_steps.hpp
@@ -21,6 +21,10 @@
 [[nodiscard]] bool is_ready(job_entry const& e, unit_id const& id,
                             milliseconds wall);
 
+/// \returns the accelerators that all members of the run hold.
+[[nodiscard]] std::int64_t accelerators_of(active_run const& a,
+                                           step_spec const& s) noexcept;
+
 /// \returns the core seconds that stopping the run loses.
 [[nodiscard]] double lost_work(milliseconds now, active_run const& a,
                                step_spec const& s);
--- a/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/dispatcher.hpp
@@ -167,6 +167,7 @@
     using active_run = detail::active_run;
     using job_entry = detail::job_entry;
     using waiting_units = detail::waiting_units;
+    using candidate_key = detail::candidate_key;
 
     [[nodiscard]] task_run run_of(unit_ref const& ref, std::int64_t run,
                                   std::size_t index, bool gang) const;
@@ -378,8 +379,7 @@
     /// \returns whether it has runs that are not established, or capacity
     /// reserved for some.
     [[nodiscard]] bool is_starting_runs(worker_view const& w) const;
-    void mark_starting_candidates(std::string const& service,
-                                  std::int64_t priority);
+    void mark_starting_candidates(candidate_key const& key);
     void log_given_up(job_entry const& e, unit_id const& id,
                       unit const& u) const;
 
@@ -473,8 +473,14 @@
                                                              milliseconds wall);
     /// Sets beside which runs the unit may be started. The candidates must be
     /// those of this pass.
-    void limit_companions(milliseconds now, std::string const& service,
-                          std::int64_t priority, unit_need& need);
+    void limit_companions(milliseconds now, candidate_key const& key,
+                          unit_need& need);
+    /// \returns places for the unit and the stops that they need; nothing if it
+    /// should wait.
+    [[nodiscard]] std::optional<reclaim_plan>
+    plan_unit(milliseconds now, job_entry const& e, unit_ref const& ref,
+              unit_need const& need,
+              std::vector<worker_candidate> const& candidates);
     /// Places the unit, or sends the stops that make room for it.
     void place_or_reclaim(milliseconds now, job_entry& e, unit_ref const& ref,
                           std::string const& service, unit_need const& need,
@@ -486,10 +492,9 @@
                  reclaim_plan const& plan, resources const& each);
     /// \returns the candidates of a service for this pass, sorted by id.
     [[nodiscard]] std::vector<worker_candidate>&
-    candidates_of(milliseconds now, std::string const& service,
-                  std::int64_t priority);
+    candidates_of(milliseconds now, candidate_key const& key);
     void update_candidate(milliseconds now, worker_view const& w,
-                          std::int64_t priority,
+                          candidate_key const& key,
                           worker_candidate& candidate) const;
     /// Updates the candidates of these workers for the rest of the pass.
     void update_candidates(milliseconds now,
@@ -511,6 +516,33 @@
     [[nodiscard]] reclaim_terms terms_of(milliseconds now, job_entry const& e,
                                          unit_ref const& ref,
                                          unit_need const& need) const;
+    // dispatcher_guarantees.cpp
+    /// Counts what the urgent work of each team holds and wants.
+    void count_urgent_use();
+    /// \returns whether the guarantee of the job's team covers a unit of the
+    /// step.
+    [[nodiscard]] bool is_guaranteed(job_entry const& e,
+                                     step_spec const& step) const;
+    /// \returns whether enough tasks of the unit's step are at work without it,
+    /// if it lasts.
+    [[nodiscard]] bool may_be_missed(job_entry const& e,
+                                     unit_ref const& ref) const;
+    /// \returns whether a candidate of the list offers to stop the unit's run.
+    [[nodiscard]] bool may_stop(candidate_key const& key, job_entry const& e,
+                                unit_ref const& ref) const;
+    [[nodiscard]] stoppable_run stoppable_of(milliseconds now,
+                                             worker_view const& w,
+                                             hosted_run const& o) const;
+    void list_stoppable(milliseconds now, worker_view const& w,
+                        candidate_key const& key,
+                        worker_candidate& candidate) const;
+    /// Plans stops of what other teams hold beyond their guarantees, of lasting
+    /// work as well, if the team's guarantee covers the unit.
+    /// \param terms  of a unit that found no places without such stops
+    [[nodiscard]] std::optional<reclaim_plan>
+    claim_guarantee(milliseconds now, job_entry const& e, unit_ref const& ref,
+                    unit_need const& need, reclaim_terms terms);
+
     // dispatcher_evacuations.cpp
     /// \returns whether the views of the jobs, the workers and the evacuations
     /// allow starts.
@@ -688,6 +720,7 @@
     placement_advice advice_;
     detail::departure_state departures_;
     detail::service_shares shares_;
+    urgent_use urgent_use_; ///< in the newest scheduling pass
     worker_speeds speeds_;
     speed_record_writer speed_writer_;
     detail::candidate_lists candidates_;
--- a/packages/tasks/include/jasminetrack/tasks/placement.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/placement.hpp
@@ -4,7 +4,7 @@
 /// fixed numbers of accelerators and workers have few, so the fullest workers
 /// are filled first (best fit) and whole workers stay free for large tasks.
 
-#include <jasminetrack/tasks/model.hpp>
+#include <jasminetrack/tasks/guarantees.hpp>
 #include <jasminetrack/tasks/speed_preference.hpp>
 
 #include <set>
@@ -12,12 +12,16 @@
 namespace jasminetrack::tasks
 {
 
-/// A run that may be stopped in favour of a higher priority.
+/// A run that may be stopped in favour of urgent work.
 struct stoppable_run
 {
     std::size_t run = 0;  ///< identifies the run; shared by a gang
     resources held;       ///< on this worker
     double lost_work = 0; ///< core seconds of the whole run
+    /// Whose urgent work it is, of which only what the team holds beyond its
+    /// guarantee may be stopped; empty: work of lower priority.
+    std::string team{};
+    std::int64_t accelerators = 0; ///< of the whole run, if it is urgent
 
     friend bool operator==(stoppable_run const&,
                            stoppable_run const&) = default;
@@ -141,11 +145,12 @@
 /// What a unit may stop, and the value of its own work.
 struct reclaim_terms
 {
-    bool may_stop = false;   ///< may stop work of lower priority
+    bool may_stop = false;   ///< may stop what the candidates offer
     bool guaranteed = false; ///< must start, however much work is lost
     double own_work = 0;     ///< core seconds
     double far_factor = 1;   ///< slowdown when spread over racks
     milliseconds max_rack_wait_ms = 0; ///< longest wait for a single rack
+    accelerators_by_team excess;       ///< of urgent work that may be stopped
 };
 
 /// Chooses between free capacity, capacity to reclaim, and waiting. A gang that
@@ -160,10 +165,19 @@
 choose_plan(std::vector<worker_candidate> const& candidates,
             unit_need const& need, reclaim_terms const& terms);
 
+/// The same, but workers on which the unit failed are used if there are no
+/// others and it may not wait by choice.
+[[nodiscard]] std::optional<reclaim_plan>
+choose_places(std::vector<worker_candidate> const& candidates, unit_need need,
+              reclaim_terms const& terms);
+
+/// \param excess  what teams hold beyond their guarantees. No urgent run of a
+///                team is stopped once it holds no more than that.
 /// \returns the plan that loses the least work among those that a greedy search
 /// finds, or nothing if no stops make the unit fit.
 [[nodiscard]] std::optional<reclaim_plan>
 plan_reclaim(std::vector<worker_candidate> const& candidates,
-             unit_need const& need, rack_spread allowed);
+             unit_need const& need, rack_spread allowed,
+             accelerators_by_team const& excess = {});
 
 } // namespace jasminetrack::tasks
--- a/packages/tasks/include/jasminetrack/tasks/queue_order.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/queue_order.hpp
@@ -1,7 +1,8 @@
 #pragma once
 /// \file
 /// The order in which waiting units are placed when more work waits than fits:
-/// urgent work first, then priorities below their least share, then the others.
+/// urgent work first, that within its team's guarantee before the rest, then
+/// priorities below their least share, then the others.
 /// Within each group, units that can still meet their objective precede late
 /// ones. Work that completes too late to be of use to its caller comes last,
 /// whatever its priority.
@@ -22,6 +23,7 @@
 /// Groups of the queue order, first to last.
 enum class queue_group : std::uint8_t
 {
+    guaranteed,  ///< urgent and within its team's guarantee, unless expired
     urgent,      ///< unless expired
     below_share, ///< unless expired
     rest,
@@ -39,6 +41,7 @@
     milliseconds remaining_ms = 0; ///< critical path from this step on
     milliseconds objective_ms = 0; ///< for the time from acceptance to the end
     bool below_share = false;      ///< its priority is below its least share
+    bool guaranteed = false;       ///< by its team's guarantee
     /// Core-seconds that the job still needs to be placed; set only while the
     /// order is by cost of delay.
     double work_core_s = 0;
--- a/packages/tasks/src/candidate_lists.cpp
+++ b/packages/tasks/src/candidate_lists.cpp
@@ -21,10 +21,9 @@
         list.current = false;
 }
 
-candidate_list& candidate_lists::list_of(std::string const& service,
-                                         std::int64_t priority)
+candidate_list& candidate_lists::list_of(candidate_key const& key)
 {
-    return lists_[{service, priority}];
+    return lists_[key];
 }
 
 void candidate_lists::deduct(std::string const& service,
@@ -33,7 +32,7 @@
 {
     for (auto& [key, list] : lists_)
     {
-        if (key.first != service || !list.current)
+        if (key.service != service || !list.current)
             continue;
         for (auto const& id : places)
         {
--- a/packages/tasks/src/dispatcher_candidates.cpp
+++ b/packages/tasks/src/dispatcher_candidates.cpp
@@ -7,42 +7,17 @@
 namespace
 {
 
-/// Part of its work that a job loses in value if it ends late.
-constexpr double late_loss_factor = 0.7;
-/// Weight of the loss if a stop brings a priority below its least share.
-constexpr double least_share_loss_factor = 3;
-/// Weight of the loss of a run within the headroom for urgent work. It is
-/// stopped before any other run of its size that has run for at least a
-/// hundredth of its time.
-constexpr double lent_loss_factor = 0.01;
 /// How long a completed run counts as evidence that its worker is healthy.
 constexpr milliseconds max_verified_age_ms = 10'000;
 /// Added to the penalty of a worker; workers with a penalty come last.
 constexpr int quarantine_penalty = 1;
 constexpr int crawling_penalty = 1;
 
-/// \returns the core seconds that the job loses in value if stopping this run
-/// makes it late.
-double delay_cost(milliseconds now, detail::job_entry const& e,
-                  unit_ref const& ref)
-{
-    auto const& step = step_of(e, ref);
-    auto const age = now - e.known_at;
-    auto const chain =
-        e.critical_paths[static_cast<std::size_t>(ref.unit.step)];
-    bool const late_already = age > e.objective_ms;
-    if (late_already || age + chain <= e.objective_ms)
-        return 0;
-    return late_loss_factor * core_seconds(step.need, step.estimate_ms) *
-           static_cast<double>(step.gang ? step.count : 1);
-}
-
 } // namespace
 
-void dispatcher::mark_starting_candidates(std::string const& service,
-                                          std::int64_t priority)
+void dispatcher::mark_starting_candidates(candidate_key const& key)
 {
-    auto& list = candidates_.list_of(service, priority);
+    auto& list = candidates_.list_of(key);
     if (list.starting_known)
         return;
     for (auto& candidate : list.workers)
@@ -101,10 +76,9 @@
 }
 
 std::vector<worker_candidate>&
-dispatcher::candidates_of(milliseconds now, std::string const& service,
-                          std::int64_t priority)
+dispatcher::candidates_of(milliseconds now, candidate_key const& key)
 {
-    auto& list = candidates_.list_of(service, priority);
+    auto& list = candidates_.list_of(key);
     if (list.current)
         return list.workers;
     list.current = true;
@@ -112,11 +86,11 @@
     std::size_t count = 0;
     for (auto const& [id, w] : workers_)
     {
-        if (w.info.service != service || unfit_reason_of(now, w))
+        if (w.info.service != key.service || unfit_reason_of(now, w))
             continue;
         if (count == list.workers.size())
             list.workers.emplace_back();
-        update_candidate(now, w, priority, list.workers[count++]);
+        update_candidate(now, w, key, list.workers[count++]);
     }
     list.workers.resize(count);
     return list.workers;
@@ -133,7 +107,7 @@
         for (auto const& id : workers)
             if (auto* const candidate =
                     detail::find_candidate(list.workers, id))
-                update_candidate(now, workers_.at(id), key.second, *candidate);
+                update_candidate(now, workers_.at(id), key, *candidate);
     }
 }
 
@@ -154,7 +128,7 @@
 }
 
 void dispatcher::update_candidate(milliseconds now, worker_view const& w,
-                                  std::int64_t priority,
+                                  candidate_key const& key,
                                   worker_candidate& candidate) const
 {
     candidate.id = w.info.id;
@@ -172,7 +146,7 @@
     candidate.verified = w.last_success_at >= 0 &&
                          now - w.last_success_at <= max_verified_age_ms;
     candidate.slower =
-        priority == 0 && (speed == worker_speed::slower || w.is_cold(now));
+        key.priority == 0 && (speed == worker_speed::slower || w.is_cold(now));
     candidate.slow_machine =
         limits_.learn_speeds && speed == worker_speed::slower;
     candidate.departure_rank =
@@ -181,28 +155,7 @@
     candidate.vulnerable = w.hosts_vulnerable_run();
     candidate.suspects = 0;
     candidate.max_suspects = 0;
-    candidate.stoppable.clear();
-    if (priority != 0)
-        return;
-    for (auto const& [run, o] : w.hosted_runs)
-    {
-        auto const at = active_.find(o.unit);
-        auto const job = jobs_.find(o.unit.job);
-        if (o.ending || at == active_.end() || at->second.over ||
-            job == jobs_.end() || job->second.priority <= priority)
-            continue;
-        auto const& step = step_of(job->second, o.unit);
-        if (step.lasting)
-            continue;
-        auto const lost = (o.lent ? lent_loss_factor : 1) *
-                          (lost_work(now, at->second, step) +
-                           delay_cost(now, job->second, o.unit));
-        bool const cuts_share = shares_.is_below_share(
-            w.info.service, job->second.priority, o.held.accelerators);
-        candidate.stoppable.push_back(
-            {at->second.number, o.held,
-             cuts_share ? least_share_loss_factor * lost : lost});
-    }
+    list_stoppable(now, w, key, candidate);
 }
 
 } // namespace jasminetrack::tasks
--- a/packages/tasks/src/dispatcher_hold_log.cpp
+++ b/packages/tasks/src/dispatcher_hold_log.cpp
@@ -9,8 +9,8 @@
 namespace
 {
 
-/// Candidates for this priority may stop no runs.
-constexpr std::int64_t not_urgent = 1;
+/// Candidates for work that is not urgent may stop no runs.
+detail::candidate_key const not_urgent{"", 1, ""};
 
 milliseconds time_since(milliseconds due, milliseconds wall)
 {
--- a/packages/tasks/src/dispatcher_isolation.cpp
+++ b/packages/tasks/src/dispatcher_isolation.cpp
@@ -36,8 +36,9 @@
     if (!shares_.may_isolate(service, 1))
         return false;
     need.isolated = false;
-    auto const choice = choose_plan(candidates_of(now, service, e.priority),
-                                    need, terms_of(now, e, ref, need));
+    auto const choice =
+        choose_plan(candidates_of(now, {service, e.priority, ""}), need,
+                    terms_of(now, e, ref, need));
     if (!choice || !choice->fits_now)
         return false;
     std::set<std::string> const places(choice->places.begin(),
--- a/packages/tasks/src/dispatcher_reclaim.cpp
+++ b/packages/tasks/src/dispatcher_reclaim.cpp
@@ -55,30 +55,6 @@
                                     std::max<milliseconds>(0, spare));
 }
 
-/// \returns whether all urgent jobs of the job's team fit into its guarantee.
-bool is_guaranteed(detail::job_entry const& e,
-                   std::map<std::string, detail::job_entry> const& jobs,
-                   configuration const& config)
-{
-    std::int64_t guaranteed = 0;
-    for (auto const& t : config.teams)
-        if (t.name == e.job.team)
-            guaranteed = t.guaranteed_accelerators;
-    std::int64_t wanted = 0;
-    for (auto const& [id, other] : jobs)
-    {
-        if (other.job.team != e.job.team || other.priority != 0 ||
-            is_final(other.progress.phase))
-            continue;
-        std::int64_t largest_step = 0;
-        for (auto const& s : other.job.spec.steps)
-            largest_step =
-                std::max(largest_step, s.count * s.need.accelerators);
-        wanted += largest_step;
-    }
-    return wanted <= guaranteed;
-}
-
 /// \returns whether the stops have freed the places, and their workers answer.
 bool fits_now(milliseconds now,
               std::map<std::string, worker_view> const& workers,
@@ -102,9 +78,6 @@
 void dispatcher::reclaim(milliseconds now, unit_ref const& ref,
                          reclaim_plan const& plan, resources const& each)
 {
-    log_decision("unit.reclaim", ref.job,
-                 "victims=" + std::to_string(plan.victims.size()) +
-                     " lost_core_s=" + std::to_string(plan.lost_work));
     reservations_[ref] = {plan.places, now};
     for (auto const& id : plan.places)
         workers_.at(id).reserved += each;
@@ -113,12 +86,24 @@
         if (plan.victims.count(a.number) != 0)
             victims.push_back(other);
     std::set<std::string> changed(plan.places.begin(), plan.places.end());
+    std::int64_t urgent = 0;
     for (auto const& other : victims)
     {
+        auto const& e = jobs_.at(other.job);
+        if (e.priority == 0)
+        {
+            ++urgent;
+            urgent_use_.held[e.job.team] -=
+                detail::accelerators_of(active_.at(other), step_of(e, other));
+        }
         for (auto const& m : active_.at(other).members)
             changed.insert(m.worker);
         end_run(now, other, "stopped for job " + ref.job);
     }
+    log_decision("unit.reclaim", ref.job,
+                 "victims=" + std::to_string(plan.victims.size()) +
+                     " urgent=" + std::to_string(urgent) +
+                     " lost_core_s=" + std::to_string(plan.lost_work));
     update_candidates(now, changed);
 }
 
@@ -129,7 +114,7 @@
     auto const& step = step_of(e, ref);
     reclaim_terms terms;
     terms.may_stop = e.priority == 0;
-    terms.guaranteed = terms.may_stop && is_guaranteed(e, jobs_, config_);
+    terms.guaranteed = is_guaranteed(e, step);
     terms.own_work = core_seconds(step.need, step.estimate_ms) *
                      static_cast<double>(step.gang ? step.count : 1);
     terms.far_factor = static_cast<double>(limits_.far_factor);
--- a/packages/tasks/src/dispatcher_schedule.cpp
+++ b/packages/tasks/src/dispatcher_schedule.cpp
@@ -52,19 +52,6 @@
            w.entry->late_starts.count({w.entry->job.id, id}) != 0;
 }
 
-/// \returns nothing if the unit should wait. Workers on which it failed are
-/// used if there are no others and it may not wait by choice.
-std::optional<reclaim_plan>
-choose_places(std::vector<worker_candidate> const& candidates, unit_need need,
-              reclaim_terms const& terms)
-{
-    auto choice = choose_plan(candidates, need, terms);
-    if (choice || need.may_wait || !need.avoids_failed_on)
-        return choice;
-    need.avoids_failed_on = false;
-    return choose_plan(candidates, need, terms);
-}
-
 } // namespace
 
 void dispatcher::schedule(milliseconds now, milliseconds wall)
@@ -82,6 +69,7 @@
             update_job_phase(now, e);
     send_deferred_resends(now);
     process_reservations(now);
+    count_urgent_use();
     drop_old_clearances(now);
     candidates_.begin_pass();
     shares_.begin_pass(
@@ -131,19 +119,16 @@
     if (q->advised)
         exclude_unadvised(now, ref, q->service, need);
     keep_places(now, e, ref, need);
-    auto& candidates = candidates_of(now, q->service, e.priority);
-    limit_companions(now, q->service, e.priority, need);
+    candidate_key const key{q->service, e.priority, ""};
+    auto& candidates = candidates_of(now, key);
+    limit_companions(now, key, need);
     if (clearances_.count(ref) != 0)
     {
         start_on_cleared(now, e, ref, q->service, need);
         return true;
     }
     count_same_step(candidates, ref, need);
-    auto choice = choose_places(candidates, need, terms_of(now, e, ref, need));
-    if (choice && need.isolated && !may_isolate_on(q->service, choice->places))
-        choice.reset();
-    if (choice && !arrange_members(now, e, ref, choice->places))
-        choice.reset();
+    auto const choice = plan_unit(now, e, ref, need, candidates);
     if (!choice && q->advised)
         request_advice(now, ref, *q, need);
     if (!choice && e.priority == 0)
@@ -164,11 +149,28 @@
     return true;
 }
 
-void dispatcher::limit_companions(milliseconds now, std::string const& service,
-                                  std::int64_t priority, unit_need& need)
+std::optional<reclaim_plan>
+dispatcher::plan_unit(milliseconds now, job_entry const& e, unit_ref const& ref,
+                      unit_need const& need,
+                      std::vector<worker_candidate> const& candidates)
+{
+    auto const terms = terms_of(now, e, ref, need);
+    auto plan = choose_places(candidates, need, terms);
+    if (!plan)
+        plan = claim_guarantee(now, e, ref, need, terms);
+    if (plan && need.isolated && !may_isolate_on(e.service, plan->places))
+        plan.reset();
+    if (plan && !arrange_members(now, e, ref, plan->places))
+        plan.reset();
+    return plan;
+}
+
+void dispatcher::limit_companions(milliseconds now, candidate_key const& key,
+                                  unit_need& need)
 {
+    auto const& service = key.service;
     if (need.isolated || need.vulnerable)
-        mark_starting_candidates(service, priority);
+        mark_starting_candidates(key);
     // Many suspects together are hardly guilty.
     need.spares_vulnerable = need.isolated
                                  ? !suspects_.has_many(service)
@@ -185,6 +187,8 @@
                                   unit_need const& need,
                                   reclaim_plan const& plan)
 {
+    if (e.priority == 0)
+        urgent_use_.held[e.job.team] += need.accelerators();
     if (!plan.fits_now)
     {
         reclaim(now, ref, plan, need.per_task);
@@ -251,6 +255,8 @@
 {
     ordering_key key;
     key.priority = e.priority;
+    key.guaranteed =
+        is_guaranteed(e, e.job.spec.steps[static_cast<std::size_t>(id.step)]);
     key.age_ms = age_of(now + wall_offset_ms_, e, id.occurrence);
     key.remaining_ms = e.critical_paths[static_cast<std::size_t>(id.step)];
     key.objective_ms = e.objective_ms;
--- a/packages/tasks/src/placement.cpp
+++ b/packages/tasks/src/placement.cpp
@@ -272,7 +272,8 @@
     auto const spread_loss = terms.own_work * (terms.far_factor - 1);
     if (terms.may_stop)
     {
-        auto plan = plan_reclaim(candidates, need, rack_spread::single);
+        auto plan =
+            plan_reclaim(candidates, need, rack_spread::single, terms.excess);
         if (plan && is_worthwhile(*plan, spread_loss))
             return plan;
     }
@@ -288,7 +289,8 @@
         return now;
     if (!terms.may_stop)
         return std::nullopt;
-    auto plan = plan_reclaim(candidates, need, rack_spread::multiple);
+    auto plan =
+        plan_reclaim(candidates, need, rack_spread::multiple, terms.excess);
     if (plan && (terms.guaranteed || is_worthwhile(*plan, terms.own_work)))
         return plan;
     return std::nullopt;
@@ -308,4 +310,15 @@
     return choose_any(candidates, need, terms);
 }
 
+std::optional<reclaim_plan>
+choose_places(std::vector<worker_candidate> const& candidates, unit_need need,
+              reclaim_terms const& terms)
+{
+    auto choice = choose_plan(candidates, need, terms);
+    if (choice || need.may_wait || !need.avoids_failed_on)
+        return choice;
+    need.avoids_failed_on = false;
+    return choose_plan(candidates, need, terms);
+}
+
 } // namespace jasminetrack::tasks
--- a/packages/tasks/src/placement_reclaim.cpp
+++ b/packages/tasks/src/placement_reclaim.cpp
@@ -13,6 +13,46 @@
 
 using namespace detail;
 
+/// Weight of the loss if a stop takes more than what a team holds beyond its
+/// guarantee, which only a run of several accelerators does.
+constexpr double guarantee_loss_factor = 3;
+
+/// Which urgent runs may be stopped besides those of a plan.
+class stop_allowance
+{
+public:
+    explicit stop_allowance(accelerators_by_team const& excess)
+        : excess_(excess)
+    {
+    }
+
+    [[nodiscard]] bool allows(stoppable_run const& r) const
+    {
+        return r.team.empty() || excess_of(r) > 0;
+    }
+    [[nodiscard]] double price(stoppable_run const& r) const
+    {
+        bool const cuts_guarantee =
+            !r.team.empty() && r.accelerators > excess_of(r);
+        return cuts_guarantee ? guarantee_loss_factor * r.lost_work
+                              : r.lost_work;
+    }
+    void deduct(stoppable_run const& r)
+    {
+        if (!r.team.empty())
+            excess_[r.team] -= r.accelerators;
+    }
+
+private:
+    [[nodiscard]] std::int64_t excess_of(stoppable_run const& r) const
+    {
+        auto const at = excess_.find(r.team);
+        return at == excess_.end() ? 0 : at->second;
+    }
+
+    accelerators_by_team excess_;
+};
+
 /// Runs to stop on one worker so that some of the unit's tasks fit there.
 struct worker_offer
 {
@@ -28,41 +68,75 @@
     }
 };
 
+struct priced_run
+{
+    stoppable_run const* run = nullptr;
+    double price = 0; ///< core seconds; 0 if it is stopped anyway
+};
+
+/// \returns whether another task of the run is among them.
+bool contains(std::vector<priced_run> const& runs, stoppable_run const& r)
+{
+    return std::any_of(runs.begin(), runs.end(),
+                       [&](priced_run const& other)
+                       { return other.run->run == r.run; });
+}
+
+std::vector<priced_run> sorted_by_price(std::vector<stoppable_run> const& runs,
+                                        std::set<std::size_t> const& stopped,
+                                        stop_allowance const& allowance)
+{
+    std::vector<priced_run> sorted;
+    sorted.reserve(runs.size());
+    for (auto const& r : runs)
+        sorted.push_back(
+            {&r, stopped.count(r.run) != 0 ? 0 : allowance.price(r)});
+    std::sort(sorted.begin(), sorted.end(),
+              [](priced_run const& a, priced_run const& b)
+              { return a.price < b.price; });
+    return sorted;
+}
+
 /// \returns the cheapest stops on one worker that make `wanted` tasks fit, or
 /// nothing if none do. Runs in `stopped` are stopped anyway and cost nothing.
 std::optional<worker_offer> offer_of(worker_candidate const& w,
                                      unit_need const& need, std::int64_t wanted,
-                                     std::set<std::size_t> const& stopped)
+                                     std::set<std::size_t> const& stopped,
+                                     stop_allowance allowance)
 {
     worker_offer offer{&w, tasks_in(w.free_after_stops, w, need), {}, 0};
     auto available = w.free_after_stops;
-    auto runs = w.stoppable;
-    auto const price = [&](stoppable_run const& r)
-    { return stopped.count(r.run) != 0 ? 0.0 : r.lost_work; };
-    std::sort(runs.begin(), runs.end(),
-              [&](stoppable_run const& a, stoppable_run const& b)
-              { return price(a) < price(b); });
+    auto runs = sorted_by_price(w.stoppable, stopped, allowance);
+    std::vector<priced_run> chosen;
     for (auto const& r : runs)
     {
         if (offer.tasks >= wanted)
             break;
-        available += r.held;
-        offer.victims.push_back(r.run);
-        offer.lost_work += price(r);
+        bool const is_stopped =
+            stopped.count(r.run->run) != 0 || contains(chosen, *r.run);
+        if (!is_stopped && !allowance.allows(*r.run))
+            continue;
+        if (!is_stopped)
+            allowance.deduct(*r.run);
+        available += r.run->held;
+        chosen.push_back(r);
         offer.tasks = tasks_in(available, w, need);
     }
     if (offer.tasks < wanted)
         return std::nullopt;
     // Drop stops that later ones have made unnecessary.
-    for (auto i = offer.victims.size(); i-- > 0;)
+    for (auto i = chosen.size(); i-- > 0;)
     {
-        auto const less = available - runs[i].held;
+        auto const less = available - chosen[i].run->held;
         if (tasks_in(less, w, need) < wanted)
             continue;
         available = less;
-        offer.lost_work -= price(runs[i]);
-        offer.victims.erase(offer.victims.begin() +
-                            static_cast<std::ptrdiff_t>(i));
+        chosen.erase(chosen.begin() + static_cast<std::ptrdiff_t>(i));
+    }
+    for (auto const& r : chosen)
+    {
+        offer.victims.push_back(r.run->run);
+        offer.lost_work += r.price;
     }
     offer.tasks = std::min(wanted, tasks_in(available, w, need));
     return offer;
@@ -73,12 +147,13 @@
 std::optional<worker_offer> best_offer(worker_candidate const& w,
                                        unit_need const& need,
                                        std::int64_t limit,
-                                       std::set<std::size_t> const& stopped)
+                                       std::set<std::size_t> const& stopped,
+                                       stop_allowance const& allowance)
 {
     std::optional<worker_offer> best;
     for (std::int64_t n = 1; n <= limit; ++n)
     {
-        auto offer = offer_of(w, need, n, stopped);
+        auto offer = offer_of(w, need, n, stopped, allowance);
         if (!offer)
             break;
         if (!best || offer->price() <= best->price())
@@ -133,8 +208,24 @@
     }
 }
 
+/// Deducts the runs that the offer stops and the plan does not yet.
+void deduct_victims(stop_allowance& allowance, worker_offer const& offer,
+                    reclaim_plan const& plan)
+{
+    std::set<std::size_t> deducted = plan.victims;
+    for (auto const& r : offer.worker->stoppable)
+    {
+        bool const is_victim =
+            std::find(offer.victims.begin(), offer.victims.end(), r.run) !=
+            offer.victims.end();
+        if (is_victim && deducted.insert(r.run).second)
+            allowance.deduct(r);
+    }
+}
+
 std::optional<reclaim_plan> plan_on(candidate_pointers const& all,
-                                    unit_need const& need)
+                                    unit_need const& need,
+                                    stop_allowance allowance)
 {
     reclaim_plan plan;
     auto candidates = all;
@@ -145,7 +236,8 @@
         auto const open = need.count - std::ssize(plan.places);
         for (std::size_t i = 0; i < candidates.size(); ++i)
         {
-            auto offer = best_offer(*candidates[i], need, open, plan.victims);
+            auto offer =
+                best_offer(*candidates[i], need, open, plan.victims, allowance);
             if (!offer)
                 continue;
             auto const rank = [&](worker_offer const& o)
@@ -167,6 +259,7 @@
         plan.places.insert(plan.places.end(),
                            static_cast<std::size_t>(best->tasks),
                            best->worker->id);
+        deduct_victims(allowance, *best, plan);
         plan.victims.insert(best->victims.begin(), best->victims.end());
         plan.lost_work += best->lost_work;
         candidates.erase(candidates.begin() +
@@ -181,15 +274,17 @@
 
 std::optional<reclaim_plan>
 plan_reclaim(std::vector<worker_candidate> const& candidates,
-             unit_need const& need, rack_spread allowed_racks)
+             unit_need const& need, rack_spread allowed_racks,
+             accelerators_by_team const& excess)
 {
+    stop_allowance const allowance(excess);
     auto const list = allowed_candidates(candidates, need);
     if (allowed_racks == rack_spread::multiple)
-        return plan_on(list, need);
+        return plan_on(list, need, allowance);
     std::optional<reclaim_plan> best;
     for (auto const& [rack, members] : by_rack(list))
     {
-        auto plan = plan_on(members, need);
+        auto plan = plan_on(members, need, allowance);
         if (plan && (!best || plan->lost_work < best->lost_work))
             best = std::move(plan);
     }
--- a/packages/tasks/src/queue_order.cpp
+++ b/packages/tasks/src/queue_order.cpp
@@ -39,7 +39,7 @@
     if (timeliness_of(c) == timeliness::expired)
         return queue_group::rest;
     if (c.priority == 0)
-        return queue_group::urgent;
+        return c.guaranteed ? queue_group::guaranteed : queue_group::urgent;
     return c.below_share ? queue_group::below_share : queue_group::rest;
 }
 
--- a/packages/tasks/src/unit_steps.cpp
+++ b/packages/tasks/src/unit_steps.cpp
@@ -42,6 +42,12 @@
     return true;
 }
 
+std::int64_t detail::accelerators_of(active_run const& a,
+                                     step_spec const& s) noexcept
+{
+    return std::ssize(a.members) * s.need.accelerators;
+}
+
 double detail::lost_work(milliseconds now, active_run const& a,
                          step_spec const& s)
 {
--- a/tests/support/dispatch_simulation.cpp
+++ b/tests/support/dispatch_simulation.cpp
@@ -33,7 +33,7 @@
     constexpr std::array names{
         "two runs",     "run after end", "over capacity", "step order",
         "attempts",     "crash budget",  "cancelled job", "failed job",
-        "wrong worker", "evacuated",     "idle wait"};
+        "wrong worker", "evacuated",     "idle wait",     "late guarantee"};
     return names[static_cast<std::size_t>(kind)];
 }
 
@@ -141,14 +141,14 @@
 
 void dispatch_simulation::submit(std::string const& id,
                                  std::string const& queue, job_spec spec,
-                                 true_work work)
+                                 true_work work, std::string const& team)
 {
     sim_job j;
-    j.job = {id, queue, "team", now_, std::move(spec)};
+    j.job = {id, queue, team, now_, std::move(spec)};
     if (auto const* const q = find_queue(config_, queue))
         j.job.terms = *q;
     j.work = work;
-    j.submitted = now_;
+    j.submitted = j.guaranteed_since = now_;
     jobs_[id] = j;
     for (std::size_t i = 0; i < nodes_.size(); ++i)
         send_job(i, id);
@@ -303,6 +303,7 @@
             nodes_[i].reset();
     }
     check_idle_waits();
+    check_guarantees();
 }
 
 void dispatch_simulation::perform(std::size_t node)
--- a/tests/support/dispatch_simulation.hpp
+++ b/tests/support/dispatch_simulation.hpp
@@ -65,6 +65,8 @@
     bool learn_speeds = false;  ///< see dispatch_limits
     bool lend_headroom = false; ///< setting of the dispatchers
     bool shed_load = false;     ///< setting of the dispatchers
+    /// Also checks when urgent work begins that its team's guarantee covers.
+    bool checks_guarantees = false;
 };
 
 /// Kinds of invariants.
@@ -82,6 +84,7 @@
     wrong_worker,
     evacuated, ///< a start in a data center after the bound of its evacuation
     idle_wait, ///< a unit waits while there is room, see idle_wait_check.hpp
+    late_guarantee, ///< urgent work within its team's guarantee began too late
 };
 
 [[nodiscard]] char const* to_text(violation_kind kind) noexcept;
@@ -168,7 +171,7 @@
                     resources capacity, std::string const& address = "",
                     std::string const& label = "a");
     void submit(std::string const& id, std::string const& queue, job_spec spec,
-                true_work work = {});
+                true_work work = {}, std::string const& team = "team");
     void cancel(std::string const& id);
     /// Submits the job again to the dispatcher, with progress that is
     /// `records_behind` records old.
@@ -341,6 +344,8 @@
         int starts = 0;
         std::set<task_id> begun;
         milliseconds begun_at = -1;
+        /// Since when it has waited in calm with its team within its guarantee.
+        milliseconds guaranteed_since = 0;
         std::map<task_id, int> acknowledged_failures;
         std::set<task_id> acknowledged_done;
         std::set<unit_id> done_units;
@@ -459,6 +464,11 @@
     void read_evacuations();
     void check_evacuation(sim_worker const& w, std::string const& name);
 
+    // dispatch_simulation_guarantees.cpp
+    /// \returns whether it is urgent and has not ended.
+    [[nodiscard]] bool wants_guarantee(sim_job const& j) const;
+    void check_guarantees();
+
     // dispatch_simulation_idle_waits.cpp
     /// Something happens that may hold work.
     void disturb();
--- a/tests/support/random_fleet.cpp
+++ b/tests/support/random_fleet.cpp
@@ -77,6 +77,12 @@
     return f;
 }
 
+simulation_faults with_guarantee_checks(simulation_faults f)
+{
+    f.checks_guarantees = true;
+    return f;
+}
+
 simulation_faults with_late_jobs(simulation_faults f)
 {
     f.max_job_lag_ms = 6'000;
@@ -263,6 +269,26 @@
          {&fleet::rename_queue, &fleet::remove_queue, &fleet::restore_queues,
           &fleet::take_over, &fleet::replace_leader},
          false},
+        {"borrowed guarantees",
+         with_guarantee_checks(usual),
+         {&fleet::submit_borrowed, &fleet::submit_borrowed,
+          &fleet::submit_guaranteed, &fleet::submit_guaranteed},
+         false,
+         false,
+         false,
+         fleet_layout::two_racks,
+         false,
+         true},
+        {"borrowed guarantees and lasting tasks",
+         with_guarantee_checks(usual),
+         {&fleet::submit_borrowed, &fleet::submit_lasting,
+          &fleet::submit_guaranteed, &fleet::submit_guaranteed},
+         false,
+         false,
+         false,
+         fleet_layout::two_racks,
+         false,
+         true},
         {"resubmissions", lossy, {&fleet::resubmit, &fleet::take_over}},
         {"other kinds and take-overs",
          with_slow_answers(lossy),
@@ -289,7 +315,7 @@
 }
 
 random_fleet::random_fleet(unsigned seed, fleet_profile const& profile)
-    : random_(seed), events_(profile.events),
+    : random_(seed), events_(profile.events), has_teams_(profile.has_teams),
       has_constrained_jobs_(profile.has_constrained_jobs),
       layout_(profile.layout), has_bursts_(profile.has_bursts),
       world_(seed, profile.faults)
@@ -328,6 +354,8 @@
     constexpr int max_step_ms = 2'000;
     world_.set_comeback(below(2) == 0 ? comeback::same_id : comeback::new_id);
     add_workers();
+    if (has_teams_)
+        configure_teams();
     if (has_constrained_jobs_)
         for (int i = 1; i < workers; i += 2)
             world_.set_label(name_of(i), kinds[1]);
--- a/tests/support/random_fleet.hpp
+++ b/tests/support/random_fleet.hpp
@@ -37,6 +37,8 @@
     fleet_layout layout = fleet_layout::two_racks;
     /// Urgent work uses many workers for a second, again and again.
     bool has_bursts = false;
+    /// Several teams have guarantees, and one has none.
+    bool has_teams = false;
 };
 
 /// \returns the faults, with evacuations that are in force after 5 s.
@@ -116,6 +118,12 @@
     void evacuate();
     void restore();
 
+    // random_fleet_teams.cpp
+    /// Urgent work of a team without a guarantee, which fills the service.
+    void submit_borrowed();
+    /// Urgent work within the guarantee of a team that has no other.
+    void submit_guaranteed();
+
     // random_fleet_queues.cpp
     /// A new configuration has the queue's host and path under another name.
     void rename_queue();
@@ -144,6 +152,11 @@
     void submit_and(fleet_event event);
     void settle();
 
+    // random_fleet_teams.cpp
+    void configure_teams();
+    void submit_urgent(job_spec const& spec, milliseconds duration_ms,
+                       std::string const& team);
+
     // random_fleet_queues.cpp
     [[nodiscard]] std::string prefix_of_any_queue();
     /// \returns the name under which jobs are submitted at this path; nothing
@@ -168,6 +181,8 @@
     std::mt19937 random_;
     std::vector<fleet_event> events_;
     int renamed_queues_ = 0;
+    bool has_teams_;
+    std::map<std::string, std::string> guaranteed_; ///< newest job, by team
     bool has_constrained_jobs_;
     fleet_layout layout_;
     bool has_bursts_;
--- a/tests/unit/test_placement.cpp
+++ b/tests/unit/test_placement.cpp
@@ -37,9 +37,9 @@
 }
 
 void add_run(worker_candidate& r, std::size_t run, std::int64_t held,
-             double lost)
+             double lost, std::string const& team = "")
 {
-    r.stoppable.push_back({run, {1'000, 1'000, held}, lost});
+    r.stoppable.push_back({run, {1'000, 1'000, held}, lost, team, held});
 }
 
 class test_placement : public CppUnit::TestFixture
@@ -52,6 +52,7 @@
     CPPUNIT_TEST(cheapest_runs_are_stopped);
     CPPUNIT_TEST(runs_that_a_stopped_gang_makes_room_for_go_on);
     CPPUNIT_TEST(stopping_little_work_is_preferred_to_spreading);
+    CPPUNIT_TEST(teams_are_left_their_guarantees);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -219,6 +220,53 @@
                            "the gang spans racks and stops nothing");
                 });
     }
+
+    void teams_are_left_their_guarantees()
+    {
+        std::vector<worker_candidate> candidates{candidate("a", "r", 0),
+                                                 candidate("b", "r", 0)};
+        add_run(candidates[0], 1, 8, 5, "x");
+        add_run(candidates[1], 2, 8, 10, "y");
+        auto const victims =
+            [&](std::int64_t tasks, accelerators_by_team const& excess)
+        {
+            auto const plan = plan_reclaim(candidates, accelerators(8, tasks),
+                                           rack_spread::multiple, excess);
+            return plan ? plan->victims : std::set<std::size_t>();
+        };
+        using runs = std::set<std::size_t>;
+        section("a team without excess stops nothing",
+                [&]
+                {
+                    expect(victims(1, {}).empty(), "of either");
+                    expect(victims(1, {{"y", 8}}) == runs{2}, "of the other");
+                    expect(victims(2, {{"y", 16}}).empty(), "of the first");
+                });
+        section("excess of both is used",
+                [&]
+                {
+                    expect(victims(1, {{"x", 8}, {"y", 8}}) == runs{1},
+                           "the cheaper run stops");
+                    expect(victims(2, {{"x", 8}, {"y", 8}}) == runs{1, 2},
+                           "both stop");
+                });
+        section("a run that cuts a guarantee comes last",
+                [&]
+                {
+                    expect(victims(1, {{"x", 4}, {"y", 8}}) == runs{2},
+                           "though less work is lost");
+                    expect(victims(1, {{"x", 4}}) == runs{1}, "if it must");
+                });
+        section("a gang counts once",
+                [&]
+                {
+                    candidates.pop_back();
+                    candidates[0].stoppable.clear();
+                    add_run(candidates[0], 3, 4, 5, "x");
+                    add_run(candidates[0], 3, 4, 5, "x");
+                    expect(victims(1, {{"x", 4}}) == runs{3}, "on one worker");
+                });
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(test_placement);
