--- a/packages/tasks/include/jasminetrack/tasks/guarantees.hpp
+++ b/packages/tasks/include/jasminetrack/tasks/guarantees.hpp
@@ -7,7 +7,6 @@
 #include <jasminetrack/tasks/model.hpp>
 
 #include <map>
-#include <set>
 #include <string>
 
 namespace jasminetrack::tasks
--- a/packages/tasks/src/dispatcher_guarantees.cpp
+++ b/packages/tasks/src/dispatcher_guarantees.cpp
@@ -120,7 +120,7 @@
         lost *= least_share_loss_factor;
     if (e.priority > 0)
         return {a.number, o.held, lost};
-    // Work that was stopped before loses more, so that it ends at last.
+    // Each earlier run counts, so that work that was stopped often ends.
     return {a.number, o.held, lost * static_cast<double>(a.run), e.job.team,
             detail::accelerators_of(a, step)};
 }
