--- a/packages/cli/src/job_report.cpp
+++ b/packages/cli/src/job_report.cpp
@@ -38,6 +38,20 @@
            part + " " + l.field("index");
 }
 
+/// Says which runs were stopped. Lines of earlier builds do not count urgent
+/// ones, as there were none.
+std::string reclaim_text(log_line const& l)
+{
+    auto const urgent = l.field("urgent");
+    bool const has_urgent = !urgent.empty() && urgent != "0";
+    auto const kind =
+        has_urgent
+            ? "(" + urgent + " urgent, beyond the guarantees of their teams) "
+            : std::string("of lower priority ");
+    return "Not enough capacity was free; " + l.field("victims") + " run(s) " +
+           kind + "were stopped for this job.";
+}
+
 using formatter = std::function<std::string(log_line const&)>;
 using formatter_table = std::map<std::string, formatter>;
 
@@ -58,19 +72,7 @@
              return "Node " + e.node +
                     " received a cancellation: " + e.field("result") + ".";
          }},
-        {"unit.reclaim",
-         [](log_line const& e)
-         {
-             auto const urgent = e.field("urgent");
-             bool const has_urgent = !urgent.empty() && urgent != "0";
-             return "Not enough capacity was free; " + e.field("victims") +
-                    " run(s) " +
-                    (has_urgent ? "(" + urgent +
-                                      " urgent, beyond the guarantees of "
-                                      "their teams) "
-                                : "of lower priority ") +
-                    "were stopped for this job.";
-         }},
+        {"unit.reclaim", reclaim_text},
         {"unit.reclaim_again",
          [](log_line const& e)
          {
